--- /dev/null
+++ b/internal/process/settings/settings.go
@@ -0,0 +1,28 @@
+// Package settings reads and validates the JSON settings files.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Duration is a time span; in JSON it is a string with a unit, for example "250ms" or "10m".
+type Duration time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("duration %s must be a string with a unit, such as \"250ms\"", data)
+	}
+	span, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("duration %q must have a unit, such as \"250ms\"", text)
+	}
+	*d = Duration(span)
+	return nil
+}
+
+// MarshalJSON implements json.Marshaler.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
--- /dev/null
+++ b/internal/process/store/store.go
@@ -0,0 +1,54 @@
+// Package store is the client of the platform's object API, the only place where anything lasts.
+package store
+
+import (
+	"context"
+	"errors"
+)
+
+// Errors of a Client, to be tested with errors.Is.
+var (
+	// ErrNotFound reports that the object does not exist.
+	ErrNotFound = errors.New("object not found")
+	// ErrConflict reports that the object exists already or has another version.
+	ErrConflict = errors.New("object version conflict")
+	// ErrUnavailable reports that the call failed and was not applied.
+	ErrUnavailable = errors.New("store unavailable")
+	// ErrUnknown reports that a write may or may not have been applied; read back to find out.
+	ErrUnknown = errors.New("store write outcome unknown")
+	// ErrThrottled reports that the call was refused by the store's rate limit or by the process's own budget, and not applied.
+	ErrThrottled = errors.New("store calls throttled")
+)
+
+// MaxValue bounds a value, in bytes; it is the platform's limit.
+const MaxValue = 1 << 20
+
+// Object is a value in the store.
+type Object struct {
+	Kind string
+	// Name may contain slashes.
+	Name string
+	// Version changes with every update of the object.
+	Version uint64
+	// Revision is the store-wide number of the write that produced this version.
+	Revision uint64
+	Value    []byte
+	// Deleted is set only in watch results.
+	Deleted bool
+}
+
+// Client calls the object API. Implementations are safe for concurrent use and honour the context's deadline.
+type Client interface {
+	// Get returns the object, or ErrNotFound.
+	Get(ctx context.Context, kind, name string) (Object, error)
+	// Create writes a new object, or fails with ErrConflict when the name is taken.
+	Create(ctx context.Context, kind, name string, value []byte) (Object, error)
+	// Update replaces the value if the version is still obj.Version, or fails with ErrConflict or ErrNotFound.
+	Update(ctx context.Context, obj Object) (Object, error)
+	// Delete removes the object if the version is still obj.Version.
+	Delete(ctx context.Context, obj Object) error
+	// List returns up to limit objects of kind in name order, with names that start with prefix and are greater than after.
+	List(ctx context.Context, kind, prefix, after string, limit int) ([]Object, error)
+	// Watch waits up to 30 s for writes to kind after the revision, and returns them with the revision to continue from.
+	Watch(ctx context.Context, kind string, after uint64) ([]Object, uint64, error)
+}
