Sessions, upstream client, membership and request path packages

Cause: entry and sidecar need sessions, admission and attempts. Conclusion: base for the composition.

--- /dev/null
+++ b/internal/process/membership/membership.go
@@ -0,0 +1,258 @@
+// Package membership follows the platform's instance list and combines it with what the sessions show.
+//
+// The list lags behind the actual state, so a session that is silent or announces draining counts before the list does.
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dghubble/sling"
+)
+
+const (
+	// pollInterval leaves two further polls within the 3 s after which a leaving upstream may get no new work.
+	pollInterval = time.Second
+	pollTimeout  = 5 * time.Second
+	maxListBytes = 16 << 20
+)
+
+// Roles of instances in the list.
+const (
+	RoleEntry   = "entry"
+	RoleSidecar = "sidecar"
+)
+
+// States of instances in the list.
+const (
+	listLive    = "live"
+	listLeaving = "leaving"
+)
+
+// Instance is one element of the platform's list.
+type Instance struct {
+	Instance string `json:"instance"`
+	Role     string `json:"role"`
+	Service  string `json:"service,omitempty"`
+	Owner    string `json:"owner,omitempty"`
+	Kind     string `json:"kind,omitempty"`
+	Zone     string `json:"zone,omitempty"`
+	// Address is HOST:PORT (UDP) of the instance's sessions.
+	Address string `json:"address"`
+	// State is "live" or "leaving".
+	State string `json:"state"`
+}
+
+// State is the combined state of a member.
+type State uint8
+
+// States of a member.
+const (
+	// Live members get new work.
+	Live State = iota + 1
+	// Suspect members have been silent while holding work; they get none until they answer.
+	Suspect
+	// Leaving members get no new work and finish what they have.
+	Leaving
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	return [...]string{"", "live", "suspect", "leaving"}[s]
+}
+
+// Member is an instance with its combined state.
+type Member struct {
+	Instance
+	Combined State
+}
+
+// Options configure a Tracker.
+type Options struct {
+	// URL is the base URL of the instance list.
+	URL string
+	// OnChange is called after a change of the members; it must not block.
+	OnChange func()
+	// OnError receives failed polls; it must not block.
+	OnError func(error)
+}
+
+type member struct {
+	Instance
+	listed   bool
+	suspect  bool
+	draining bool
+}
+
+// Tracker holds the members. It is safe for concurrent use.
+type Tracker struct {
+	opts Options
+	http *http.Client
+	etag string
+
+	mu      sync.Mutex
+	members map[string]*member
+	polled  time.Time
+}
+
+// New returns a Tracker without members.
+func New(opts Options) *Tracker {
+	return &Tracker{opts: opts, http: &http.Client{Timeout: pollTimeout}, members: map[string]*member{}}
+}
+
+// Run polls the list until ctx ends. While the list does not answer, the last known one stays in force.
+func (t *Tracker) Run(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		if err := t.Poll(ctx); err != nil && ctx.Err() == nil && t.opts.OnError != nil {
+			t.opts.OnError(err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Poll reads the list once. An unchanged list costs one conditional request without a body.
+func (t *Tracker) Poll(ctx context.Context) error {
+	req, err := sling.New().Base(strings.TrimSuffix(t.opts.URL, "/") + "/").Get("instances").Request()
+	if err != nil {
+		return err
+	}
+	if t.etag != "" {
+		req.Header.Set("If-None-Match", t.etag)
+	}
+	resp, err := t.http.Do(req.WithContext(ctx))
+	if err != nil {
+		return fmt.Errorf("read instance list: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusNotModified:
+		return nil
+	case http.StatusOK:
+	default:
+		return fmt.Errorf("read instance list: status %d", resp.StatusCode)
+	}
+	var list []Instance
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
+		return fmt.Errorf("decode instance list: %w", err)
+	}
+	t.etag = resp.Header.Get("ETag")
+	t.apply(list)
+	return nil
+}
+
+// apply takes over a list. An instance that the list no longer holds is leaving until Forget.
+func (t *Tracker) apply(list []Instance) {
+	t.mu.Lock()
+	changed := false
+	seen := make(map[string]bool, len(list))
+	for _, i := range list {
+		seen[i.Instance] = true
+		m := t.members[i.Instance]
+		if m == nil {
+			m = &member{}
+			t.members[i.Instance] = m
+		}
+		if m.Instance != i || !m.listed {
+			m.Instance, m.listed, changed = i, true, true
+		}
+	}
+	for name, m := range t.members {
+		if !seen[name] && m.listed {
+			m.listed, changed = false, true
+		}
+	}
+	t.polled = time.Now()
+	t.mu.Unlock()
+	if changed {
+		t.changed()
+	}
+}
+
+func (t *Tracker) changed() {
+	if t.opts.OnChange != nil {
+		t.opts.OnChange()
+	}
+}
+
+// Forget drops an instance that the list no longer holds.
+func (t *Tracker) Forget(instance string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[instance]; m != nil && !m.listed {
+		delete(t.members, instance)
+	}
+}
+
+// SetSuspect records whether the instance's session is silent.
+func (t *Tracker) SetSuspect(instance string, suspect bool) {
+	t.set(instance, func(m *member) *bool { return &m.suspect }, suspect)
+}
+
+// SetDraining records whether the instance announces that it drains.
+func (t *Tracker) SetDraining(instance string, draining bool) {
+	t.set(instance, func(m *member) *bool { return &m.draining }, draining)
+}
+
+func (t *Tracker) set(instance string, field func(*member) *bool, value bool) {
+	t.mu.Lock()
+	m := t.members[instance]
+	changed := m != nil && *field(m) != value
+	if changed {
+		*field(m) = value
+	}
+	t.mu.Unlock()
+	if changed {
+		t.changed()
+	}
+}
+
+// Members returns all members, ordered by name.
+func (t *Tracker) Members() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Member, 0, len(t.members))
+	for _, m := range t.members {
+		list = append(list, Member{Instance: m.Instance, Combined: m.state()})
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Instance.Instance, b.Instance.Instance) })
+	return list
+}
+
+// Listed tells whether the list holds the instance.
+func (t *Tracker) Listed(instance string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[instance]
+	return m != nil && m.listed
+}
+
+// Polled is when the list last answered with a new content.
+func (t *Tracker) Polled() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.polled
+}
+
+func (m *member) state() State {
+	switch {
+	case !m.listed || m.State == listLeaving || m.draining:
+		return Leaving
+	case m.suspect || m.State != listLive:
+		return Suspect
+	default:
+		return Live
+	}
+}
--- /dev/null
+++ b/internal/request/admit/admit.go
@@ -0,0 +1,80 @@
+// Package admit decides whether a request enters: it checks the key, the class, the input and the entry's queue.
+package admit
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/request/outcome"
+	"github.com/dragonflypin/dragonflypin/internal/version/directory"
+	"github.com/dragonflypin/dragonflypin/internal/version/table"
+)
+
+// Keys finds workspaces by key. The index is by hash, so a lookup reveals nothing about other keys.
+type Keys struct {
+	source *directory.Directory
+	byHash map[string]*directory.Workspace
+}
+
+// NewKeys indexes a directory.
+func NewKeys(d *directory.Directory) *Keys {
+	k := &Keys{source: d, byHash: make(map[string]*directory.Workspace, len(d.Workspaces))}
+	for i := range d.Workspaces {
+		k.byHash[strings.ToLower(d.Workspaces[i].KeySHA256)] = &d.Workspaces[i]
+	}
+	return k
+}
+
+// Source is the directory that was indexed.
+func (k *Keys) Source() *directory.Directory { return k.source }
+
+// Authenticate returns the workspace of the request's bearer key.
+func (k *Keys) Authenticate(h http.Header) (*directory.Workspace, *outcome.Error) {
+	key, ok := bearer(h.Get("Authorization"))
+	if !ok {
+		return nil, refuse(http.StatusUnauthorized, outcome.CodeInvalidKey, "The Authorization header must be \"Bearer KEY\".")
+	}
+	sum := sha256.Sum256([]byte(key))
+	ws := k.byHash[hex.EncodeToString(sum[:])]
+	if ws == nil {
+		return nil, refuse(http.StatusUnauthorized, outcome.CodeInvalidKey, "The key is not known.")
+	}
+	return ws, nil
+}
+
+func bearer(value string) (string, bool) {
+	scheme, key, ok := strings.Cut(value, " ")
+	key = strings.TrimSpace(key)
+	return key, ok && strings.EqualFold(scheme, "Bearer") && key != ""
+}
+
+// Row returns the row of the class that the request selects.
+func Row(ws *directory.Workspace, h http.Header, find func(class string) (table.Row, bool)) (table.Row, *outcome.Error) {
+	class := h.Get(outcome.HeaderClass)
+	if class == "" {
+		class = ws.DefaultClass
+	} else if !ws.MayUse(class) {
+		return table.Row{}, refuse(http.StatusForbidden, outcome.CodeClassForbidden, fmt.Sprintf("The workspace may not use class %q.", class))
+	}
+	row, ok := find(class)
+	if !ok {
+		return table.Row{}, refuse(http.StatusForbidden, outcome.CodeClassForbidden, fmt.Sprintf("Class %q is not in the table.", class))
+	}
+	return row, nil
+}
+
+// Timeout is the row's timeout or the entry's default.
+func Timeout(row *table.Row, fallback time.Duration) time.Duration {
+	if row.Timeout > 0 {
+		return row.Timeout
+	}
+	return fallback
+}
+
+func refuse(status int, code outcome.Code, message string) *outcome.Error {
+	return &outcome.Error{Status: status, Code: code, Message: message, Outcome: outcome.NotRun}
+}
--- /dev/null
+++ b/internal/request/attempt/runner.go
@@ -0,0 +1,151 @@
+package attempt
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+)
+
+const (
+	// retryWait is the pause before the same sidecars are asked again, unless they name a longer one.
+	retryWait    = 20 * time.Millisecond
+	maxRetryWait = 500 * time.Millisecond
+)
+
+// Chooser proposes targets for a round of asks. Failed holds the sidecars that refused or failed in the last rounds.
+type Chooser interface {
+	Choose(now time.Time, r *Request, failed map[string]bool) Choice
+	// Ended reports how a round ended, for the chooser's own counts.
+	Ended(r *Request, result *Result)
+}
+
+// Budget allows repeated attempts.
+type Budget interface {
+	// Allow tells whether one more attempt may be made now.
+	Allow(now time.Time) bool
+}
+
+// Trace is what a request went through, round by round.
+type Trace struct {
+	Rounds []Round
+}
+
+// Round is one choice with its result.
+type Round struct {
+	Asked   time.Time
+	Targets []string
+	Reason  string
+	Result  Result
+}
+
+// Runner runs requests to their end.
+type Runner struct {
+	Chooser Chooser
+	Budget  Budget
+	// Changed returns a channel that is closed at the next change of the fleet that could admit a waiting request.
+	Changed func() <-chan struct{}
+}
+
+// Run makes attempts until one ends the request, or ctx ends. The result with End 0 means that no target exists.
+func (r *Runner) Run(ctx context.Context, req *Request, sink Sink, trace *Trace) Result {
+	var number uint32
+	failed := map[string]bool{}
+	wait := retryWait
+	for {
+		changed := r.Changed()
+		choice := r.Chooser.Choose(time.Now(), req, failed)
+		if len(choice.Targets) == 0 && len(failed) == 0 {
+			return Result{}
+		}
+		if len(choice.Targets) == 0 {
+			if !pause(ctx, wait, changed) {
+				return Result{End: EndCancelled}
+			}
+			clear(failed)
+			wait = min(2*wait, maxRetryWait)
+			continue
+		}
+		result := r.round(ctx, req, choice, &number, sink, trace)
+		for _, refusal := range result.Refusals {
+			failed[refusal.Upstream] = true
+		}
+		if !r.again(ctx, req, sink, &result, failed) {
+			return result
+		}
+	}
+}
+
+func (r *Runner) round(ctx context.Context, req *Request, choice Choice, number *uint32, sink Sink, trace *Trace) Result {
+	asked := time.Now()
+	won, result := req.bind(ctx, choice, number)
+	if won != nil {
+		won.relay(ctx, sink, &result)
+	}
+	r.Chooser.Ended(req, &result)
+	round := Round{Asked: asked, Reason: choice.Reason, Result: result}
+	for _, up := range choice.Targets {
+		round.Targets = append(round.Targets, up.Name())
+	}
+	trace.add(round)
+	return result
+}
+
+// maxRounds bounds the memory of one trace; of a longer one the first rounds and the last are kept.
+const maxRounds = 16
+
+func (t *Trace) add(round Round) {
+	if len(t.Rounds) < maxRounds {
+		t.Rounds = append(t.Rounds, round)
+		return
+	}
+	t.Rounds[maxRounds-1] = round
+}
+
+// again tells whether the request may and should be asked elsewhere: it did not run,
+// or it is idempotent and the caller has seen nothing of it.
+func (r *Runner) again(ctx context.Context, req *Request, sink Sink, result *Result, failed map[string]bool) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch result.End {
+	case EndRefused:
+		return true
+	case EndNotRun:
+		failed[result.Upstream] = true
+		return r.Budget.Allow(time.Now())
+	case EndInterrupted, EndUnknown:
+		failed[result.Upstream] = true
+		return req.Idempotent && !sink.Sent() && r.Budget.Allow(time.Now())
+	default:
+		return false
+	}
+}
+
+// pause waits for a change of the fleet or a jittered time; it returns false when ctx ends.
+func pause(ctx context.Context, wait time.Duration, changed <-chan struct{}) bool {
+	timer := time.NewTimer(wait/2 + time.Duration(rand.Int64N(int64(wait))))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+		return true
+	case <-timer.C:
+		return true
+	}
+}
+
+// Refused returns the reason that most refusals of a result name, and the longest wait that they suggest.
+func (r *Result) Refused() (wire.RefuseReason, time.Duration) {
+	var reason wire.RefuseReason
+	var wait time.Duration
+	for _, refusal := range r.Refusals {
+		if !refusal.Unreachable {
+			reason = refusal.Reason
+		}
+		wait = max(wait, refusal.RetryAfter)
+	}
+	return reason, wait
+}
