--- /dev/null
+++ b/internal/process/usage/verify.go
@@ -0,0 +1,227 @@
+package usage
+
+import (
+	"cmp"
+	"crypto/ed25519"
+	"fmt"
+	"slices"
+)
+
+// ProblemKind classifies what verification found.
+type ProblemKind string
+
+// Kinds of problems.
+const (
+	// ProblemChanged reports content that does not match its signature or its hash.
+	ProblemChanged ProblemKind = "changed"
+	// ProblemMissing reports a gap in a writer's chain.
+	ProblemMissing ProblemKind = "missing"
+	// ProblemRepeated reports an attempt that one side counted twice, or two segments with one number.
+	ProblemRepeated ProblemKind = "repeated"
+	// ProblemForeign reports a segment whose writer has no registered key, or a record of the wrong side.
+	ProblemForeign ProblemKind = "foreign"
+	// ProblemMismatch reports an attempt that the two sides counted differently.
+	ProblemMismatch ProblemKind = "mismatch"
+)
+
+// Problem names a record or segment that does not hold.
+type Problem struct {
+	Kind   ProblemKind `json:"kind"`
+	Writer string      `json:"writer"`
+	Seq    uint64      `json:"seq"`
+	// Index is the record's place in its segment, starting at 1; 0 means the whole segment.
+	Index     int    `json:"index"`
+	RequestID string `json:"request_id,omitempty"`
+	Attempt   uint32 `json:"attempt,omitempty"`
+	Detail    string `json:"detail"`
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s: writer %s segment %d record %d request %q attempt %d: %s", p.Kind, p.Writer, p.Seq, p.Index, p.RequestID, p.Attempt, p.Detail)
+}
+
+// Report is the result of Verify.
+type Report struct {
+	Segments int `json:"segments"`
+	Records  int `json:"records"`
+	Writers  int `json:"writers"`
+	// Compared is the number of attempts that both sides counted.
+	Compared int `json:"compared"`
+	// EntryOnly and SidecarOnly are attempts that one side counted; the other side crashed before it could
+	// confirm its count, has not sealed it yet, or has folded it.
+	EntryOnly   int `json:"entry_only"`
+	SidecarOnly int `json:"sidecar_only"`
+	// Folded is the number of attempts inside folded records, which cannot be compared.
+	Folded uint64 `json:"folded"`
+	// OpenChains are writers whose last segment is not final: running now, or crashed.
+	OpenChains int `json:"open_chains"`
+	// Problems are ordered by writer, segment and record.
+	Problems []Problem `json:"problems"`
+}
+
+// Valid tells whether no problem was found.
+func (r *Report) Valid() bool { return len(r.Problems) == 0 }
+
+// Verify checks signatures, chains and the two counts. keys holds the registered public key of each writer.
+// The same segment stored twice is no problem: an offer is repeated when its confirmation was lost.
+func Verify(segments []Segment, keys map[string]ed25519.PublicKey) Report {
+	v := verifier{keys: keys, entry: make(map[attemptKey]located), sidecar: make(map[attemptKey]located)}
+	v.chains(segments)
+	v.compare()
+	slices.SortStableFunc(v.report.Problems, compareProblems)
+	return v.report
+}
+
+type attemptKey struct {
+	requestID string
+	attempt   uint32
+}
+
+type located struct {
+	record *Record
+	writer string
+	seq    uint64
+	index  int
+}
+
+type verifier struct {
+	keys           map[string]ed25519.PublicKey
+	report         Report
+	entry, sidecar map[attemptKey]located
+}
+
+func (v *verifier) problem(kind ProblemKind, s *Segment, index int, format string, args ...any) {
+	p := Problem{Kind: kind, Writer: s.Writer, Seq: s.Seq, Index: index, Detail: fmt.Sprintf(format, args...)}
+	if index > 0 {
+		p.RequestID, p.Attempt = s.Records[index-1].RequestID, s.Records[index-1].Attempt
+	}
+	v.report.Problems = append(v.report.Problems, p)
+}
+
+func (v *verifier) chains(segments []Segment) {
+	for _, chain := range byWriter(segments) {
+		v.report.Writers++
+		v.chain(chain)
+	}
+}
+
+// byWriter groups the segments by writer, in order of sequence; equal copies are merged.
+func byWriter(segments []Segment) [][]Segment {
+	sorted := slices.Clone(segments)
+	slices.SortStableFunc(sorted, func(a, b Segment) int {
+		return cmp.Or(cmp.Compare(a.Writer, b.Writer), cmp.Compare(a.Seq, b.Seq), slices.Compare(a.Hash[:], b.Hash[:]))
+	})
+	sorted = slices.CompactFunc(sorted, func(a, b Segment) bool {
+		return a.Writer == b.Writer && a.Seq == b.Seq && a.Hash == b.Hash && slices.Equal(a.Signature, b.Signature)
+	})
+	var chains [][]Segment
+	for start := 0; start < len(sorted); {
+		end := start + 1
+		for end < len(sorted) && sorted[end].Writer == sorted[start].Writer {
+			end++
+		}
+		chains = append(chains, sorted[start:end])
+		start = end
+	}
+	return chains
+}
+
+func (v *verifier) chain(chain []Segment) {
+	expected, prev := uint64(1), Hash{}
+	for i := range chain {
+		s := &chain[i]
+		v.report.Segments++
+		switch {
+		case s.Seq < expected:
+			v.problem(ProblemRepeated, s, 0, "segment %d exists with different content", s.Seq)
+			continue
+		case s.Seq > expected:
+			v.problem(ProblemMissing, s, 0, "segments %d to %d are missing before this one", expected, s.Seq-1)
+		case s.PrevHash != prev:
+			v.problem(ProblemChanged, s, 0, "previous hash does not match the segment before")
+		}
+		v.segment(s)
+		expected, prev = s.Seq+1, s.Hash
+	}
+	if !chain[len(chain)-1].Final {
+		v.report.OpenChains++
+	}
+}
+
+func (v *verifier) segment(s *Segment) {
+	key, ok := v.keys[s.Writer]
+	if !ok {
+		v.problem(ProblemForeign, s, 0, "no public key is registered for the writer")
+		return
+	}
+	if len(key) != ed25519.PublicKeySize || !ed25519.Verify(key, s.Hash[:], s.Signature) {
+		v.problem(ProblemChanged, s, 0, "signature does not match the content")
+		return
+	}
+	for i := range s.Records {
+		v.record(s, i+1)
+	}
+}
+
+func (v *verifier) record(s *Segment, index int) {
+	r := &s.Records[index-1]
+	v.report.Records++
+	if r.Side != s.Side {
+		v.problem(ProblemForeign, s, index, "record of side %q in a segment of side %q", r.Side, s.Side)
+		return
+	}
+	if r.Folded > 0 {
+		v.report.Folded += r.Folded
+		return
+	}
+	counts := v.entry
+	if r.Side == SideSidecar {
+		counts = v.sidecar
+	}
+	key := attemptKey{r.RequestID, r.Attempt}
+	if first, ok := counts[key]; ok {
+		v.problem(ProblemRepeated, s, index, "counted already by writer %s segment %d record %d", first.writer, first.seq, first.index)
+		return
+	}
+	counts[key] = located{record: r, writer: s.Writer, seq: s.Seq, index: index}
+}
+
+func (v *verifier) compare() {
+	for key, e := range v.entry {
+		s, ok := v.sidecar[key]
+		if !ok {
+			v.report.EntryOnly++
+			continue
+		}
+		v.report.Compared++
+		if detail := disagreement(e.record, s.record); detail != "" {
+			v.report.Problems = append(v.report.Problems, Problem{
+				Kind: ProblemMismatch, Writer: e.writer, Seq: e.seq, Index: e.index,
+				RequestID: key.requestID, Attempt: key.attempt, Detail: detail,
+			})
+		}
+	}
+	v.report.SidecarOnly = len(v.sidecar) - v.report.Compared
+}
+
+const outcomeCompleted = "completed"
+
+// disagreement compares the two counts of one attempt. Of an attempt that was cut, the sidecar may have counted
+// tokens that were still on their way to the entry, so there the entry's count may be lower.
+func disagreement(e, s *Record) string {
+	switch {
+	case e.Workspace != s.Workspace || e.Class != s.Class || e.Owner != s.Owner || e.Model != s.Model:
+		return fmt.Sprintf("entry counted for workspace %s class %s, sidecar for workspace %s class %s", e.Workspace, e.Class, s.Workspace, s.Class)
+	case e.CompletionTokens > s.CompletionTokens:
+		return fmt.Sprintf("entry counted %d completion tokens, sidecar %d", e.CompletionTokens, s.CompletionTokens)
+	case e.Outcome == outcomeCompleted && (e.CompletionTokens != s.CompletionTokens || e.PromptTokens != s.PromptTokens):
+		return fmt.Sprintf("entry counted %d+%d tokens of a completed attempt, sidecar %d+%d", e.PromptTokens, e.CompletionTokens, s.PromptTokens, s.CompletionTokens)
+	default:
+		return ""
+	}
+}
+
+func compareProblems(a, b Problem) int {
+	return cmp.Or(cmp.Compare(a.Writer, b.Writer), cmp.Compare(a.Seq, b.Seq), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Detail, b.Detail))
+}
