--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -18,7 +18,7 @@
 	ErrUnknown = errors.New("store write outcome unknown")
 	// ErrThrottled reports that the call was refused by the store's rate limit or by the process's own budget, and not applied.
 	ErrThrottled = errors.New("store calls throttled")
-	// ErrGap reports that the revision to watch from is no longer kept; list, and watch from the revision 0.
+	// ErrGap reports that the revision to watch from is no longer kept; list to find what was missed.
 	ErrGap = errors.New("store watch revision no longer kept")
 	// ErrTooLarge reports a value above MaxValue; it was not sent.
 	ErrTooLarge = errors.New("store value too large")
@@ -54,6 +54,6 @@
 	// List returns up to limit objects of kind in name order, with names that start with prefix and are greater than after.
 	List(ctx context.Context, kind, prefix, after string, limit int) ([]Object, error)
 	// Watch waits up to 30 s for writes to kind after the revision, and returns them with the revision to continue from.
-	// After 0 it returns at once, without objects, with the current revision. ErrGap reports that writes were missed.
+	// ErrGap reports that writes were missed; the revision returned with it is the current one: list, then continue from it.
 	Watch(ctx context.Context, kind string, after uint64) ([]Object, uint64, error)
 }
