--- a/internal/connection/wire/messages.go
+++ b/internal/connection/wire/messages.go
@@ -86,6 +86,8 @@
 	TTFTTargetMs uint32 `cbor:"5,keyasint,omitempty"`
 	// MaxWaitMs bounds the wait for a first slot; 0 means no bound.
 	MaxWaitMs uint32 `cbor:"6,keyasint,omitempty"`
+	// TokenTargetMs is the row's target for the time between tokens; 0 means none.
+	TokenTargetMs uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // HeaderField is one HTTP header line.
