Upstream choice

Cause: entries need to choose among thousands of upstreams in a bounded time. Change: route.Picker with per-upstream state, indexes by service and model, slow detection, prefix memory and a bounded sample behind Filter, Scorer and Chooser. Conclusion: the API can be wired in.

--- /dev/null
+++ b/internal/request/route/pick.go
@@ -0,0 +1,135 @@
+package route
+
+import "time"
+
+// freshReport is the age up to which a report is trusted to show a free slot.
+const freshReport = int64(250 * time.Millisecond)
+
+// commitLoad is the load up to which the body is sent with the ask: above it, another entry may take the last slot.
+const commitLoad = 0.75
+
+// Pick chooses up to two upstreams. It does not allocate.
+func (p *Picker) Pick(now time.Time, r *Request) Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.groups[groupKey{r.Service, r.Model}]
+	if g == nil {
+		return Choice{}
+	}
+	at := p.nanos(now)
+	n := p.gather(g, at, r, &g.fast)
+	if len(g.slow.ids) > 0 {
+		if c, ok := p.probe(g, at, r, n); ok {
+			return c
+		}
+	}
+	reason := ReasonNone
+	if n == 0 {
+		if n = p.gather(g, at, r, &g.slow); n == 0 {
+			return Choice{}
+		}
+		reason = ReasonOnlySlow
+	}
+	cs := p.sample[:n]
+	first, second, why := p.set.Chooser.Choose(cs)
+	if reason == ReasonNone {
+		reason = why
+	}
+	c := Choice{First: cs[first].ID, Reason: reason, Committed: committed(&cs[first])}
+	if second >= 0 {
+		c.Second = cs[second].ID
+	}
+	return c
+}
+
+// probe sends the request to a slow upstream whose probe is due, together with the cheapest fast one.
+func (p *Picker) probe(g *group, at int64, r *Request, n int) (Choice, bool) {
+	u := p.dueProbe(g, at, r)
+	if u == nil {
+		return Choice{}, false
+	}
+	c := Choice{First: u.id, Reason: ReasonProbe, Committed: u.inflight < max(1, u.slots)}
+	if i := cheapest(p.sample[:n], -1); i >= 0 {
+		c.Second = p.sample[i].ID
+	}
+	return c, true
+}
+
+// gather fills the sample from the list, the own zone and the upstreams that hold the prefix.
+func (p *Picker) gather(g *group, at int64, r *Request, from *list) int {
+	n := 0
+	if r.PrefixHash != 0 {
+		a, b := p.prefix.find(r.PrefixHash)
+		n = p.consider(g, at, r, from, a, n, true)
+		n = p.consider(g, at, r, from, b, n, true)
+	}
+	n = p.draw(g, at, r, from, from, p.set.SampleAny, n)
+	if from == &g.fast {
+		n = p.draw(g, at, r, from, &g.own, p.set.SampleZone, n)
+	}
+	return n
+}
+
+// draw considers k random members of a list, or all of a list that is not longer than k.
+func (p *Picker) draw(g *group, at int64, r *Request, eligible, l *list, k, n int) int {
+	if len(l.ids) <= k {
+		for _, id := range l.ids {
+			n = p.consider(g, at, r, eligible, id, n, false)
+		}
+		return n
+	}
+	// A draw can repeat or hit an excluded upstream; twice the number of draws bounds the cost.
+	for want, draws := n+k, 0; n < want && draws < 2*k+MaxExclude; draws++ {
+		n = p.consider(g, at, r, eligible, l.ids[p.random(len(l.ids))], n, false)
+	}
+	return n
+}
+
+func (p *Picker) consider(g *group, at int64, r *Request, eligible *list, id ID, n int, prefix bool) int {
+	if n >= maxSample || id == None {
+		return n
+	}
+	for i := range p.sample[:n] {
+		if p.sample[i].ID == id {
+			return n
+		}
+	}
+	if _, ok := eligible.pos[id]; !ok {
+		return n
+	}
+	c := &p.sample[n]
+	p.fill(c, g, p.ups[id], at)
+	c.Prefix = prefix
+	if !p.set.Filter.Allow(c, r) {
+		return n
+	}
+	c.Cost = p.set.Scorer.Cost(c, r)
+	return n + 1
+}
+
+func (p *Picker) fill(c *Candidate, g *group, u *upstream, at int64) {
+	*c = Candidate{
+		ID: u.id, InFlight: u.inflight, Outstanding: u.outstanding, Slots: max(1, u.slots),
+		MeanTokens: max(1, u.home.meanTokens), PerToken: u.perToken, OwnZone: u.zoneIsOwn,
+		Others: u.home.meanOthers,
+	}
+	if u.reported {
+		age := float64(max(0, at-u.reportAt))
+		half := float64(p.set.ReportHalfLife)
+		c.Others += (u.others - c.Others) * half / (half + age)
+		c.fresh = u.others == 0 || at-u.reportAt <= freshReport
+	}
+	if c.PerToken == 0 {
+		if c.PerToken = g.perToken; c.PerToken == 0 {
+			c.PerToken = defaultPerToken
+		}
+	}
+	if silence := at - u.lastToken; u.decoding > 0 && silence > stallAfter {
+		c.PerToken = max(c.PerToken, float64(silence))
+	}
+}
+
+func committed(c *Candidate) bool {
+	used := float64(c.InFlight) + c.Others
+	return c.fresh && used < float64(c.Slots) && (c.Others < 0.5 || c.Load() <= commitLoad)
+}
