--- a/internal/process/usage/usage_test.go
+++ b/internal/process/usage/usage_test.go
@@ -147,6 +147,13 @@
 	if got := firstKind(Verify(imported, keys)); got != ProblemChanged {
 		t.Fatalf("edited export verifies as %q", got)
 	}
+	report, err := VerifyExport(strings.NewReader(edited), keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first := report.Problems[0]; first.RequestID != "r0" {
+		t.Fatalf("first problem is %v, want the edited record", first)
+	}
 }
 
 // Guards against totals that change when the memory bound folds records during a long store outage.
--- a/internal/process/usage/verify.go
+++ b/internal/process/usage/verify.go
@@ -69,7 +69,7 @@
 	v := verifier{keys: keys, entry: make(map[attemptKey]located), sidecar: make(map[attemptKey]located)}
 	v.chains(segments)
 	v.compare()
-	slices.SortStableFunc(v.report.Problems, compareProblems)
+	sortProblems(v.report.Problems)
 	return v.report
 }
 
@@ -222,6 +222,11 @@
 	}
 }
 
+// sortProblems orders by writer, segment and record; of one segment a named record comes before the whole segment.
+func sortProblems(problems []Problem) {
+	slices.SortStableFunc(problems, compareProblems)
+}
+
 func compareProblems(a, b Problem) int {
-	return cmp.Or(cmp.Compare(a.Writer, b.Writer), cmp.Compare(a.Seq, b.Seq), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Detail, b.Detail))
+	return cmp.Or(cmp.Compare(a.Writer, b.Writer), cmp.Compare(a.Seq, b.Seq), cmp.Compare(uint(a.Index-1), uint(b.Index-1)), cmp.Compare(a.Detail, b.Detail))
 }
