Entry and sidecar composition on the class scheduler and the route picker

Cause: the request path needs both roles in one place to run from caller to engine. Change: entry (caller API, fleet, explain, status) and sidecar (executor, probes, load reports).

--- /dev/null
+++ b/internal/app/entry/entry.go
@@ -0,0 +1,279 @@
+// Package entry composes an entry instance: the caller API, the health endpoints of the operator API, the sessions to
+// sidecars and other entries, and the path of a request between them.
+package entry
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dragonflypin/dragonflypin/internal/connection/peer"
+	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/process/membership"
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/internal/request/admit"
+	"github.com/dragonflypin/dragonflypin/internal/request/attempt"
+	"github.com/dragonflypin/dragonflypin/internal/request/retry"
+	"github.com/dragonflypin/dragonflypin/internal/version/directory"
+	"github.com/dragonflypin/dragonflypin/internal/version/table"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	// bodyTimeout bounds the arrival of a request body.
+	bodyTimeout = 30 * time.Second
+	idleTimeout = 2 * time.Minute
+	// subsetInterval is how often sessions to instances that have left are checked for their end.
+	subsetInterval = time.Second
+	drainCheck     = 20 * time.Millisecond
+)
+
+// Rules are the table and the directory in force.
+type Rules interface {
+	// Version is the highest table version known, 0 before the first.
+	Version() uint64
+	// Row returns the row of a class.
+	Row(class string) (table.Row, bool)
+	// Directory returns the directory; it is never nil.
+	Directory() *directory.Directory
+}
+
+// Deps are what an entry needs from the process around it.
+type Deps struct {
+	Store       store.Client
+	Credentials *peer.Credentials
+	SigningKey  ed25519.PrivateKey
+	Log         logrus.FieldLogger
+	// Operator serves the operator API apart from /healthz and /readyz; nil answers 404.
+	Operator http.Handler
+	// Rules replace those read from the store.
+	Rules Rules
+}
+
+// T is one entry instance.
+type T struct {
+	cfg      settings.Entry
+	deps     Deps
+	log      logrus.FieldLogger
+	node     *peer.Node
+	fleet    *fleet
+	tracker  *membership.Tracker
+	queue    *admit.Queue
+	runner   *attempt.Runner
+	ring     *ring
+	keys     atomic.Pointer[admit.Keys]
+	operator atomic.Pointer[http.Handler]
+	refusals refusals
+
+	callers   net.Listener
+	operators net.Listener
+	draining  atomic.Bool
+	active    atomic.Int64
+	kick      chan struct{}
+}
+
+// New binds the listeners. Run must follow, also to release them.
+func New(cfg settings.Entry, deps Deps) (*T, error) {
+	t := &T{
+		cfg: cfg, deps: deps, log: deps.Log, ring: newRing(), queue: admit.NewQueue(cfg.Limits.Queue),
+		fleet: newFleet(cfg.Zone, cfg.Instance), kick: make(chan struct{}, 1),
+	}
+	t.SetOperator(deps.Operator)
+	t.runner = &attempt.Runner{Chooser: t.fleet, Budget: retry.NewBudget(retry.Settings{}), Changed: t.fleet.Changed}
+	t.tracker = membership.New(membership.Options{
+		URL: cfg.InstancesURL, OnChange: t.kickMembers,
+		OnError: func(err error) { t.log.WithError(err).Warn("instance list unavailable") },
+	})
+	if err := t.listen(); err != nil {
+		t.release()
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *T) listen() error {
+	var err error
+	t.node, err = peer.Listen(t.cfg.PeerListen, peer.Options{
+		Credentials: t.deps.Credentials, Zone: t.cfg.Zone, TableVersion: t.deps.Rules.Version,
+		OnLoad: t.onLoad, OnState: t.onState,
+	})
+	if err != nil {
+		return err
+	}
+	t.fleet.node = t.node
+	t.registerCalls()
+	if t.callers, err = net.Listen("tcp", t.cfg.Listen); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if t.operators, err = net.Listen("tcp", t.cfg.OperatorListen); err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	return nil
+}
+
+func (t *T) release() {
+	if t.node != nil {
+		_ = t.node.Close()
+	}
+	for _, l := range []net.Listener{t.callers, t.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Addr is the address of the caller API.
+func (t *T) Addr() string { return t.callers.Addr().String() }
+
+// AddrOperator is the address of the operator API.
+func (t *T) AddrOperator() string { return t.operators.Addr().String() }
+
+// AddrPeer is the UDP address of the sessions.
+func (t *T) AddrPeer() string { return t.node.Addr() }
+
+// Peers makes calls to other processes and registers handlers of calls.
+func (t *T) Peers() *peer.Node { return t.node }
+
+// SetOperator replaces the handler of the operator API.
+func (t *T) SetOperator(h http.Handler) {
+	if h == nil {
+		h = http.NotFoundHandler()
+	}
+	t.operator.Store(&h)
+}
+
+// Run serves until ctx ends; then it drains: readiness fails at once, new requests are refused, and the listeners stay
+// open until the requests in flight have ended or the drain timeout has passed.
+func (t *T) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() { t.tracker.Run(background) })
+	wg.Go(func() { t.followMembers(background) })
+	callers := &http.Server{
+		Handler: http.HandlerFunc(t.serveCaller), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: t.cfg.Limits.HeaderBytes,
+	}
+	operators := &http.Server{Handler: http.HandlerFunc(t.serveOperator), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	failed := make(chan error, 2)
+	wg.Go(func() { failed <- callers.Serve(t.callers) })
+	wg.Go(func() { failed <- operators.Serve(t.operators) })
+	t.log.WithFields(logrus.Fields{"instance": t.cfg.Instance, "listen": t.Addr()}).Info("entry started")
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+	}
+	t.drain()
+	_ = callers.Close()
+	_ = operators.Close()
+	stop()
+	t.release()
+	wg.Wait()
+	if errors.Is(err, http.ErrServerClosed) {
+		err = nil
+	}
+	return err
+}
+
+func (t *T) drain() {
+	t.draining.Store(true)
+	t.log.WithField("in_flight", t.active.Load()).Info("entry draining")
+	deadline := time.Now().Add(time.Duration(t.cfg.DrainTimeout))
+	for t.active.Load() > 0 {
+		if time.Now().After(deadline) {
+			t.log.WithField("in_flight", t.active.Load()).Warn("drain timeout passed")
+			return
+		}
+		time.Sleep(drainCheck)
+	}
+}
+
+func (t *T) kickMembers() {
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+// followMembers applies the member list to the sessions.
+func (t *T) followMembers(ctx context.Context) {
+	ticker := time.NewTicker(subsetInterval)
+	defer ticker.Stop()
+	for {
+		t.applyMembers()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.kick:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *T) applyMembers() {
+	byService := map[string][]membership.Member{}
+	var leaving []membership.Member
+	for _, m := range t.tracker.Members() {
+		switch {
+		case m.Role == membership.RoleEntry:
+			t.connectEntry(m)
+		case m.Combined == membership.Leaving && t.tracker.Listed(m.Instance.Instance):
+			leaving = append(leaving, m)
+		case m.Combined != membership.Leaving:
+			byService[m.Service] = append(byService[m.Service], m)
+		}
+	}
+	var wanted []membership.Member
+	for _, members := range byService {
+		wanted = append(wanted, membership.Subset(t.cfg.Instance, t.cfg.Zone, members, t.cfg.SidecarsPerService)...)
+	}
+	t.fleet.update(wanted, leaving)
+	for _, m := range t.tracker.Members() {
+		if !t.tracker.Listed(m.Instance.Instance) && !t.fleet.holds(m.Instance.Instance) {
+			t.tracker.Forget(m.Instance.Instance)
+		}
+	}
+}
+
+// connectEntry keeps a session between entries; of each pair, the one with the smaller name dials.
+func (t *T) connectEntry(m membership.Member) {
+	name := m.Instance.Instance
+	if name <= t.cfg.Instance {
+		return
+	}
+	if t.tracker.Listed(name) {
+		t.node.Connect(peer.Identity{Role: wire.RoleEntry, Instance: name}, m.Address)
+	} else {
+		t.node.Disconnect(name)
+	}
+}
+
+func (t *T) onLoad(from peer.Identity, load *wire.Load) {
+	t.fleet.onLoad(from, load)
+	t.tracker.SetDraining(from.Instance, load.Draining)
+}
+
+func (t *T) onState(of peer.Identity, state peer.State) {
+	t.fleet.onState(of, state)
+	t.tracker.SetSuspect(of.Instance, state == peer.StateSuspect)
+}
+
+// currentKeys indexes the directory again after it has changed.
+func (t *T) currentKeys() *admit.Keys {
+	d := t.deps.Rules.Directory()
+	k := t.keys.Load()
+	if k == nil || k.Source() != d {
+		k = admit.NewKeys(d)
+		t.keys.Store(k)
+	}
+	return k
+}
--- /dev/null
+++ b/internal/app/entry/operator.go
@@ -0,0 +1,22 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+)
+
+// serveOperator answers the health checks and passes the rest on.
+func (t *T) serveOperator(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/healthz":
+		_, _ = io.WriteString(w, "ok\n")
+	case "/readyz":
+		if t.draining.Load() {
+			http.Error(w, "draining", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ok\n")
+	default:
+		(*t.operator.Load()).ServeHTTP(w, r)
+	}
+}
--- /dev/null
+++ b/internal/app/entry/serve.go
@@ -0,0 +1,316 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/request/admit"
+	"github.com/dragonflypin/dragonflypin/internal/request/attempt"
+	"github.com/dragonflypin/dragonflypin/internal/request/outcome"
+	"github.com/dragonflypin/dragonflypin/internal/version/directory"
+	"github.com/dragonflypin/dragonflypin/internal/version/table"
+)
+
+// Paths of the caller API.
+const (
+	pathChat     = "/v1/chat/completions"
+	pathText     = "/v1/completions"
+	pathModels   = "/v1/models"
+	pathServices = "/services/"
+)
+
+const (
+	// retryAfter is suggested with refusals that pass within seconds.
+	retryAfter = time.Second
+	// maxDeadline keeps the remaining milliseconds within 32 bits.
+	maxDeadline = 30 * 24 * time.Hour
+)
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	t         *T
+	w         http.ResponseWriter
+	r         *http.Request
+	x         *Explanation
+	workspace *directory.Workspace
+	row       table.Row
+	trace     attempt.Trace
+	sink      *sink
+}
+
+func (t *T) newID() string { return fmt.Sprintf("%s.%016x", t.cfg.Instance, rand.Uint64()) }
+
+// serveCaller answers one request of the caller API.
+func (t *T) serveCaller(w http.ResponseWriter, r *http.Request) {
+	t.active.Add(1)
+	defer t.active.Add(-1)
+	e := &exchange{t: t, w: w, r: r, x: &Explanation{RequestID: t.newID(), Entry: t.cfg.Instance, Accepted: time.Now(), Method: r.Method}}
+	w.Header().Set(outcome.HeaderRequestID, e.x.RequestID)
+	abort := e.finish(e.serve())
+	if abort {
+		panic(http.ErrAbortHandler) // cuts the connection, so that the caller cannot take the answer for complete
+	}
+}
+
+func (e *exchange) serve() *outcome.Error {
+	if e.t.draining.Load() {
+		e.w.Header().Set("Connection", "close")
+		return unavailable(outcome.CodeDraining, "This entry is draining.")
+	}
+	path := e.r.URL.Path
+	switch {
+	case path == pathChat:
+		return e.completion(admit.ParseChat)
+	case path == pathText:
+		return e.completion(admit.ParseText)
+	case path == pathModels:
+		return e.models()
+	case strings.HasPrefix(path, pathServices):
+		return e.service()
+	default:
+		return notFound(outcome.CodeInvalidRequest, fmt.Sprintf("The path %q does not exist.", path))
+	}
+}
+
+// identify sets the workspace and the row.
+func (e *exchange) identify() *outcome.Error {
+	ws, oerr := e.t.currentKeys().Authenticate(e.r.Header)
+	if oerr != nil {
+		return oerr
+	}
+	e.workspace, e.x.Workspace, e.x.Owner = ws, ws.Name, ws.Owner
+	rules := e.t.deps.Rules
+	row, oerr := admit.Row(ws, e.r.Header, rules.Row)
+	if oerr != nil {
+		return oerr
+	}
+	e.row, e.x.Class, e.x.TableVersion = row, row.Class, rules.Version()
+	return nil
+}
+
+func (e *exchange) completion(parse func([]byte, int) (admit.Completion, *outcome.Error)) *outcome.Error {
+	if e.r.Method != http.MethodPost {
+		return methodNotAllowed(e.w, http.MethodPost)
+	}
+	if oerr := e.identify(); oerr != nil {
+		return oerr
+	}
+	body, oerr := e.readBody()
+	if oerr != nil {
+		return oerr
+	}
+	c, oerr := parse(body, e.t.cfg.Limits.MaxTokens)
+	if oerr != nil {
+		return oerr
+	}
+	e.x.Model = c.Model
+	if !e.t.fleet.model(c.Model) {
+		return notFound(outcome.CodeModelNotFound, fmt.Sprintf("No upstream serves the model %q.", c.Model))
+	}
+	req := e.request(body)
+	req.Idempotent = true
+	req.Ask.Kind, req.Ask.Method, req.Ask.Path = wire.KindEngine, http.MethodPost, e.r.URL.Path
+	req.Ask.Model, req.Ask.Stream, req.Ask.PrefixHash = c.Model, c.Stream, c.PrefixHash
+	req.Ask.PromptTokens, req.Ask.MaxTokens = uint32(c.PromptTokens), uint32(c.MaxTokens)
+	req.Ask.Header = []wire.HeaderField{{Name: "Content-Type", Value: "application/json"}}
+	return e.run(req)
+}
+
+func (e *exchange) models() *outcome.Error {
+	if e.r.Method != http.MethodGet {
+		return methodNotAllowed(e.w, http.MethodGet)
+	}
+	if oerr := e.identify(); oerr != nil {
+		return oerr
+	}
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := []model{}
+	for id, owner := range e.t.fleet.models() {
+		list = append(list, model{ID: id, Object: "model", OwnedBy: owner})
+	}
+	slices.SortFunc(list, func(a, b model) int { return strings.Compare(a.ID, b.ID) })
+	body, err := json.Marshal(struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", list})
+	if err != nil {
+		return internalError(err)
+	}
+	e.x.Status, e.x.Outcome = http.StatusOK, outcome.Completed
+	e.w.Header().Set("Content-Type", "application/json")
+	e.w.Header().Set(outcome.HeaderOutcome, string(outcome.Completed))
+	_, _ = e.w.Write(body)
+	return nil
+}
+
+// readBody reads the body within its size and time limits.
+func (e *exchange) readBody() ([]byte, *outcome.Error) {
+	limit := int64(e.t.cfg.Limits.BodyBytes)
+	if e.r.ContentLength > limit {
+		e.w.Header().Set("Connection", "close") // the body is not read
+		return nil, tooLarge(limit)
+	}
+	rc := http.NewResponseController(e.w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // unsupported only by test writers
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	var body []byte
+	var err error
+	reader := http.MaxBytesReader(e.w, e.r.Body, limit)
+	if e.r.ContentLength > 0 {
+		body = make([]byte, e.r.ContentLength)
+		_, err = io.ReadFull(reader, body)
+	} else {
+		body, err = io.ReadAll(reader)
+	}
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, tooLarge(limit)
+	case err != nil:
+		return nil, admit.Invalid("The body did not arrive completely.")
+	}
+	return body, nil
+}
+
+// request prepares a request with the row's policy and deadline.
+func (e *exchange) request(body []byte) *attempt.Request {
+	timeout := min(admit.Timeout(&e.row, time.Duration(e.t.cfg.Limits.Timeout)), maxDeadline)
+	return &attempt.Request{
+		Body: body, Accepted: e.x.Accepted, Deadline: e.x.Accepted.Add(timeout),
+		Ask: wire.Ask{
+			RequestID: e.x.RequestID, Workspace: e.workspace.Name, Owner: e.workspace.Owner, Class: e.row.Class,
+			Policy: wire.Policy{
+				TableVersion: e.x.TableVersion, Priority: uint8(e.row.Priority), Weight: uint16(e.row.Weight),
+				Protected: e.row.Protected, TTFTTargetMs: uint32(e.row.TTFTTarget / time.Millisecond),
+				MaxWaitMs: uint32(e.row.MaxWait / time.Millisecond),
+			},
+		},
+	}
+}
+
+// run queues the request, runs it and answers.
+func (e *exchange) run(req *attempt.Request) *outcome.Error {
+	ctx, cancel := context.WithCancelCause(e.r.Context())
+	defer cancel(nil)
+	ticket, ok := e.t.queue.Enter(&e.row, cancel)
+	if !ok {
+		return unavailable(outcome.CodeSaturated, "Too many requests of this and higher tiers are waiting.")
+	}
+	defer ticket.Leave()
+	ctx, stop := context.WithDeadline(ctx, req.Deadline)
+	defer stop()
+	e.sink = newSink(e, req, ticket)
+	result := e.t.runner.Run(ctx, req, e.sink, &e.trace)
+	e.x.CallerGone = e.r.Context().Err() != nil
+	e.x.PromptTokens, e.x.CompletionTokens = result.Done.PromptTokens, result.Done.CompletionTokens
+	return e.conclude(ctx, &result)
+}
+
+// conclude turns the result into the answer's end or an error.
+func (e *exchange) conclude(ctx context.Context, result *attempt.Result) *outcome.Error {
+	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	switch result.End {
+	case attempt.EndCompleted:
+		if e.sink.upstreamFailed() {
+			return upstreamFailed(outcome.Interrupted, "The upstream reported a failure.")
+		}
+		e.sink.complete()
+		return nil
+	case attempt.EndInterrupted:
+		return started(expired, outcome.Interrupted, "The upstream's answer was cut.")
+	case attempt.EndUnknown:
+		return started(expired, outcome.Unknown, "The upstream may have run the request, but its answer was lost.")
+	case attempt.EndNotRun:
+		return unavailable(outcome.CodeNoUpstream, "No upstream could be reached.")
+	}
+	switch {
+	case errors.Is(context.Cause(ctx), admit.ErrShed):
+		return unavailable(outcome.CodeSaturated, "The request made room for a higher tier.")
+	case result.End == 0:
+		return unavailable(outcome.CodeNoUpstream, "No upstream of the service is available.")
+	default:
+		return unavailable(outcome.CodeDeadline, "No slot became free before the deadline.")
+	}
+}
+
+// finish records the request and writes the error, if any. It tells whether the connection must be cut.
+func (e *exchange) finish(oerr *outcome.Error) bool {
+	e.x.describe(&e.trace)
+	e.x.TotalMs = e.x.since(time.Now())
+	if e.x.QueueMs == 0 && e.sink != nil {
+		e.x.QueueMs = e.x.TotalMs
+	}
+	if oerr == nil {
+		e.x.Outcome = outcome.Completed
+		if e.sink != nil {
+			e.x.Status = e.sink.status()
+		}
+		e.t.ring.add(e.x)
+		return false
+	}
+	e.t.refusals.add(oerr.Code)
+	e.x.Outcome, e.x.Code, e.x.Status = oerr.Outcome, oerr.Code, oerr.Status
+	e.t.ring.add(e.x)
+	if e.sink != nil && e.sink.Sent() {
+		return e.sink.fail(oerr)
+	}
+	oerr.Write(e.w)
+	return false
+}
+
+func unavailable(code outcome.Code, message string) *outcome.Error {
+	return &outcome.Error{
+		Status: http.StatusServiceUnavailable, Code: code, Message: message, Outcome: outcome.NotRun, RetryAfter: retryAfter,
+	}
+}
+
+func notFound(code outcome.Code, message string) *outcome.Error {
+	return &outcome.Error{Status: http.StatusNotFound, Code: code, Message: message, Outcome: outcome.NotRun}
+}
+
+func tooLarge(limit int64) *outcome.Error {
+	return &outcome.Error{
+		Status: http.StatusRequestEntityTooLarge, Code: outcome.CodeBodyTooLarge, Outcome: outcome.NotRun,
+		Message: fmt.Sprintf("The body is larger than %d bytes.", limit),
+	}
+}
+
+func methodNotAllowed(w http.ResponseWriter, allow string) *outcome.Error {
+	w.Header().Set("Allow", allow)
+	return &outcome.Error{
+		Status: http.StatusMethodNotAllowed, Code: outcome.CodeInvalidRequest, Outcome: outcome.NotRun,
+		Message: fmt.Sprintf("Only %s is allowed on this path.", allow),
+	}
+}
+
+func internalError(err error) *outcome.Error {
+	return &outcome.Error{Status: http.StatusInternalServerError, Code: outcome.CodeInternal, Outcome: outcome.NotRun, Message: err.Error()}
+}
+
+func upstreamFailed(o outcome.Outcome, message string) *outcome.Error {
+	return &outcome.Error{Status: http.StatusBadGateway, Code: outcome.CodeUpstreamFailed, Outcome: o, Message: message}
+}
+
+// started is the error of a request that started and did not complete.
+func started(expired bool, o outcome.Outcome, message string) *outcome.Error {
+	if expired {
+		return &outcome.Error{
+			Status: http.StatusGatewayTimeout, Code: outcome.CodeTimeout, Outcome: o, Message: "The request did not complete before its deadline.",
+		}
+	}
+	return upstreamFailed(o, message)
+}
--- /dev/null
+++ b/internal/app/sidecar/sidecar.go
@@ -0,0 +1,170 @@
+// Package sidecar composes the process beside one upstream: the sessions from entries and the executor.
+package sidecar
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dragonflypin/dragonflypin/internal/connection/peer"
+	"github.com/dragonflypin/dragonflypin/internal/connection/upstream"
+	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/internal/request/execute"
+)
+
+const (
+	// reportInterval is the shortest time between load reports on change.
+	reportInterval = 100 * time.Millisecond
+	// probeInterval is the time between checks whether the upstream answers; a failed dispatch is noticed at once.
+	probeInterval = time.Second
+	probeTimeout  = 2 * time.Second
+	// probeFailures is the number of failed checks in a row that make an upstream unhealthy, so that a single slow
+	// answer does not.
+	probeFailures = 2
+)
+
+// Deps are what a sidecar needs from the process around it.
+type Deps struct {
+	Store       store.Client
+	Credentials *peer.Credentials
+	SigningKey  ed25519.PrivateKey
+	Log         logrus.FieldLogger
+}
+
+// T is one sidecar instance.
+type T struct {
+	cfg      settings.Sidecar
+	deps     Deps
+	log      logrus.FieldLogger
+	node     *peer.Node
+	client   *upstream.Client
+	executor *execute.Executor
+	changed  chan struct{}
+}
+
+// New binds the sessions' address. Run must follow, also to release it.
+func New(cfg settings.Sidecar, deps Deps) (*T, error) {
+	client, err := upstream.New(cfg.UpstreamURL)
+	if err != nil {
+		return nil, err
+	}
+	t := &T{cfg: cfg, deps: deps, log: deps.Log, client: client, changed: make(chan struct{}, 1)}
+	kind := wire.KindEngine
+	if cfg.Kind == settings.KindPlain {
+		kind = wire.KindPlain
+	}
+	t.executor = execute.New(execute.Options{
+		Client: client, Kind: kind, Slots: cfg.Slots, Models: cfg.Models, CanPause: cfg.CanPause,
+		OnChange: t.onChange, OnError: func(err error) { t.log.WithError(err).Warn("pause or resume failed") },
+	})
+	t.node, err = peer.Listen(cfg.PeerListen, peer.Options{
+		Credentials: deps.Credentials, Zone: cfg.Zone, Service: cfg.Service,
+		Load: func() *wire.Load { return t.executor.Load() }, OnAsk: t.serve,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("sidecar %s: %w", cfg.Instance, err)
+	}
+	return t, nil
+}
+
+// AddrPeer is the UDP address of the sessions.
+func (t *T) AddrPeer() string { return t.node.Addr() }
+
+// Load is the current load report.
+func (t *T) Load() wire.Load { return *t.executor.Load() }
+
+// Run serves until ctx ends; then it announces draining on all sessions, refuses what is queued, and waits until
+// everything started has ended or the drain timeout has passed.
+func (t *T) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() { t.report(background) })
+	wg.Go(func() { t.probe(background) })
+	t.log.WithFields(logrus.Fields{"instance": t.cfg.Instance, "listen": t.AddrPeer()}).Info("sidecar started")
+	<-ctx.Done()
+	t.log.Info("sidecar draining")
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(t.cfg.DrainTimeout))
+	err := t.executor.Drain(bounded)
+	cancel()
+	if errors.Is(err, context.DeadlineExceeded) {
+		t.log.Warn("drain timeout passed")
+		err = nil
+	}
+	stop()
+	wg.Wait()
+	_ = t.node.Close()
+	t.client.Close()
+	return err
+}
+
+func (t *T) serve(ctx context.Context, from peer.Identity, st *peer.Stream, ask *wire.Ask) {
+	if from.Role != wire.RoleEntry {
+		st.Abort()
+		return
+	}
+	t.executor.Serve(ctx, from, st, ask)
+}
+
+func (t *T) onChange() {
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
+}
+
+// report broadcasts the load after changes, at most once per interval. A drain is announced like any change.
+func (t *T) report(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.changed:
+		}
+		t.node.Broadcast(t.executor.Load())
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(reportInterval):
+		}
+	}
+}
+
+// probe watches whether the upstream answers.
+func (t *T) probe(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	failures := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if t.alive(ctx) {
+			failures = 0
+			t.executor.SetHealthy(true)
+			continue
+		}
+		if failures++; failures >= probeFailures && ctx.Err() == nil {
+			t.executor.SetHealthy(false)
+		}
+	}
+}
+
+func (t *T) alive(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if t.cfg.Kind == settings.KindPlain {
+		return t.client.Alive(ctx)
+	}
+	_, err := t.client.Load(ctx)
+	var status *upstream.StatusError
+	return err == nil || errors.As(err, &status) && status.Status < 500
+}
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -30,6 +30,12 @@
 	RoleSidecar = "sidecar"
 )
 
+// Kinds of upstreams in the list.
+const (
+	KindEngine = "engine"
+	KindPlain  = "plain"
+)
+
 // States of instances in the list.
 const (
 	listLive    = "live"
--- a/internal/request/attempt/attempt.go
+++ b/internal/request/attempt/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/request/retry"
 )
 
 // Stream is one request stream to a sidecar.
@@ -37,6 +38,8 @@
 
 // Sink takes the answer. Its methods block while the caller reads slowly.
 type Sink interface {
+	// Started is called when a sidecar reports the start of an attempt.
+	Started(upstream string)
 	// Head starts an answer. It is called again when a further attempt replaces one of which nothing was sent.
 	Head(h *wire.Head) error
 	// Chunk takes the next piece.
@@ -50,6 +53,8 @@
 	// Ask is the template of every ask; RequestID, Attempt, times, Committed and Body are set per ask.
 	Ask  wire.Ask
 	Body []byte
+	// Service is the plain service to call; empty for a model.
+	Service string
 	// Idempotent allows another attempt after one that may have run.
 	Idempotent bool
 	// Accepted is when the entry accepted the request, Deadline when its answer must be complete.
@@ -98,6 +103,8 @@
 	Done wire.Done
 	// Detail explains an end that Done does not.
 	Detail string
+	// Verdict is the decision about a repetition, 0 when none was needed.
+	Verdict retry.Verdict
 }
 
 // Refusal is one sidecar's refusal.
--- a/internal/request/attempt/runner.go
+++ b/internal/request/attempt/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/request/retry"
 )
 
 const (
@@ -16,15 +17,7 @@
 
 // Chooser proposes targets for a round of asks. Failed holds the sidecars that refused or failed in the last rounds.
 type Chooser interface {
-	Choose(now time.Time, r *Request, failed map[string]bool) Choice
-	// Ended reports how a round ended, for the chooser's own counts.
-	Ended(r *Request, result *Result)
-}
-
-// Budget allows repeated attempts.
-type Budget interface {
-	// Allow tells whether one more attempt may be made now.
-	Allow(now time.Time) bool
+	Choose(now time.Time, r *Request, failed []string) Choice
 }
 
 // Trace is what a request went through, round by round.
@@ -43,7 +36,7 @@
 // Runner runs requests to their end.
 type Runner struct {
 	Chooser Chooser
-	Budget  Budget
+	Budget  *retry.Budget
 	// Changed returns a channel that is closed at the next change of the fleet that could admit a waiting request.
 	Changed func() <-chan struct{}
 }
@@ -51,8 +44,9 @@
 // Run makes attempts until one ends the request, or ctx ends. The result with End 0 means that no target exists.
 func (r *Runner) Run(ctx context.Context, req *Request, sink Sink, trace *Trace) Result {
 	var number uint32
-	failed := map[string]bool{}
+	var failed []string
 	wait := retryWait
+	started := 0
 	for {
 		changed := r.Changed()
 		choice := r.Chooser.Choose(time.Now(), req, failed)
@@ -63,17 +57,22 @@
 			if !pause(ctx, wait, changed) {
 				return Result{End: EndCancelled}
 			}
-			clear(failed)
+			failed = failed[:0]
 			wait = min(2*wait, maxRetryWait)
 			continue
 		}
 		result := r.round(ctx, req, choice, &number, sink, trace)
 		for _, refusal := range result.Refusals {
-			failed[refusal.Upstream] = true
+			failed = append(failed, refusal.Upstream)
+		}
+		if result.End == EndRefused && ctx.Err() == nil {
+			continue
 		}
-		if !r.again(ctx, req, sink, &result, failed) {
+		started++
+		if ctx.Err() != nil || !r.again(req, sink, &result, started) {
 			return result
 		}
+		failed = append(failed, result.Upstream)
 	}
 }
 
@@ -81,9 +80,9 @@
 	asked := time.Now()
 	won, result := req.bind(ctx, choice, number)
 	if won != nil {
+		sink.Started(result.Upstream)
 		won.relay(ctx, sink, &result)
 	}
-	r.Chooser.Ended(req, &result)
 	round := Round{Asked: asked, Reason: choice.Reason, Result: result}
 	for _, up := range choice.Targets {
 		round.Targets = append(round.Targets, up.Name())
@@ -103,24 +102,22 @@
 	t.Rounds[maxRounds-1] = round
 }
 
-// again tells whether the request may and should be asked elsewhere: it did not run,
-// or it is idempotent and the caller has seen nothing of it.
-func (r *Runner) again(ctx context.Context, req *Request, sink Sink, result *Result, failed map[string]bool) bool {
-	if ctx.Err() != nil {
-		return false
+// again tells whether a started attempt may be repeated: it did not run, or it is idempotent and the caller has seen
+// nothing of it, within the budget.
+func (r *Runner) again(req *Request, sink Sink, result *Result, started int) bool {
+	f := retry.Failure{
+		Known: retry.MayHaveRun, Idempotent: req.Idempotent, Sent: sink.Sent(), Attempts: started, Deadline: req.Deadline,
 	}
 	switch result.End {
-	case EndRefused:
-		return true
 	case EndNotRun:
-		failed[result.Upstream] = true
-		return r.Budget.Allow(time.Now())
+		f.Known = retry.NotRun
 	case EndInterrupted, EndUnknown:
-		failed[result.Upstream] = true
-		return req.Idempotent && !sink.Sent() && r.Budget.Allow(time.Now())
 	default:
 		return false
 	}
+	verdict := r.Budget.Decide(time.Now(), f)
+	result.Verdict = verdict
+	return verdict == retry.Again
 }
 
 // pause waits for a change of the fleet or a jittered time; it returns false when ctx ends.
--- a/internal/request/execute/execute.go
+++ b/internal/request/execute/execute.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflypin/dragonflypin/internal/connection/peer"
 	"github.com/dragonflypin/dragonflypin/internal/connection/upstream"
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/request/schedule"
 )
 
 const (
@@ -18,6 +19,7 @@
 	// queuedPerSlot bounds the asks that wait for one slot.
 	queuedPerSlot = 64
 	minQueued     = 256
+	lingerTime    = time.Second
 	// saturatedRetry is the wait that a refusal for a full queue suggests.
 	saturatedRetry = 100 * time.Millisecond
 )
@@ -45,12 +47,12 @@
 	Slots int
 	// Models are the models that the engine serves; empty admits all.
 	Models []string
-	// Scheduler decides which ask gets a free slot.
-	Scheduler Scheduler
 	// CanPause tells whether the engine can pause and resume streams.
 	CanPause bool
-	// OnChange is called after each change of the load; it must not block.
+	// OnChange is called after each change of the load, under the executor's lock; it must not block or call back.
 	OnChange func()
+	// OnError receives failed pause and resume calls; it must not block.
+	OnError func(error)
 	// OnRecord receives each started attempt when it has ended; it must not block.
 	OnRecord func(Record)
 }
@@ -60,24 +62,39 @@
 	opts Options
 
 	mu       sync.Mutex
-	jobs     map[string]*job
+	sched    *schedule.Scheduler
+	jobs     map[uint64]*job
+	asks     map[askKey]bool
+	lastID   uint64
+	wake     *time.Timer
+	serving  int
 	queued   int
 	running  int
 	paused   int
 	draining bool
 	healthy  bool
 	models   []string
-	pace     float64
 	idle     chan struct{}
 }
 
+// askKey identifies an ask among those of all entries.
+type askKey struct {
+	entry, request string
+	attempt        uint32
+}
+
 // job is one ask from its arrival to its end.
 type job struct {
-	id      string
+	id      uint64
+	key     askKey
 	ask     *wire.Ask
 	entry   string
 	arrived time.Time
 	granted bool
+	started bool
+	paused  bool
+	// control serializes the pause and resume calls of a running stream.
+	control sync.Mutex
 	// ready is closed when the job has a slot; refused carries the reason of a later refusal.
 	ready   chan struct{}
 	refused chan wire.RefuseReason
@@ -85,33 +102,73 @@
 
 // New returns an Executor that regards its upstream as healthy.
 func New(opts Options) *Executor {
-	return &Executor{opts: opts, jobs: map[string]*job{}, healthy: true, models: opts.Models}
+	e := &Executor{
+		opts: opts, sched: schedule.New(schedule.Config{Slots: opts.Slots, CanPause: opts.CanPause}),
+		jobs: map[uint64]*job{}, asks: map[askKey]bool{}, healthy: true, models: opts.Models,
+	}
+	e.wake = time.AfterFunc(time.Hour, e.onWake)
+	e.wake.Stop()
+	return e
 }
 
 // Serve handles one ask; it returns when the attempt has ended. The context ends with the session.
 func (e *Executor) Serve(ctx context.Context, from peer.Identity, st Stream, ask *wire.Ask) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	e.mu.Lock()
+	e.serving++
+	e.mu.Unlock()
 	j := &job{
-		id: jobID(from.Instance, ask), ask: ask, entry: from.Instance, arrived: time.Now(),
+		key: askKey{from.Instance, ask.RequestID, ask.Attempt}, ask: ask, entry: from.Instance, arrived: time.Now(),
 		ready: make(chan struct{}), refused: make(chan wire.RefuseReason, 1),
 	}
+	starts := make(chan []byte, 1)
+	go receive(st, starts, cancel)
+	e.attempt(ctx, st, j, starts)
+	linger(ctx)
+	e.served()
+}
+
+// attempt queues and runs one ask.
+func (e *Executor) attempt(ctx context.Context, st Stream, j *job, starts <-chan []byte) {
 	if reason := e.admit(j); reason != 0 {
-		refuse(st, ask, reason)
+		refuse(st, j.ask, reason)
 		return
 	}
-	starts := make(chan []byte, 1)
-	go receive(st, starts, cancel)
+	defer e.leave(j)
 	body, reason := e.waitForSlot(ctx, st, j, starts)
 	if reason != 0 {
-		e.leave(j)
-		refuse(st, ask, reason)
+		refuse(st, j.ask, reason)
 		return
 	}
-	defer e.leave(j)
+	e.mu.Lock()
+	j.started = true
+	e.mu.Unlock()
 	e.run(ctx, st, j, body)
 }
 
+// linger waits until the entry closes the stream, which it does once it has read the last message. Without it, the end
+// of a draining process could drop that message.
+func linger(ctx context.Context) {
+	timer := time.NewTimer(lingerTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// served ends the stream's part in a drain.
+func (e *Executor) served() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.serving--
+	if e.serving == 0 && e.idle != nil {
+		close(e.idle)
+		e.idle = nil
+	}
+}
+
 // receive turns the entry's messages into a body or a cancellation. It ends when the stream does.
 func receive(st Stream, starts chan<- []byte, cancel func()) {
 	defer cancel()
@@ -168,15 +225,18 @@
 	if reason := e.reject(j.ask); reason != 0 {
 		return reason
 	}
-	if e.jobs[j.id] != nil {
+	if e.asks[j.key] {
 		return wire.RefuseInvalid
 	}
 	if e.queued >= max(minQueued, queuedPerSlot*e.opts.Slots) && !e.displace(j) {
 		return wire.RefuseSaturated
 	}
+	e.lastID++
+	j.id = e.lastID
 	e.jobs[j.id] = j
+	e.asks[j.key] = true
 	e.queued++
-	e.opts.Scheduler.Enqueue(j.arrived, itemOf(j))
+	e.sched.Enqueue(j.arrived, j.item())
 	e.dispatch(j.arrived)
 	return 0
 }
@@ -228,8 +288,8 @@
 
 // withdraw refuses a queued job; its own goroutine sends the refusal.
 func (e *Executor) withdraw(j *job, reason wire.RefuseReason) {
-	e.opts.Scheduler.Remove(j.id)
-	delete(e.jobs, j.id)
+	e.sched.Remove(j.id)
+	e.forget(j)
 	e.queued--
 	j.refused <- reason
 }
@@ -242,45 +302,38 @@
 	if e.jobs[j.id] != j {
 		return
 	}
-	delete(e.jobs, j.id)
-	if j.granted {
+	e.forget(j)
+	switch {
+	case !j.granted:
+		e.queued--
+	case j.paused:
+		e.paused--
+	default:
 		e.running--
-		e.opts.Scheduler.OnDone(j.id, now)
+	}
+	if j.started {
+		e.sched.OnDone(j.id, now)
 	} else {
-		e.queued--
-		e.opts.Scheduler.Remove(j.id)
+		e.sched.Remove(j.id)
 	}
 	e.dispatch(now)
-	if e.draining && len(e.jobs) == 0 && e.idle != nil {
-		close(e.idle)
-		e.idle = nil
-	}
 }
 
-// dispatch hands free slots to queued jobs.
-func (e *Executor) dispatch(now time.Time) {
-	for e.running < e.opts.Slots && e.queued > 0 {
-		id, ok := e.opts.Scheduler.Next(now)
-		if !ok {
-			break
-		}
-		j := e.jobs[id]
-		j.granted = true
-		e.queued--
-		e.running++
-		close(j.ready)
-	}
-	if e.opts.OnChange != nil {
-		e.opts.OnChange()
-	}
+func (e *Executor) forget(j *job) {
+	delete(e.jobs, j.id)
+	delete(e.asks, j.key)
 }
 
 // Load reports slots, queue and health.
 func (e *Executor) Load() *wire.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	pace := 0.0
+	if _, interval := e.sched.Pace(); interval > 0 {
+		pace = float64(time.Second) / float64(interval)
+	}
 	return &wire.Load{
-		Slots: e.opts.Slots, Running: e.running, Paused: e.paused, Queued: e.queued, TokensPerSecond: e.pace,
+		Slots: e.opts.Slots, Running: e.running, Paused: e.paused, Queued: e.queued, TokensPerSecond: pace,
 		Models: e.models, Draining: e.draining, Healthy: e.healthy,
 	}
 }
@@ -307,13 +360,13 @@
 	}
 }
 
-// Drain refuses queued and new asks, and waits until everything granted has ended or ctx ends.
+// Drain refuses queued and new asks, and waits until every stream has ended or ctx ends.
 func (e *Executor) Drain(ctx context.Context) error {
 	e.mu.Lock()
 	e.draining = true
 	e.refuseQueued(wire.RefuseDraining)
 	e.dispatch(time.Now())
-	if len(e.jobs) == 0 {
+	if e.serving == 0 {
 		e.mu.Unlock()
 		return nil
 	}
--- a/internal/request/execute/run.go
+++ b/internal/request/execute/run.go
@@ -18,8 +18,6 @@
 	chunkBytes = 32 << 10
 	// usageBytes bounds the part of a plain answer that is kept to read its usage object.
 	usageBytes = 1 << 20
-	// paceWeight is the weight of a new observation in the moving average of the token pace.
-	paceWeight = 0.2
 )
 
 // Details of a Done, free of request content.
@@ -188,13 +186,6 @@
 	return r.st.Send(messages...)
 }
 
-// onTokens tells the scheduler about progress.
-func (e *Executor) onTokens(j *job, n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.opts.Scheduler.OnTokens(j.id, n, time.Now())
-}
-
 // UpstreamID names an attempt at the engine: the request ID and, from the second attempt on, the attempt's number,
 // so that a second attempt at the same engine is another stream.
 func UpstreamID(ask *wire.Ask) string {
