settings: load and validate the JSON files

Cause: a bad setting must produce one line with the path, the value and what is allowed. Change: a generic loader driven by struct tags (default, range, unit, format); help text is taken from the doc comments, and a test compares the documented defaults with the ones in force.

--- /dev/null
+++ b/internal/process/settings/help.go
@@ -0,0 +1,108 @@
+package settings
+
+import (
+	"embed"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"reflect"
+	"strings"
+)
+
+// sources holds the declarations whose doc comments the help repeats, so that help and code cannot differ.
+//
+//go:embed entry.go sidecar.go
+var sources embed.FS
+
+// Field describes one setting.
+type Field struct {
+	// Path is the JSON path, for example limits.body_bytes.
+	Path string
+	// Doc is the doc comment.
+	Doc string
+	// Allowed describes the values.
+	Allowed string
+	// Default is the default, or empty when the field is required or optional.
+	Default string
+	// Required is set for a field that must be present.
+	Required bool
+}
+
+// Fields returns the settings of T in the order of their declaration. Doc is empty for types of other packages.
+func Fields[T any]() []Field { return fields(reflect.TypeFor[T](), "", docComments()) }
+
+func fields(t reflect.Type, path string, docs map[string]string) []Field {
+	var list []Field
+	for i := range t.NumField() {
+		field := t.Field(i)
+		at := join(path, jsonName(field))
+		if field.Type.Kind() == reflect.Struct {
+			list = append(list, fields(field.Type, at, docs)...)
+			continue
+		}
+		value, hasDefault := field.Tag.Lookup(tagDefault)
+		list = append(list, Field{
+			Path: at, Doc: docs[t.Name()+"."+field.Name], Allowed: Allowed(field), Default: value,
+			Required: !hasDefault && field.Tag.Get(tagOptional) != "true",
+		})
+	}
+	return list
+}
+
+// docComments returns the comments of struct fields by TYPE.FIELD.
+func docComments() map[string]string {
+	docs := make(map[string]string)
+	entries, err := sources.ReadDir(".")
+	if err != nil {
+		panic(err) // the files are embedded
+	}
+	for _, entry := range entries {
+		text, err := sources.ReadFile(entry.Name())
+		if err != nil {
+			panic(err) // the files are embedded
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), entry.Name(), text, parser.ParseComments)
+		if err != nil {
+			panic(err) // the files were compiled
+		}
+		ast.Inspect(file, func(n ast.Node) bool { collect(n, docs); return true })
+	}
+	return docs
+}
+
+func collect(n ast.Node, docs map[string]string) {
+	spec, ok := n.(*ast.TypeSpec)
+	if !ok {
+		return
+	}
+	body, ok := spec.Type.(*ast.StructType)
+	if !ok {
+		return
+	}
+	for _, field := range body.Fields.List {
+		for _, name := range field.Names {
+			docs[spec.Name.Name+"."+name.Name] = strings.Join(strings.Fields(field.Doc.Text()), " ")
+		}
+	}
+}
+
+// Help returns the settings of T as text, one setting after the other.
+func Help[T any]() string {
+	var b strings.Builder
+	b.WriteString("Settings (JSON):\n")
+	for _, f := range Fields[T]() {
+		state := "required"
+		switch {
+		case f.Default != "":
+			state = "default " + f.Default
+		case !f.Required:
+			state = "optional"
+		}
+		fmt.Fprintf(&b, "  %s (%s): %s.\n", f.Path, state, f.Allowed)
+		if f.Doc != "" {
+			fmt.Fprintf(&b, "      %s\n", f.Doc)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/process/settings/load_test.go
@@ -0,0 +1,136 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+)
+
+const entryFile = `{
+  "instance": "entry-1", "zone": "tw-central-a", "listen": "127.0.0.1:8080", "operator_listen": "127.0.0.1:8081",
+  "peer_listen": "127.0.0.1:8082", "store_url": "http://127.0.0.1:9000", "instances_url": "http://127.0.0.1:9001",
+  "tls": {"ca_file": "ca.pem", "cert_file": "cert.pem", "key_file": "key.pem"}, "signing_key_file": "sign.pem"
+}`
+
+var statedDefault = regexp.MustCompile(`Default "?([^ ,"]+?)"?[.,]`)
+
+const sidecarFile = `{
+  "instance": "lm-pool-1", "zone": "tw-central-a", "owner": "jadestone", "service": "lm-pool", "kind": "engine",
+  "upstream_url": "http://127.0.0.1:9100", "peer_listen": "127.0.0.1:8090", "store_url": "http://127.0.0.1:9000",
+  "tls": {"ca_file": "ca.pem", "cert_file": "cert.pem", "key_file": "key.pem"}, "signing_key_file": "sign.pem",
+  "models": ["tile-lm"]
+}`
+
+// Guards against defaults that differ from the documented ones.
+func TestDefaults(t *testing.T) {
+	cfg, err := settings.Parse[settings.Entry]([]byte(entryFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cfg.SidecarsPerService != 48 || cfg.Limits.BodyBytes != 1048000 || cfg.Log.Level != "info" ||
+		cfg.DrainTimeout != settings.Duration(10*time.Minute) || cfg.StoreCallsPerSecond != 5 {
+		t.Fatalf("defaults: %+v", cfg)
+	}
+	built := settings.Entry{Limits: settings.Limits{Queue: 7}}
+	settings.ApplyDefaults(&built)
+	if built.Limits.Queue != 7 || built.Limits.MaxTokens != 32768 || built.DrainTimeout != cfg.DrainTimeout {
+		t.Fatalf("applied defaults: %+v", built)
+	}
+	if _, err := settings.Parse[settings.Sidecar]([]byte(sidecarFile)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against doc comments whose default differs from the one in force.
+func TestDocCommentsStateDefaults(t *testing.T) {
+	for _, f := range append(settings.Fields[settings.Entry](), settings.Fields[settings.Sidecar]()...) {
+		if f.Doc == "" {
+			t.Errorf("%s has no doc comment", f.Path)
+		}
+		stated := ""
+		if m := statedDefault.FindStringSubmatch(f.Doc); m != nil {
+			stated = m[1]
+		}
+		if stated != f.Default {
+			t.Errorf("%s: doc comment %q, default %q", f.Path, f.Doc, f.Default)
+		}
+	}
+}
+
+// Guards against a bad setting that is accepted, or whose message does not lead to it.
+func TestBadSettings(t *testing.T) {
+	cases := []struct{ name, edit, with, message string }{
+		{"unknown", `"zone"`, `"zome"`, `settings: zome is "tw-central-a": is an unknown field; allowed here are instance, zone, `},
+		{"missing", `"zone": "tw-central-a", `, ``, `settings: zone: is missing; it must be a name `},
+		{"nested missing", `"ca_file": "ca.pem", `, ``, `settings: tls.ca_file: is missing; it must be the name of a file`},
+		{"missing object", `"tls"`, `"limits": {}, "tl"`, `settings: tl is {`},
+		{"range", `"zone"`, `"limits": {"body_bytes": 5}, "zone"`, `settings: limits.body_bytes is 5: must be a whole number of bytes, from 1024 to 1048000`},
+		{"type", `"zone"`, `"sidecars_per_service": "48", "zone"`, `settings: sidecars_per_service is "48": must be a whole number of sidecars, from 1 to 1024`},
+		{"unit", `"zone"`, `"drain_timeout": "10", "zone"`, `settings: drain_timeout is "10": must be a duration with a unit, such as "250ms" or "10m", from 1s to 24h`},
+		{"number as duration", `"zone"`, `"drain_timeout": 10, "zone"`, `settings: drain_timeout is 10: must be a duration with a unit`},
+		{"duration range", `"zone"`, `"drain_timeout": "1ms", "zone"`, `settings: drain_timeout is "1ms": must be a duration`},
+		{"choice", `"zone"`, `"log": {"level": "loud"}, "zone"`, `settings: log.level is "loud": must be one of "error", "warn", "info", "debug"`},
+		{"address", `127.0.0.1:8080`, `8080`, `settings: listen is "8080": must be HOST:PORT`},
+		{"url", `http://127.0.0.1:9000`, `127.0.0.1:9000`, `settings: store_url is "127.0.0.1:9000": must be an http or https URL`},
+		{"null", `"entry-1"`, `null`, `settings: instance is null: must be a name`},
+		{"syntax", `"zone"`, `zone`, `settings: not valid JSON: line 2: `},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := settings.Parse[settings.Entry]([]byte(strings.Replace(entryFile, c.edit, c.with, 1)))
+			var bad *settings.Error
+			if !errors.As(err, &bad) || !strings.HasPrefix(err.Error(), c.message) || strings.Contains(err.Error(), "\n") {
+				t.Fatalf("error %v, want %s", err, c.message)
+			}
+		})
+	}
+}
+
+// Guards against an engine sidecar that would serve no model.
+func TestEngineNeedsModels(t *testing.T) {
+	_, err := settings.Parse[settings.Sidecar]([]byte(strings.Replace(sidecarFile, `["tile-lm"]`, `[]`, 1)))
+	if err == nil || !strings.Contains(err.Error(), "models") {
+		t.Fatalf("error %v", err)
+	}
+}
+
+// Guards against an error that does not name the file.
+func TestLoadNamesFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "entry.json")
+	if _, err := settings.Load[settings.Entry](file); err == nil || !strings.Contains(err.Error(), "entry.json: cannot be read: no such file") {
+		t.Fatalf("error %v", err)
+	}
+	if err := os.WriteFile(file, []byte(`[]`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := settings.Load[settings.Entry](file); err == nil || !strings.Contains(err.Error(), "entry.json is []: must be an object") {
+		t.Fatalf("error %v", err)
+	}
+}
+
+// Guards against a panic or an accepted value that does not survive being written and read again.
+func FuzzParseEntry(f *testing.F) {
+	f.Add([]byte(entryFile))
+	f.Add([]byte(`{"tls":null}`))
+	f.Add([]byte(`{"limits":{"timeout":"-1s"}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		cfg, err := settings.Parse[settings.Entry](data)
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if second, err := settings.Parse[settings.Entry](again); err != nil || second != cfg {
+			t.Fatalf("%+v became %+v: %v", cfg, second, err)
+		}
+	})
+}
--- a/internal/process/settings/sidecar.go
+++ b/internal/process/settings/sidecar.go
@@ -9,37 +9,44 @@
 // Sidecar is the settings file of a sidecar.
 type Sidecar struct {
 	// Instance is the unique name of this instance.
-	Instance string `json:"instance"`
+	Instance string `json:"instance" format:"name"`
 	// Zone is the availability zone.
-	Zone string `json:"zone"`
+	Zone string `json:"zone" format:"name"`
 	// Owner is the operator that the upstream belongs to.
-	Owner string `json:"owner"`
+	Owner string `json:"owner" format:"name"`
 	// Service is the name of the service that the upstream is a replica of.
-	Service string `json:"service"`
+	Service string `json:"service" format:"name"`
 	// Kind is "engine" or "plain".
-	Kind string `json:"kind"`
+	Kind string `json:"kind" oneof:"engine,plain"`
 	// UpstreamURL is the base URL of the upstream.
-	UpstreamURL string `json:"upstream_url"`
+	UpstreamURL string `json:"upstream_url" format:"url"`
 	// PeerListen is the HOST:PORT (UDP) of the sessions from entries.
-	PeerListen string `json:"peer_listen"`
+	PeerListen string `json:"peer_listen" format:"hostport"`
 	// StoreURL is the base URL of the object API; used only for fencing numbers at start and on change.
-	StoreURL string `json:"store_url"`
+	StoreURL string `json:"store_url" format:"url"`
 	// TLS holds the keys of the sessions between own processes.
 	TLS TLS `json:"tls"`
 	// SigningKeyFile holds the PEM Ed25519 private key that signs this sidecar's usage segments.
-	SigningKeyFile string `json:"signing_key_file"`
+	SigningKeyFile string `json:"signing_key_file" format:"file"`
 	// Slots is the number of requests that the upstream runs at once. Default 16.
-	Slots int `json:"slots"`
-	// Models are the models that the engine serves.
-	Models []string `json:"models"`
+	Slots int `json:"slots" default:"16" min:"1" max:"4096" unit:"requests"`
+	// Models are the models that the engine serves; required for an engine.
+	Models []string `json:"models" optional:"true"`
 	// ChecksFence tells whether the engine itself refuses old fencing numbers. Default false.
-	ChecksFence bool `json:"checks_fence"`
+	ChecksFence bool `json:"checks_fence" default:"false"`
 	// CanPause tells whether the engine can pause and resume a stream. Default false.
-	CanPause bool `json:"can_pause"`
+	CanPause bool `json:"can_pause" default:"false"`
 	// DrainTimeout bounds a graceful shutdown. Default "10m".
-	DrainTimeout Duration `json:"drain_timeout"`
+	DrainTimeout Duration `json:"drain_timeout" default:"10m" min:"1s" max:"24h"`
 	// UsageBufferBytes bounds the memory for usage records that the store has not confirmed. Default 67108864.
-	UsageBufferBytes int `json:"usage_buffer_bytes"`
+	UsageBufferBytes int `json:"usage_buffer_bytes" default:"67108864" min:"65536" max:"1073741824" unit:"bytes"`
 	// Log configures the event log.
 	Log Log `json:"log"`
 }
+
+func (s *Sidecar) check() *Error {
+	if s.Kind == KindEngine && len(s.Models) == 0 {
+		return &Error{Path: "models", Problem: "is missing; it must be a list with at least one model when kind is \"engine\""}
+	}
+	return nil
+}
