--- /dev/null
+++ b/internal/version/table/compiled.go
@@ -0,0 +1,34 @@
+package table
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Compiled is a version prepared for lookups by request. It is immutable.
+type Compiled struct {
+	version *Version
+	index   map[string]*Row
+	sum     string
+}
+
+// Compile prepares a version, which must not be changed afterwards.
+func Compile(v *Version) *Compiled {
+	sum := sha256.Sum256(FormatCSV(v.Rows))
+	return &Compiled{version: v, index: byClass(v.Rows), sum: hex.EncodeToString(sum[:])}
+}
+
+// Row returns the row of a class. The caller must not change it.
+func (c *Compiled) Row(class string) (*Row, bool) {
+	row, ok := c.index[class]
+	return row, ok
+}
+
+// Number returns the version's number.
+func (c *Compiled) Number() uint64 { return c.version.Number }
+
+// Version returns the version. The caller must not change it.
+func (c *Compiled) Version() *Version { return c.version }
+
+// Sum is the hex SHA-256 of the rows in CSV form.
+func (c *Compiled) Sum() string { return c.sum }
--- /dev/null
+++ b/internal/version/table/problem.go
@@ -0,0 +1,75 @@
+package table
+
+import (
+	"fmt"
+	"strings"
+)
+
+// maxProblems bounds the number of problems that one check reports.
+const maxProblems = 100
+
+// Problem is one error of a table.
+type Problem struct {
+	// Line is the line of the text that holds the value; 0 when the table did not come from a text.
+	Line int `json:"line,omitempty"`
+	// Class is the row's class, if known.
+	Class string `json:"class,omitempty"`
+	// Column is the column's name, if the problem is one of a single value.
+	Column string `json:"column,omitempty"`
+	// Value is the value found.
+	Value string `json:"value,omitempty"`
+	// Allowed says what is allowed, or what is wrong when there is no single value.
+	Allowed string `json:"allowed"`
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.Line > 0 {
+		_, _ = fmt.Fprintf(&b, "line %d: ", p.Line)
+	}
+	if p.Class != "" {
+		_, _ = fmt.Fprintf(&b, "class %q: ", p.Class)
+	}
+	if p.Column == "" {
+		return b.String() + p.Allowed
+	}
+	_, _ = fmt.Fprintf(&b, "column %s: value %q is not allowed; allowed: %s", p.Column, p.Value, p.Allowed)
+	return b.String()
+}
+
+// ProblemsError reports that a table is not valid.
+type ProblemsError struct {
+	Problems []Problem
+}
+
+// Error implements error, with one line per problem.
+func (e *ProblemsError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// problems collects up to maxProblems.
+type problems struct {
+	list []Problem
+}
+
+func (p *problems) add(one Problem) {
+	const maxShown = 80
+	if len(one.Value) > maxShown {
+		one.Value = strings.ToValidUTF8(one.Value[:maxShown], "") + "..."
+	}
+	if len(p.list) < maxProblems {
+		p.list = append(p.list, one)
+	}
+}
+
+func (p *problems) err() error {
+	if len(p.list) == 0 {
+		return nil
+	}
+	return &ProblemsError{Problems: p.list}
+}
--- a/internal/version/table/row.go
+++ b/internal/version/table/row.go
@@ -54,6 +54,8 @@
 	Reason string
 	// Time is when the change was accepted, UTC.
 	Time time.Time
+	// Edit is the unique ID of the accepted edit; a publisher that lost the store's answer recognizes its own write by it.
+	Edit string
 	// Rows are ordered by class.
 	Rows []Row
 }
