store: run the contract checks on the HTTP client and the stand-in

Cause: tests of other packages use the in-memory store, so it must behave as the HTTP form does. A watch after 0 returns the current revision, a watch beyond it reports a gap. The stand-in used version 1 again after a deletion, which lets an old condition hold; its versions are now the revision of the write. Conclusion: the in-memory store can stand for the platform's in other tests.

--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -18,8 +18,8 @@
 	Kind   string
 	// OnObjects receives writes in revision order. A write can be delivered again after an error.
 	OnObjects func([]Object)
-	// OnGap reads the current state again. It is called first, before any watch, and whenever writes were missed;
-	// it is repeated until it returns nil.
+	// OnGap reads the current state again. It is called first and whenever writes were missed, and is repeated until it
+	// returns nil.
 	OnGap func(ctx context.Context) error
 	// OnError is told of failed calls; it may be nil.
 	OnError func(error)
@@ -28,41 +28,39 @@
 // Run watches until the context ends.
 func (f *Feed) Run(ctx context.Context) {
 	var revision uint64
-	gap := true
 	backoff := NewBackoff(feedBase, feedLimit)
 	for ctx.Err() == nil {
-		err := f.step(ctx, &revision, &gap)
-		if err == nil {
+		next, err := f.step(ctx, revision)
+		revision = next
+		if err == nil && next > 0 {
 			backoff.Reset()
 			continue
 		}
-		if ctx.Err() == nil && f.OnError != nil {
+		if err != nil && ctx.Err() == nil && f.OnError != nil {
 			f.OnError(err)
 		}
+		// A store without any write answers with revision 0 at once, so that case waits too.
 		if !backoff.Wait(ctx) {
 			return
 		}
 	}
 }
 
-func (f *Feed) step(ctx context.Context, revision *uint64, gap *bool) error {
-	if *gap {
+// step returns the revision to continue from; 0 means that the state has to be read again.
+func (f *Feed) step(ctx context.Context, revision uint64) (uint64, error) {
+	objs, next, err := f.Client.Watch(ctx, f.Kind, revision)
+	switch {
+	case errors.Is(err, ErrGap):
+		return 0, err
+	case err != nil:
+		return revision, err
+	case revision == 0:
+		// The revision is taken before the state is read, so a write between the two is delivered by the next watch.
 		if err := f.OnGap(ctx); err != nil {
-			return err
+			return 0, err
 		}
-		*gap = false
-	}
-	objs, next, err := f.Client.Watch(ctx, f.Kind, *revision)
-	if errors.Is(err, ErrGap) {
-		*revision, *gap = next, true
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	*revision = next
-	if len(objs) > 0 {
+	case len(objs) > 0:
 		f.OnObjects(objs)
 	}
-	return nil
+	return next, nil
 }
--- a/internal/process/store/form.go
+++ b/internal/process/store/form.go
@@ -6,8 +6,7 @@
 // RevisionHeader. A PUT sends the raw value with If-None-Match: * (create) or If-Match: "VERSION" (update) and answers
 // 200 or 201 with the same two headers and no body. A DELETE sends If-Match and answers 204.
 //
-// Statuses: 404 not found; 409 or 412 condition failed; 410 a watch's revision is no longer kept, with the
-// current revision in RevisionHeader; 413 value too large;
+// Statuses: 404 not found; 409 or 412 condition failed; 410 a watch's revision is no longer kept; 413 value too large;
 // 429 refused by the rate limit, with Retry-After; 503 not applied. Every other 5xx, and a connection that breaks after
 // the request was sent, leave it open whether a write was applied.
 const (
--- a/internal/process/store/http.go
+++ b/internal/process/store/http.go
@@ -209,13 +209,6 @@
 		path := strings.TrimPrefix(WatchPath, "/") + url.PathEscape(kind)
 		return h.base.New().Get(path).QueryStruct(&watchQuery{After: after})
 	})
-	if errors.Is(err, ErrGap) {
-		revision, perr := strconv.ParseUint(a.header.Get(RevisionHeader), 10, 64)
-		if perr != nil {
-			return nil, after, fmt.Errorf("store %s: status 410 without %s: %w", OpWatch, RevisionHeader, ErrUnavailable)
-		}
-		return nil, revision, err
-	}
 	if err != nil {
 		return nil, after, err
 	}
@@ -242,9 +235,6 @@
 		if err == nil {
 			return a, nil
 		}
-		if errors.Is(err, ErrGap) {
-			return a, err
-		}
 		if attempt >= h.opt.Attempts || !errors.Is(err, ErrUnavailable) || !backoff.Wait(ctx) {
 			return nil, err
 		}
@@ -292,7 +282,7 @@
 		err = fmt.Errorf("answer exceeds %d bytes", maxAnswer)
 	}
 	if class := statusClass(op, resp.StatusCode); class != nil {
-		return &answer{header: resp.Header}, fmt.Errorf("store %s: status %d: %w", op, resp.StatusCode, class)
+		return nil, fmt.Errorf("store %s: status %d: %w", op, resp.StatusCode, class)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("store %s: %w: %w", op, lostClass(op, true), err)
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -18,7 +18,7 @@
 	ErrUnknown = errors.New("store write outcome unknown")
 	// ErrThrottled reports that the call was refused by the store's rate limit or by the process's own budget, and not applied.
 	ErrThrottled = errors.New("store calls throttled")
-	// ErrGap reports that the revision to watch from is no longer kept; list to find what was missed.
+	// ErrGap reports that the revision to watch from is no longer kept; watch from 0, then list to find what was missed.
 	ErrGap = errors.New("store watch revision no longer kept")
 	// ErrTooLarge reports a value above MaxValue; it was not sent.
 	ErrTooLarge = errors.New("store value too large")
@@ -32,7 +32,7 @@
 	Kind string
 	// Name may contain slashes.
 	Name string
-	// Version changes with every update of the object.
+	// Version changes with every update of the object and is not used again after a deletion.
 	Version uint64
 	// Revision is the store-wide number of the write that produced this version.
 	Revision uint64
@@ -54,6 +54,7 @@
 	// List returns up to limit objects of kind in name order, with names that start with prefix and are greater than after.
 	List(ctx context.Context, kind, prefix, after string, limit int) ([]Object, error)
 	// Watch waits up to 30 s for writes to kind after the revision, and returns them with the revision to continue from.
-	// ErrGap reports that writes were missed; the revision returned with it is the current one: list, then continue from it.
+	// After 0 it returns at once, without objects, with the current revision. ErrGap reports that writes were
+	// missed or that the store has not reached the revision.
 	Watch(ctx context.Context, kind string, after uint64) ([]Object, uint64, error)
 }
--- a/internal/process/store/storetest/contract.go
+++ b/internal/process/store/storetest/contract.go
@@ -121,14 +121,22 @@
 		t.Fatalf("watch after revision %d: %+v, next %d", first.Revision, objs, next)
 	}
 	want(t, c.Delete(ctx, objs[0]), nil)
-	objs, _, err = c.Watch(ctx, "watch", next)
+	objs, next, err = c.Watch(ctx, "watch", next)
 	want(t, err, nil)
 	if len(objs) != 1 || !objs[0].Deleted || objs[0].Name != "x" {
 		t.Errorf("watch after a deletion: %+v", objs)
 	}
+	_, current, err := c.Watch(ctx, "watch", 0)
+	want(t, err, nil)
+	if current != next {
+		t.Errorf("watch after 0 returned revision %d, the last write had %d", current, next)
+	}
+	// A store that was restored from an older state must not leave its watchers waiting.
+	_, _, err = c.Watch(ctx, "watch", next+1000)
+	want(t, err, store.ErrGap)
 	ended, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer cancel()
-	if _, _, err := c.Watch(ended, "watch", next+1000); !errors.Is(err, store.ErrUnavailable) {
+	if _, _, err := c.Watch(ended, "watch", next); !errors.Is(err, store.ErrUnavailable) {
 		t.Errorf("watch that its context ended: %v, want ErrUnavailable", err)
 	}
 }
--- a/internal/process/store/storetest/memory.go
+++ b/internal/process/store/storetest/memory.go
@@ -272,7 +272,7 @@
 	defer timer.Stop()
 	for {
 		objs, revision, changed, err := m.since(kind, after)
-		if err != nil || len(objs) > 0 {
+		if err != nil || len(objs) > 0 || after == 0 {
 			return objs, max(after, revision), errorOr(m.leave(ctx, store.OpWatch, f), err)
 		}
 		select {
@@ -299,8 +299,11 @@
 	if m.faults.Outage {
 		return nil, after, nil, store.ErrUnavailable
 	}
-	if after < m.kept {
-		return nil, m.revision, nil, store.ErrGap
+	if after > 0 && after < m.kept || after > m.revision {
+		return nil, after, nil, store.ErrGap
+	}
+	if after == 0 {
+		return nil, m.revision, nil, nil
 	}
 	var objs []store.Object
 	for _, obj := range m.log {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -222,7 +222,7 @@
 		return store.ObjectForm{}, status
 	}
 	s.revision++
-	obj := store.ObjectForm{Name: name, Version: old.Version + 1, Revision: s.revision, Value: value}
+	obj := store.ObjectForm{Name: name, Version: s.revision, Revision: s.revision, Value: value}
 	k.objects[name] = obj
 	if !exists {
 		at, _ := slices.BinarySearch(k.names, name)
