Whole path from caller to engine and plain service, with tests

Cause: the request path had no run from end to end. Change: test fixture with stand-ins, entry and sidecar; streamed and plain completions, models, plain services, bad inputs.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -13,10 +13,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/dragonflypin/dragonflypin/internal/connection/peer"
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/membership"
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
@@ -52,7 +51,7 @@
 	Store       store.Client
 	Credentials *peer.Credentials
 	SigningKey  ed25519.PrivateKey
-	Log         logrus.FieldLogger
+	Log         *eventlog.Log
 	// Operator serves the operator API apart from /healthz and /readyz; nil answers 404.
 	Operator http.Handler
 	// Rules replace those read from the store.
@@ -63,7 +62,7 @@
 type T struct {
 	cfg      settings.Entry
 	deps     Deps
-	log      logrus.FieldLogger
+	log      *eventlog.Log
 	node     *peer.Node
 	fleet    *fleet
 	tracker  *membership.Tracker
@@ -91,7 +90,7 @@
 	t.runner = &attempt.Runner{Chooser: t.fleet, Budget: retry.NewBudget(retry.Settings{}), Changed: t.fleet.Changed}
 	t.tracker = membership.New(membership.Options{
 		URL: cfg.InstancesURL, OnChange: t.kickMembers,
-		OnError: func(err error) { t.log.WithError(err).Warn("instance list unavailable") },
+		OnError: func(err error) { t.log.Emit(eventlog.MembershipFailed, eventlog.Err(err)) },
 	})
 	if err := t.listen(); err != nil {
 		t.release()
@@ -166,7 +165,7 @@
 	failed := make(chan error, 2)
 	wg.Go(func() { failed <- callers.Serve(t.callers) })
 	wg.Go(func() { failed <- operators.Serve(t.operators) })
-	t.log.WithFields(logrus.Fields{"instance": t.cfg.Instance, "listen": t.Addr()}).Info("entry started")
+	t.log.Emit(eventlog.EntryStarted, eventlog.Address(t.Addr()))
 	var err error
 	select {
 	case err = <-failed:
@@ -186,11 +185,11 @@
 
 func (t *T) drain() {
 	t.draining.Store(true)
-	t.log.WithField("in_flight", t.active.Load()).Info("entry draining")
+	t.log.Emit(eventlog.DrainStarted, eventlog.Count(int(t.active.Load())))
 	deadline := time.Now().Add(time.Duration(t.cfg.DrainTimeout))
 	for t.active.Load() > 0 {
 		if time.Now().After(deadline) {
-			t.log.WithField("in_flight", t.active.Load()).Warn("drain timeout passed")
+			t.log.Emit(eventlog.DrainTimedOut, eventlog.Count(int(t.active.Load())))
 			return
 		}
 		time.Sleep(drainCheck)
--- /dev/null
+++ b/internal/app/entry/entry_test.go
@@ -0,0 +1,198 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/dragonflypin/dragonflypin/internal/request/outcome"
+	"github.com/dragonflypin/dragonflypin/internal/standin/engine"
+)
+
+// answer is what a caller sees.
+type answer struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+	err     error
+}
+
+func (a *answer) outcome() string {
+	if o := a.header.Get(outcome.HeaderOutcome); o != "" {
+		return o
+	}
+	return a.trailer.Get(outcome.HeaderOutcome)
+}
+
+func (a *answer) code() string {
+	var e struct {
+		Error struct{ Code string }
+	}
+	_ = json.Unmarshal([]byte(a.body), &e)
+	return e.Error.Code
+}
+
+// text joins the content of a streamed answer.
+func (a *answer) text() string {
+	var b strings.Builder
+	for line := range strings.Lines(a.body) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var c struct {
+			Choices []struct {
+				Text  string
+				Delta struct{ Content string }
+			}
+		}
+		_ = json.Unmarshal([]byte(data), &c)
+		for _, choice := range c.Choices {
+			b.WriteString(choice.Delta.Content + choice.Text)
+		}
+	}
+	return b.String()
+}
+
+func chatBody(content string, maxTokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":"tile-lm","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, stream, maxTokens, content)
+}
+
+func newRequest(ctx context.Context, method, url, body string, header ...string) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		panic(err) // constant arguments
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return req
+}
+
+func send(req *http.Request) answer {
+	resp, err := client().Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, trailer: resp.Trailer, body: string(body), err: err}
+}
+
+func (r *runningEntry) chat(content string, maxTokens int, stream bool, header ...string) answer {
+	return send(newRequest(context.Background(), http.MethodPost, r.url+"/v1/chat/completions", chatBody(content, maxTokens, stream), header...))
+}
+
+func checkWhole(t *testing.T, a answer, content string) {
+	t.Helper()
+	if a.err != nil || a.status != http.StatusOK || a.outcome() != string(outcome.Completed) {
+		t.Errorf("%s: status %d outcome %q error %v body %.200s", content, a.status, a.outcome(), a.err, a.body)
+		return
+	}
+	if !strings.HasSuffix(strings.TrimSpace(a.body), "data: [DONE]") {
+		t.Errorf("%s: stream does not end in [DONE]", content)
+	}
+	if !strings.HasPrefix(a.text(), engine.AnswerPrefix(content)) {
+		t.Errorf("%s: answer %.40q does not begin with %q", content, a.text(), engine.AnswerPrefix(content))
+	}
+}
+
+// Guards against a path that loses or alters parts of a streamed answer.
+func TestStreamedChatReachesTheCaller(t *testing.T) {
+	_, _, _, r := simple(t, engine.Options{})
+	a := r.chat("which tile fits", 20, true)
+	checkWhole(t, a, "which tile fits")
+	x, err := r.entry.Explain(context.Background(), a.header.Get(outcome.HeaderRequestID))
+	must(t, err)
+	if x.Class != "chat" || x.Upstream != "lm-pool-1" || x.Outcome != outcome.Completed || len(x.Attempts) != 1 {
+		t.Errorf("explanation %+v", x)
+	}
+}
+
+// Guards against bad input that runs, or that is answered with another code than the stated one.
+func TestBadInputsGiveTheirCodes(t *testing.T) {
+	w, e, _, r := simple(t, engine.Options{})
+	plain, server := w.service()
+	w.sidecar("order-svc-1", "order-svc", "plain", server.URL, nil)
+	r.ready(t, 2)
+	good := chatBody("hello", 5, false)
+	cases := []struct {
+		name, method, path, body string
+		header                   []string
+		status                   int
+		code                     outcome.Code
+	}{
+		{"no key", "POST", "/v1/chat/completions", good, []string{"Authorization", ""}, 401, outcome.CodeInvalidKey},
+		{"unknown key", "POST", "/v1/chat/completions", good, []string{"Authorization", "Bearer nobody"}, 401, outcome.CodeInvalidKey},
+		{"foreign class", "POST", "/v1/chat/completions", good, []string{"Dragonflypin-Class", "reserved"}, 403, outcome.CodeClassForbidden},
+		{"class without a row", "POST", "/v1/chat/completions", good, []string{"Dragonflypin-Class", "absent"}, 403, outcome.CodeClassForbidden},
+		{"not JSON", "POST", "/v1/chat/completions", "{", nil, 400, outcome.CodeInvalidRequest},
+		{"wrong type", "POST", "/v1/chat/completions", `{"model":7}`, nil, 400, outcome.CodeInvalidRequest},
+		{"no messages", "POST", "/v1/chat/completions", `{"model":"tile-lm","messages":[]}`, nil, 400, outcome.CodeInvalidRequest},
+		{"no prompt", "POST", "/v1/completions", `{"model":"tile-lm"}`, nil, 400, outcome.CodeInvalidRequest},
+		{"no model", "POST", "/v1/completions", `{"prompt":"x"}`, nil, 400, outcome.CodeInvalidRequest},
+		{"too many tokens", "POST", "/v1/chat/completions", chatBody("x", 1<<20, false), nil, 400, outcome.CodeInvalidRequest},
+		{"large body", "POST", "/v1/chat/completions", strings.Repeat("x", 1_048_001), nil, 413, outcome.CodeBodyTooLarge},
+		{"unknown model", "POST", "/v1/completions", `{"model":"none","prompt":"x"}`, nil, 404, outcome.CodeModelNotFound},
+		{"unknown path", "GET", "/v2", "", nil, 404, outcome.CodeInvalidRequest},
+		{"wrong method", "GET", "/v1/completions", "", nil, 405, outcome.CodeInvalidRequest},
+		{"unknown service", "GET", "/services/none/x", "", nil, 404, outcome.CodeServiceNotFound},
+		{"engine as a plain service", "POST", "/services/lm-pool/engine/orders", "{}", nil, 404, outcome.CodeServiceNotFound},
+		{"order without a key", "POST", "/services/order-svc/orders", "{}", nil, 400, outcome.CodeIdempotencyNeeded},
+	}
+	for _, c := range cases {
+		a := send(newRequest(context.Background(), c.method, r.url+c.path, c.body, c.header...))
+		if a.status != c.status || a.code() != string(c.code) || a.outcome() != string(outcome.NotRun) || a.header.Get(outcome.HeaderRequestID) == "" {
+			t.Errorf("%s: status %d code %q outcome %q error %v, want %d %q not_run", c.name, a.status, a.code(), a.outcome(), a.err, c.status, c.code)
+		}
+	}
+	if n := len(e.Runs()) + len(plain.Orders()); n != 0 {
+		t.Errorf("%d refused requests ran", n)
+	}
+}
+
+// Guards against plain and streamed answers of either endpoint that differ from the engine's, and against a wrong model list.
+func TestEndpointsAnswerPlainAndStreamed(t *testing.T) {
+	_, _, _, r := simple(t, engine.Options{})
+	text := send(newRequest(context.Background(), "POST", r.url+"/v1/completions", `{"model":"tile-lm","prompt":"abc","max_tokens":9,"stream":true}`))
+	checkWhole(t, text, "abc")
+	for path, body := range map[string]string{
+		"/v1/completions":      `{"model":"tile-lm","prompt":"abc","max_tokens":9}`,
+		"/v1/chat/completions": chatBody("abc", 9, false),
+	} {
+		a := send(newRequest(context.Background(), "POST", r.url+path, body))
+		if a.status != http.StatusOK || a.header.Get(outcome.HeaderOutcome) != "completed" || !strings.Contains(a.body, engine.AnswerPrefix("abc")) {
+			t.Errorf("%s: status %d header %v body %.300s", path, a.status, a.header, a.body)
+		}
+	}
+	models := send(newRequest(context.Background(), "GET", r.url+"/v1/models", ""))
+	if models.status != http.StatusOK || !strings.Contains(models.body, `"id":"tile-lm"`) || models.outcome() != "completed" {
+		t.Errorf("models: %+v", models)
+	}
+}
+
+// Guards against a plain service behind the router that loses method, path, query, body or status.
+func TestPlainServiceCalls(t *testing.T) {
+	w := newWorld(t)
+	plain, server := w.service()
+	w.sidecar("order-svc-1", "order-svc", "plain", server.URL, nil)
+	r := w.entry("entry-1", nil)
+	r.ready(t, 1)
+	order := send(newRequest(context.Background(), "POST", r.url+"/services/order-svc/orders", `{"item":"Q"}`, "Idempotency-Key", "k1"))
+	if order.status/100 != 2 || order.outcome() != "completed" || !strings.Contains(order.body, `"idempotency_key":"k1"`) {
+		t.Errorf("order: %+v", order)
+	}
+	list := send(newRequest(context.Background(), "GET", r.url+"/services/order-svc/orders", ""))
+	if list.status != http.StatusOK || !strings.Contains(list.body, "k1") || len(plain.Orders()) != 1 {
+		t.Errorf("list: %+v", list)
+	}
+	if missing := send(newRequest(context.Background(), "GET", r.url+"/services/order-svc/none?x=1", "")); missing.status != http.StatusNotFound || missing.outcome() != "completed" {
+		t.Errorf("missing: %+v", missing)
+	}
+}
--- a/internal/app/entry/explain.go
+++ b/internal/app/entry/explain.go
@@ -125,8 +125,8 @@
 	return *x, true
 }
 
-// EntryOf returns the entry instance that a request ID names.
-func EntryOf(requestID string) (string, bool) {
+// entryOf returns the entry instance that a request ID names.
+func entryOf(requestID string) (string, bool) {
 	i := strings.LastIndexByte(requestID, '.')
 	if i <= 0 {
 		return "", false
--- a/internal/app/entry/status.go
+++ b/internal/app/entry/status.go
@@ -85,7 +85,7 @@
 // Explain tells what happened to a request of any entry; the request's ID names the entry, which is asked if it is
 // another one. The error is ErrUnknownRequest or that of the call.
 func (t *T) Explain(ctx context.Context, id string) (Explanation, error) {
-	name, ok := EntryOf(id)
+	name, ok := entryOf(id)
 	if !ok {
 		return Explanation{}, ErrUnknownRequest
 	}
--- a/internal/app/sidecar/sidecar.go
+++ b/internal/app/sidecar/sidecar.go
@@ -9,11 +9,10 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/dragonflypin/dragonflypin/internal/connection/peer"
 	"github.com/dragonflypin/dragonflypin/internal/connection/upstream"
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
 	"github.com/dragonflypin/dragonflypin/internal/request/execute"
@@ -35,14 +34,14 @@
 	Store       store.Client
 	Credentials *peer.Credentials
 	SigningKey  ed25519.PrivateKey
-	Log         logrus.FieldLogger
+	Log         *eventlog.Log
 }
 
 // T is one sidecar instance.
 type T struct {
 	cfg      settings.Sidecar
 	deps     Deps
-	log      logrus.FieldLogger
+	log      *eventlog.Log
 	node     *peer.Node
 	client   *upstream.Client
 	executor *execute.Executor
@@ -62,7 +61,9 @@
 	}
 	t.executor = execute.New(execute.Options{
 		Client: client, Kind: kind, Slots: cfg.Slots, Models: cfg.Models, CanPause: cfg.CanPause,
-		OnChange: t.onChange, OnError: func(err error) { t.log.WithError(err).Warn("pause or resume failed") },
+		OnChange: t.onChange, OnError: func(err error) {
+			t.log.Emit(eventlog.InternalError, eventlog.Reason("pause or resume failed"), eventlog.Err(err))
+		},
 	})
 	t.node, err = peer.Listen(cfg.PeerListen, peer.Options{
 		Credentials: deps.Credentials, Zone: cfg.Zone, Service: cfg.Service,
@@ -87,14 +88,14 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { t.report(background) })
 	wg.Go(func() { t.probe(background) })
-	t.log.WithFields(logrus.Fields{"instance": t.cfg.Instance, "listen": t.AddrPeer()}).Info("sidecar started")
+	t.log.Emit(eventlog.SidecarStarted, eventlog.Address(t.AddrPeer()))
 	<-ctx.Done()
-	t.log.Info("sidecar draining")
+	t.log.Emit(eventlog.DrainStarted, eventlog.Count(t.executor.Load().Running))
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(t.cfg.DrainTimeout))
 	err := t.executor.Drain(bounded)
 	cancel()
 	if errors.Is(err, context.DeadlineExceeded) {
-		t.log.Warn("drain timeout passed")
+		t.log.Emit(eventlog.DrainTimedOut, eventlog.Count(t.executor.Load().Running))
 		err = nil
 	}
 	stop()
--- a/internal/request/execute/run.go
+++ b/internal/request/execute/run.go
@@ -181,9 +181,10 @@
 }
 
 func (r *relay) send(m wire.Message) error {
-	messages := append(r.held, m)
+	r.held = append(r.held, m)
+	err := r.st.Send(r.held...)
 	r.held = r.held[:0]
-	return r.st.Send(messages...)
+	return err
 }
 
 // UpstreamID names an attempt at the engine: the request ID and, from the second attempt on, the attempt's number,
