Failure tests of the request path

Change: tests for concurrency, drain, killed engine and entry, leaving caller and upstream, deadlines, non-idempotent calls; sidecar names are immutable in the fleet (the race detector found a write during a choice).

--- /dev/null
+++ b/internal/app/entry/failure_test.go
@@ -0,0 +1,271 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+	"github.com/dragonflypin/dragonflypin/internal/request/outcome"
+	"github.com/dragonflypin/dragonflypin/internal/standin/engine"
+)
+
+// Guards against mixed, cut or lost answers under concurrency, with more requests than slots.
+func TestConcurrentRequestsEachGetTheirOwnWholeAnswer(t *testing.T) {
+	w := newWorld(t)
+	for i := range 3 {
+		_, server := w.engine(engine.Options{})
+		w.sidecar(fmt.Sprintf("lm-pool-%d", i), "lm-pool", settings.KindEngine, server.URL, nil)
+	}
+	r := w.entry("entry-1", nil)
+	r.ready(t, 3)
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Go(func() {
+			content := fmt.Sprintf("letter %d", i)
+			class := []string{"chat", "draft"}[i%2]
+			checkWhole(t, r.chat(content, 30, true, "Dragonflypin-Class", class), content)
+		})
+	}
+	wg.Wait()
+}
+
+// open starts a streamed request and reads its first event.
+func (r *runningEntry) open(t *testing.T, ctx context.Context, content string, maxTokens int) (*http.Response, *bufio.Reader) {
+	t.Helper()
+	resp, err := client().Do(newRequest(ctx, http.MethodPost, r.url+"/v1/chat/completions", chatBody(content, maxTokens, true)))
+	must(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	body := bufio.NewReader(resp.Body)
+	_, err = body.ReadString('\n')
+	must(t, err)
+	return resp, body
+}
+
+func rest(resp *http.Response, body *bufio.Reader) answer {
+	var b strings.Builder
+	_, err := body.WriteTo(&b)
+	return answer{status: resp.StatusCode, header: resp.Header, trailer: resp.Trailer, body: b.String(), err: err}
+}
+
+// Guards against a planned stop of either role that cuts a stream.
+func TestDrainFinishesEveryStream(t *testing.T) {
+	for _, role := range []string{"entry", "sidecar"} {
+		t.Run(role, func(t *testing.T) {
+			_, _, s, r := simple(t, engine.Options{TokenMs: 3})
+			type stream struct {
+				resp *http.Response
+				body *bufio.Reader
+			}
+			var streams []stream
+			for i := range 8 {
+				resp, body := r.open(t, context.Background(), fmt.Sprintf("stream %d", i), 100)
+				streams = append(streams, stream{resp, body})
+			}
+			if role == "entry" {
+				r.stop()
+				eventually(t, time.Second, "refusal while draining", func() bool {
+					a := r.chat("late", 5, false)
+					return a.status == http.StatusServiceUnavailable && a.code() == string(outcome.CodeDraining) && a.header.Get("Retry-After") != ""
+				})
+				ready := send(newRequest(context.Background(), "GET", "http://"+r.entry.AddrOperator()+"/readyz", ""))
+				if ready.status != http.StatusServiceUnavailable {
+					t.Errorf("readyz answers %d while draining", ready.status)
+				}
+			} else {
+				s.stop()
+			}
+			for i, st := range streams {
+				a := rest(st.resp, st.body)
+				if a.err != nil || a.outcome() != "completed" || !strings.HasSuffix(strings.TrimSpace(a.body), "data: [DONE]") {
+					t.Errorf("stream %d: outcome %q error %v end %.80q", i, a.outcome(), a.err, a.body[max(0, len(a.body)-80):])
+				}
+			}
+			r.end(t)
+			s.end(t)
+		})
+	}
+}
+
+// Guards against a cut stream that looks complete, and one that reports another outcome than interrupted.
+func TestEngineKilledInMidStreamGivesInterrupted(t *testing.T) {
+	w := newWorld(t)
+	e := engine.New(engine.Options{TokenMs: 50})
+	server := httptest.NewServer(e)
+	defer server.Close()
+	w.sidecar("lm-pool-1", "lm-pool", settings.KindEngine, server.URL, nil)
+	r := w.entry("entry-1", nil)
+	r.ready(t, 1)
+	resp, body := r.open(t, context.Background(), "cut me", 2000)
+	server.CloseClientConnections()
+	a := rest(resp, body)
+	if a.err != nil || a.trailer.Get(outcome.HeaderOutcome) != "interrupted" {
+		t.Errorf("trailer %v error %v", a.trailer, a.err)
+	}
+	events := strings.Split(strings.TrimSpace(a.body), "\n\n")
+	last := strings.TrimPrefix(events[len(events)-1], "data: ")
+	cut := answer{body: last}
+	if cut.code() != string(outcome.CodeUpstreamFailed) || strings.Contains(a.body, "[DONE]") {
+		t.Errorf("last event %q", last)
+	}
+}
+
+// Guards against an engine that goes on generating for a caller that has left.
+func TestCallerLeavingCancelsAtTheEngine(t *testing.T) {
+	_, e, s, r := simple(t, engine.Options{TokenMs: 100})
+	ctx, cancel := context.WithCancel(context.Background())
+	r.open(t, ctx, "leave", 5000)
+	cancel()
+	eventually(t, time.Second, "engine cancels the run", func() bool { return e.Runs()[0].State == "cancelled" })
+	eventually(t, time.Second, "slot is free", func() bool { return s.sidecar.Load().Running == 0 })
+}
+
+// relay forwards datagrams between an entry and a sidecar until it is cut, which looks like a killed process to both.
+type relay struct {
+	front *net.UDPConn
+	cut   atomic.Bool
+	bytes atomic.Int64
+}
+
+func newRelay(tb testing.TB, to string) *relay {
+	tb.Helper()
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	must(tb, err)
+	target, err := net.ResolveUDPAddr("udp", to)
+	must(tb, err)
+	back, err := net.DialUDP("udp", nil, target)
+	must(tb, err)
+	tb.Cleanup(func() { _ = front.Close(); _ = back.Close() })
+	r := &relay{front: front}
+	var client atomic.Pointer[net.UDPAddr]
+	go r.pump(front.ReadFromUDP, func(p []byte, from *net.UDPAddr) { client.Store(from); _, _ = back.Write(p) })
+	go r.pump(back.ReadFromUDP, func(p []byte, _ *net.UDPAddr) { _, _ = front.WriteToUDP(p, client.Load()) })
+	return r
+}
+
+func (r *relay) pump(read func([]byte) (int, *net.UDPAddr, error), write func([]byte, *net.UDPAddr)) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := read(buf)
+		if err != nil {
+			return
+		}
+		if !r.cut.Load() {
+			r.bytes.Add(int64(n))
+			write(buf[:n], from)
+		}
+	}
+}
+
+// Guards against slots that stay taken by an entry that was killed.
+func TestKilledEntryFreesItsSlotsWithinThreeSeconds(t *testing.T) {
+	w := newWorld(t)
+	e, server := w.engine(engine.Options{TokenMs: 100})
+	s := w.sidecar("lm-pool-1", "lm-pool", settings.KindEngine, server.URL, nil)
+	link := newRelay(t, s.sidecar.AddrPeer())
+	w.show("lm-pool-1", "lm-pool", settings.KindEngine, link.front.LocalAddr().String(), "live")
+	r := w.entry("entry-1", nil)
+	r.ready(t, 1)
+	for i := range 4 {
+		r.open(t, context.Background(), fmt.Sprint("kill ", i), 30000)
+	}
+	if n := s.sidecar.Load().Running; n != 4 {
+		t.Fatalf("%d slots taken, want 4", n)
+	}
+	link.cut.Store(true)
+	eventually(t, 3*time.Second, "slots are free", func() bool { return s.sidecar.Load().Running == 0 })
+	eventually(t, time.Second, "engine cancels the runs", func() bool {
+		for _, run := range e.Runs() {
+			if run.State != "cancelled" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against new work for an upstream that the list shows as leaving.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	w := newWorld(t)
+	first, one := w.engine(engine.Options{})
+	_, two := w.engine(engine.Options{})
+	s := w.sidecar("lm-pool-1", "lm-pool", settings.KindEngine, one.URL, nil)
+	w.sidecar("lm-pool-2", "lm-pool", settings.KindEngine, two.URL, nil)
+	r := w.entry("entry-1", nil)
+	r.ready(t, 2)
+	var wg sync.WaitGroup
+	for i := range 24 { // more than one engine's slots
+		wg.Go(func() { r.chat(fmt.Sprint("before ", i), 50, false) })
+	}
+	wg.Wait()
+	if len(first.Runs()) == 0 {
+		t.Fatal("no request ran on the first engine while it was live")
+	}
+	w.show("lm-pool-1", "lm-pool", settings.KindEngine, s.sidecar.AddrPeer(), "leaving")
+	time.Sleep(3 * time.Second)
+	before := len(first.Runs())
+	for i := range 100 {
+		if a := r.chat(fmt.Sprint("after ", i), 2, false); a.outcome() != "completed" {
+			t.Errorf("request %d: %+v", i, a)
+		}
+	}
+	if n := len(first.Runs()); n != before {
+		t.Errorf("%d requests ran on a leaving upstream", n-before)
+	}
+}
+
+// Guards against a second execution of a call that may have run, by the router or by the HTTP transport.
+func TestNonIdempotentCallIsNeverRepeated(t *testing.T) {
+	w := newWorld(t)
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		calls.Add(1)
+		panic(http.ErrAbortHandler) // the call has run, its answer is lost
+	}))
+	defer server.Close()
+	for i := range 2 {
+		w.sidecar(fmt.Sprintf("order-svc-%d", i), "order-svc", settings.KindPlain, server.URL, nil)
+	}
+	r := w.entry("entry-1", nil)
+	r.ready(t, 2)
+	for i := range 20 {
+		a := send(newRequest(context.Background(), "POST", r.url+"/services/order-svc/orders", "{}", "Idempotency-Key", fmt.Sprint("k", i)))
+		if a.outcome() != "unknown" || a.status != http.StatusBadGateway {
+			t.Errorf("call %d: status %d outcome %q", i, a.status, a.outcome())
+		}
+	}
+	if n := calls.Load(); n != 20 {
+		t.Errorf("20 calls ran %d times", n)
+	}
+	before := calls.Load()
+	if a := send(newRequest(context.Background(), "GET", r.url+"/services/order-svc/orders", "")); a.outcome() != "unknown" || calls.Load() == before+1 {
+		t.Errorf("an idempotent call ran %d times, outcome %q; want a repetition", calls.Load()-before, a.outcome())
+	}
+}
+
+// Guards against a deadline that passes without an answer, and against a wrong statement about what ran.
+func TestDeadlines(t *testing.T) {
+	w := newWorld(t)
+	_, server := w.engine(engine.Options{TokenMs: 20})
+	s := w.sidecar("lm-pool-1", "lm-pool", settings.KindEngine, server.URL, func(c *settings.Sidecar) { c.Slots = 1 })
+	r := w.entry("entry-1", nil)
+	r.ready(t, 1)
+	a := r.chat("too long", 500, false, "Dragonflypin-Class", "hurried")
+	if a.status != http.StatusGatewayTimeout || a.code() != string(outcome.CodeTimeout) || a.outcome() != "interrupted" {
+		t.Errorf("running request: status %d code %q outcome %q", a.status, a.code(), a.outcome())
+	}
+	eventually(t, time.Second, "slot is free", func() bool { return s.sidecar.Load().Running == 0 })
+	r.open(t, context.Background(), "occupies the slot", 100)
+	waiting := r.chat("no slot", 5, false, "Dragonflypin-Class", "hurried")
+	if waiting.status != http.StatusServiceUnavailable || waiting.code() != string(outcome.CodeDeadline) || waiting.outcome() != "not_run" {
+		t.Errorf("waiting request: status %d code %q outcome %q", waiting.status, waiting.code(), waiting.outcome())
+	}
+}
--- a/internal/app/entry/fleet.go
+++ b/internal/app/entry/fleet.go
@@ -43,6 +43,7 @@
 // member is one sidecar of the subset.
 type member struct {
 	fleet *fleet
+	name  string
 	info  membership.Instance
 	state membership.State
 	id    route.ID
@@ -105,7 +106,7 @@
 		m = nil
 	}
 	if m == nil {
-		m = &member{fleet: f}
+		m = &member{fleet: f, name: name}
 		m.id = f.picker.Add(route.Upstream{Instance: name, Service: w.Service, Zone: w.Zone})
 		f.picker.SetFlag(m.id, route.Suspect, true) // until its session is up
 		f.members[name], f.byID[m.id] = m, m
@@ -260,9 +261,9 @@
 		return attempt.Choice{}
 	}
 	choice := attempt.Choice{Reason: c.Reason.String() + " in " + service, Committed: c.Committed && len(r.Body) <= maxCommittedBody}
-	choice.Targets = append(choice.Targets, &target{member: first, tokens: query.Tokens, prefix: query.PrefixHash})
+	choice.Targets = append(choice.Targets, &target{member: first, link: first.link, tokens: query.Tokens, prefix: query.PrefixHash})
 	if second := f.byID[c.Second]; second != nil && !choice.Committed {
-		choice.Targets = append(choice.Targets, &target{member: second, tokens: query.Tokens, prefix: query.PrefixHash})
+		choice.Targets = append(choice.Targets, &target{member: second, link: second.link, tokens: query.Tokens, prefix: query.PrefixHash})
 	}
 	return choice
 }
@@ -290,16 +291,17 @@
 // target is a chosen sidecar. Its streams keep the picker's counts.
 type target struct {
 	member *member
+	link   *peer.Link
 	tokens int
 	prefix uint64
 }
 
 // Name implements attempt.Upstream.
-func (t *target) Name() string { return t.member.info.Instance }
+func (t *target) Name() string { return t.member.name }
 
 // Open implements attempt.Upstream.
 func (t *target) Open() (attempt.Stream, error) {
-	s := t.member.link.Session()
+	s := t.link.Session()
 	if s == nil {
 		return nil, peer.ErrUnreachable
 	}
