--- /dev/null
+++ b/internal/app/cli/operator.go
@@ -0,0 +1,306 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+)
+
+const (
+	operatorTimeout = 60 * time.Second
+	// maxOperatorAnswer bounds an answer, in bytes; the usage export is the largest.
+	maxOperatorAnswer = 256 << 20
+
+	typeCSV  = "text/csv"
+	typeJSON = "application/json"
+)
+
+// operatorOptions are the options of every command that calls the operator API.
+type operatorOptions struct {
+	env    environment
+	Server string `long:"server" value-name:"URL" env:"DRAGONFLYPIN_SERVER" description:"base URL of an entry's operator API"`
+	Key    string `long:"key" value-name:"KEY" env:"DRAGONFLYPIN_KEY" default-mask:"-" description:"operator key"`
+	JSON   bool   `long:"json" description:"print the answer as JSON"`
+}
+
+// operatorCall is one call of the operator API.
+type operatorCall struct {
+	method, path, accept, contentType string
+	query                             url.Values
+	body                              []byte
+}
+
+// apiError is an answer that is not a success.
+type apiError struct {
+	status int
+	body   []byte
+}
+
+// Error implements error. The first line is the message; further fields of the answer, such as conflicts, follow.
+func (e *apiError) Error() string {
+	var shape struct {
+		Error struct {
+			Message string `json:"message"`
+			Code    string `json:"code"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(e.body, &shape) != nil || shape.Error.Message == "" {
+		return fmt.Sprintf("the operator API answered %d: %s", e.status, strings.TrimSpace(string(e.body)))
+	}
+	text := shape.Error.Message
+	if shape.Error.Code != "" {
+		text = shape.Error.Code + ": " + text
+	}
+	if more := renderExcept(e.body, "error"); more != "" {
+		text += "\n" + strings.TrimRight(more, "\n")
+	}
+	return text
+}
+
+func (o *operatorOptions) call(c operatorCall) ([]byte, error) {
+	base, err := url.Parse(o.Server)
+	if err != nil || base.Host == "" || base.Scheme != "http" && base.Scheme != "https" {
+		return nil, &usageError{fmt.Sprintf("--server %q must be the URL of an operator API, such as http://127.0.0.1:8081", o.Server)}
+	}
+	if o.Key == "" {
+		return nil, &usageError{"--key or DRAGONFLYPIN_KEY must hold an operator key"}
+	}
+	if c.accept == "" {
+		c.accept = typeJSON
+	}
+	s := sling.New().Base(strings.TrimRight(o.Server, "/")+"/").Path(strings.TrimLeft(c.path, "/")).
+		Set("Authorization", "Bearer "+o.Key).Set("Accept", c.accept)
+	if c.body != nil {
+		s = s.Body(bytes.NewReader(c.body)).Set("Content-Type", c.contentType)
+	}
+	r, err := s.Request()
+	if err != nil {
+		return nil, err
+	}
+	r.Method = c.method
+	r.URL.RawQuery = c.query.Encode()
+	return do(r.WithContext(o.env.ctx))
+}
+
+func do(r *http.Request) ([]byte, error) {
+	client := &http.Client{Timeout: operatorTimeout}
+	resp, err := client.Do(r)
+	if err != nil {
+		var wrapped *url.Error
+		if errors.As(err, &wrapped) {
+			err = wrapped.Err
+		}
+		return nil, fmt.Errorf("call the operator API at %s://%s: %w", r.URL.Scheme, r.URL.Host, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxOperatorAnswer))
+	if err != nil {
+		return nil, fmt.Errorf("read the operator API's answer: %w", err)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return nil, &apiError{status: resp.StatusCode, body: body}
+	}
+	return body, nil
+}
+
+// get calls a path and prints the answer, as text unless --json is set.
+func (o *operatorOptions) get(args []string, path string, query url.Values) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	body, err := o.call(operatorCall{method: http.MethodGet, path: path, query: query})
+	if err != nil {
+		return err
+	}
+	return o.print(body)
+}
+
+func (o *operatorOptions) print(body []byte) error {
+	text := render(body)
+	if o.JSON {
+		var indented bytes.Buffer
+		if err := json.Indent(&indented, bytes.TrimSpace(body), "", "  "); err != nil {
+			return fmt.Errorf("the operator API's answer is not JSON: %w", err)
+		}
+		text = indented.String() + "\n"
+	}
+	return o.write([]byte(text))
+}
+
+func (o *operatorOptions) write(data []byte) error {
+	_, err := o.env.out.Write(data)
+	return err
+}
+
+type tableGetCommand struct {
+	operatorOptions
+	Format string `long:"format" choice:"csv" choice:"json" default:"csv" description:"output format"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableGetCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	asJSON := c.JSON || c.Format == "json"
+	call := operatorCall{method: http.MethodGet, path: "/table", accept: typeCSV, query: url.Values{"format": {"csv"}}}
+	if asJSON {
+		call.accept, call.query = typeJSON, url.Values{"format": {"json"}}
+	}
+	body, err := c.call(call)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		c.JSON = true
+		return c.print(body)
+	}
+	return c.write(body)
+}
+
+type fileArgument struct {
+	File string `positional-arg-name:"FILE" description:"table file, CSV or JSON"`
+}
+
+// send posts a table file.
+func (o *operatorOptions) send(path, file string, query url.Values) error {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return &usageError{fmt.Sprintf("table file: %v", err)}
+	}
+	contentType := typeCSV
+	if bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) {
+		contentType = typeJSON
+	}
+	answer, err := o.call(operatorCall{method: http.MethodPost, path: path, query: query, body: body, contentType: contentType})
+	if err != nil {
+		return err
+	}
+	return o.print(answer)
+}
+
+type tableCheckCommand struct {
+	operatorOptions
+	Args fileArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableCheckCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	return c.send("/table/check", c.Args.File, nil)
+}
+
+type tableApplyCommand struct {
+	operatorOptions
+	Base   uint64       `long:"base" value-name:"VERSION" required:"yes" description:"number of the version that the file was made from"`
+	Reason string       `long:"reason" value-name:"TEXT" description:"why; kept in the history"`
+	Args   fileArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableApplyCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	return c.send("/table/apply", c.Args.File, url.Values{"base": {strconv.FormatUint(c.Base, 10)}, "reason": {c.Reason}})
+}
+
+type tableHistoryCommand struct{ operatorOptions }
+
+// Execute implements flags.Commander.
+func (c *tableHistoryCommand) Execute(args []string) error { return c.get(args, "/table/history", nil) }
+
+type tableDiffCommand struct {
+	operatorOptions
+	Args struct {
+		A uint64 `positional-arg-name:"A" description:"number of the earlier version"`
+		B uint64 `positional-arg-name:"B" description:"number of the later version"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableDiffCommand) Execute(args []string) error {
+	return c.get(args, "/table/diff", url.Values{
+		"a": {strconv.FormatUint(c.Args.A, 10)}, "b": {strconv.FormatUint(c.Args.B, 10)},
+	})
+}
+
+type usageShowCommand struct{ operatorOptions }
+
+// Execute implements flags.Commander.
+func (c *usageShowCommand) Execute(args []string) error { return c.get(args, "/usage", nil) }
+
+type usageVerifyCommand struct{ operatorOptions }
+
+// errInvalidUsage makes the exit status 1 when the record is not valid.
+var errInvalidUsage = errors.New("the usage record is not valid")
+
+// Execute implements flags.Commander.
+func (c *usageVerifyCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	body, err := c.call(operatorCall{method: http.MethodGet, path: "/usage/verify"})
+	if err != nil {
+		return err
+	}
+	if err := c.print(body); err != nil {
+		return err
+	}
+	var report struct {
+		Problems []json.RawMessage `json:"problems"`
+	}
+	if err := json.Unmarshal(body, &report); err != nil {
+		return fmt.Errorf("the operator API's answer is not a report: %w", err)
+	}
+	if len(report.Problems) > 0 {
+		return fmt.Errorf("%w: first problem: %s", errInvalidUsage, report.Problems[0])
+	}
+	if c.JSON {
+		return nil
+	}
+	return c.write([]byte("the usage record is valid\n"))
+}
+
+type usageExportCommand struct{ operatorOptions }
+
+// Execute implements flags.Commander.
+func (c *usageExportCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	body, err := c.call(operatorCall{method: http.MethodGet, path: "/usage/export", accept: typeCSV})
+	if err != nil {
+		return err
+	}
+	return c.write(body)
+}
+
+type statusCommand struct{ operatorOptions }
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute(args []string) error { return c.get(args, "/status", nil) }
+
+type explainCommand struct {
+	operatorOptions
+	Args struct {
+		RequestID string `positional-arg-name:"REQUEST-ID" description:"value of the header Dragonflypin-Request-Id"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute(args []string) error {
+	return c.get(args, "/explain/"+url.PathEscape(c.Args.RequestID), nil)
+}
--- /dev/null
+++ b/internal/app/cli/render.go
@@ -0,0 +1,155 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// member is one member of a JSON object, in the order of the text.
+type member struct {
+	name  string
+	value json.RawMessage
+}
+
+// render returns a JSON answer as text for people: members of objects line by line, lists of objects as tables.
+func render(body []byte) string { return renderExcept(body, "") }
+
+// renderExcept leaves one member of the outermost object out.
+func renderExcept(body []byte, skip string) string {
+	var b strings.Builder
+	renderValue(&b, "", bytes.TrimSpace(body), skip)
+	return b.String()
+}
+
+func renderValue(b *strings.Builder, path string, value json.RawMessage, skip string) {
+	switch {
+	case len(value) == 0:
+	case value[0] == '{':
+		for _, m := range members(value) {
+			if m.name != skip {
+				renderValue(b, joinPath(path, m.name), m.value, "")
+			}
+		}
+	case value[0] == '[':
+		renderList(b, path, value)
+	case path == "":
+		b.WriteString(scalar(value) + "\n")
+	default:
+		b.WriteString(path + ": " + scalar(value) + "\n")
+	}
+}
+
+func renderList(b *strings.Builder, path string, value json.RawMessage) {
+	var items []json.RawMessage
+	if json.Unmarshal(value, &items) != nil {
+		return
+	}
+	if len(items) == 0 {
+		b.WriteString(strings.TrimLeft(path+": none\n", ": "))
+		return
+	}
+	if items[0][0] != '{' {
+		texts := make([]string, len(items))
+		for i, item := range items {
+			texts[i] = scalar(item)
+		}
+		b.WriteString(strings.TrimLeft(path+": "+strings.Join(texts, ", "), ": ") + "\n")
+		return
+	}
+	if path != "" {
+		b.WriteString(path + ":\n")
+	}
+	renderTable(b, items)
+}
+
+func renderTable(b *strings.Builder, items []json.RawMessage) {
+	var columns []string
+	rows := make([]map[string]string, len(items))
+	for i, item := range items {
+		rows[i] = make(map[string]string)
+		for _, m := range members(item) {
+			if !slices.Contains(columns, m.name) {
+				columns = append(columns, m.name)
+			}
+			rows[i][m.name] = scalar(m.value)
+		}
+	}
+	w := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.Join(columns, "\t"))
+	for _, row := range rows {
+		cells := make([]string, len(columns))
+		for i, column := range columns {
+			cells[i] = row[column]
+		}
+		_, _ = fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+	_ = w.Flush()
+}
+
+// members returns an object's members in the order of the text.
+func members(object json.RawMessage) []member {
+	dec := json.NewDecoder(bytes.NewReader(object))
+	if _, err := dec.Token(); err != nil {
+		return nil
+	}
+	var list []member
+	for dec.More() {
+		name, err := dec.Token()
+		var m member
+		if err != nil || dec.Decode(&m.value) != nil {
+			return list
+		}
+		m.name, _ = name.(string)
+		list = append(list, m)
+	}
+	return list
+}
+
+// scalar returns a value on one line; nested objects become NAME=VALUE pairs.
+func scalar(value json.RawMessage) string {
+	switch {
+	case value[0] == '"':
+		var text string
+		_ = json.Unmarshal(value, &text)
+		return oneLine(text)
+	case value[0] == '{':
+		var parts []string
+		for _, m := range members(value) {
+			parts = append(parts, m.name+"="+scalar(m.value))
+		}
+		return strings.Join(parts, " ")
+	case value[0] == '[':
+		var items []json.RawMessage
+		_ = json.Unmarshal(value, &items)
+		parts := make([]string, len(items))
+		for i, item := range items {
+			parts[i] = scalar(item)
+		}
+		return strings.Join(parts, ", ")
+	case string(value) == "null":
+		return "-"
+	default:
+		return string(value)
+	}
+}
+
+// oneLine replaces control characters, so that foreign text cannot move the terminal's cursor.
+func oneLine(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return ' '
+		}
+		return r
+	}, text)
+}
+
+func joinPath(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/internal/app/cli/script_test.go
@@ -0,0 +1,140 @@
+package cli_test
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/dragonflypin/dragonflypin/internal/app/cli"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"dragonflypin": func() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// Guards the command line as users see it: exit statuses, messages and output.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"waitline": waitLine,
+			"http":     call,
+			"start":    start,
+			"stop":     stop,
+			"exits":    exits,
+		},
+		Setup: func(env *testscript.Env) error {
+			env.Values[processKey{}] = make(map[string]*exec.Cmd)
+			return nil
+		},
+	})
+}
+
+// startTimeout bounds the wait for a line of a started process; the demo must serve within it on a busy machine.
+const startTimeout = 60 * time.Second
+
+// start runs the command line as a process: start NAME ARG...; its output goes to NAME.out and NAME.err.
+func start(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: start NAME ARG...")
+	}
+	out, err := os.Create(ts.MkAbs(args[0] + ".out"))
+	ts.Check(err)
+	errOut, err := os.Create(ts.MkAbs(args[0] + ".err"))
+	ts.Check(err)
+	c := exec.Command("dragonflypin", args[1:]...)
+	c.Dir, c.Stdout, c.Stderr = ts.MkAbs("."), out, errOut
+	ts.Check(c.Start())
+	processes(ts)[args[0]] = c
+	ts.Defer(func() {
+		if c.ProcessState == nil {
+			_ = c.Process.Kill()
+			_ = c.Wait()
+		}
+		_, _ = out.Close(), errOut.Close()
+	})
+}
+
+// stop sends SIGTERM and fails unless the process ends with status 0: stop NAME.
+func stop(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 || processes(ts)[args[0]] == nil {
+		ts.Fatalf("usage: stop NAME")
+	}
+	c := processes(ts)[args[0]]
+	ts.Check(c.Process.Signal(syscall.SIGTERM))
+	if err := c.Wait(); err != nil {
+		ts.Fatalf("%s after SIGTERM: %v: %s", args[0], err, ts.ReadFile(args[0]+".err"))
+	}
+}
+
+type processKey struct{}
+
+func processes(ts *testscript.TestScript) map[string]*exec.Cmd {
+	return ts.Value(processKey{}).(map[string]*exec.Cmd)
+}
+
+// waitLine waits for a line of a started process and sets a variable to its rest: waitline NAME PREFIX VARIABLE.
+func waitLine(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: waitline NAME PREFIX VARIABLE")
+	}
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		data, _ := os.ReadFile(ts.MkAbs(args[0] + ".out"))
+		for line := range strings.Lines(string(data)) {
+			if rest, ok := strings.CutPrefix(line, args[1]); ok && strings.HasSuffix(line, "\n") {
+				ts.Setenv(args[2], strings.TrimSpace(rest))
+				return
+			}
+		}
+	}
+	ts.Fatalf("%s printed no line that begins with %q: %s", args[0], args[1], ts.ReadFile(args[0]+".err"))
+}
+
+// call sends a request and writes the answer's status, header and body to the file answer: http [-H NAME:VALUE]... METHOD URL [BODY].
+func call(ts *testscript.TestScript, neg bool, args []string) {
+	header := http.Header{}
+	for len(args) > 1 && args[0] == "-H" {
+		name, value, _ := strings.Cut(args[1], ":")
+		header.Set(name, value)
+		args = args[2:]
+	}
+	if len(args) < 2 {
+		ts.Fatalf("usage: http [-H NAME:VALUE]... METHOD URL [BODY]")
+	}
+	r, err := http.NewRequest(args[0], args[1], strings.NewReader(strings.Join(args[2:], " ")))
+	ts.Check(err)
+	r.Header = header
+	resp, err := http.DefaultClient.Do(r)
+	ts.Check(err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	ts.Check(err)
+	var text strings.Builder
+	text.WriteString(resp.Status + "\n")
+	_ = resp.Header.Write(&text)
+	ts.Check(os.WriteFile(ts.MkAbs("answer"), []byte(text.String()+"\n"+string(body)+"\n"), 0o600))
+	if failed := resp.StatusCode >= http.StatusBadRequest; failed != neg {
+		ts.Fatalf("%s %s: %s: %s", args[0], args[1], resp.Status, body)
+	}
+}
+
+// exits runs the command line and fails unless it ends with the status: exits STATUS ARG...
+// Its output goes to the files out and err.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	var out, errOut strings.Builder
+	status := cli.Run(args[1:], &out, &errOut)
+	ts.Check(os.WriteFile(ts.MkAbs("out"), []byte(out.String()), 0o600))
+	ts.Check(os.WriteFile(ts.MkAbs("err"), []byte(errOut.String()), 0o600))
+	if want := int(args[0][0] - '0'); status != want {
+		ts.Fatalf("exit status %d, want %d: %s", status, want, errOut.String())
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -10,57 +10,36 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/standin/fault"
 )
 
 // Options configure an engine. Zero values select the defaults.
 type Options struct {
-	// Name appears in the header Engine-Name of every answer.
-	Name string `json:"name"`
+	// Name appears in the header Engine-Name of every answer. Default "engine".
+	Name string `json:"name" default:"engine" format:"name"`
 	// Models are served from the start. Default "tile-lm".
-	Models []string `json:"models"`
+	Models []string `json:"models" default:"tile-lm"`
 	// Slots is the largest number of streams in the batch. Default 16.
-	Slots int `json:"slots"`
+	Slots int `json:"slots" default:"16" min:"1" max:"4096" unit:"streams"`
 	// TokenMs is the time between tokens of a stream that is alone, in milliseconds. Default 12.
-	TokenMs float64 `json:"token_ms"`
+	TokenMs float64 `json:"token_ms" default:"12" min:"0.01" max:"10000" unit:"milliseconds"`
 	// LoadSlope is the additional share of TokenMs with a full batch: 2 means three times as slow. Default 2.
-	LoadSlope float64 `json:"load_slope"`
+	LoadSlope float64 `json:"load_slope" default:"2" min:"0.001" max:"100"`
 	// PrefillTokensPerSecond is the speed of reading prompt tokens that are not cached. Default 20000.
-	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
+	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second" default:"20000" min:"1" unit:"tokens per second"`
 	// CacheTokens is the memory of the prefix cache, in tokens. Default 65536.
-	CacheTokens int `json:"cache_tokens"`
-	// LoadLagMs is the age of the load report, in milliseconds. Default 500; negative means none.
-	LoadLagMs int `json:"load_lag_ms"`
-	// EventLagMs is the age at which cache events appear, in milliseconds. Default 1000; negative means none.
-	EventLagMs int `json:"event_lag_ms"`
-	// EventGap drops every EventGap-th cache event. Default 50; negative means none.
-	EventGap int `json:"event_gap"`
+	CacheTokens int `json:"cache_tokens" default:"65536" min:"16" unit:"tokens"`
+	// LoadLagMs is the age of the load report, in milliseconds. Default 500; -1 means none.
+	LoadLagMs int `json:"load_lag_ms" default:"500" min:"-1" max:"60000" unit:"milliseconds"`
+	// EventLagMs is the age at which cache events appear, in milliseconds. Default 1000; -1 means none.
+	EventLagMs int `json:"event_lag_ms" default:"1000" min:"-1" max:"60000" unit:"milliseconds"`
+	// EventGap drops every EventGap-th cache event. Default 50; -1 means none.
+	EventGap int `json:"event_gap" default:"50" min:"-1" unit:"events"`
 	// ChecksFence refuses orders with a lower fencing number than one seen before. Default false.
-	ChecksFence bool `json:"checks_fence"`
+	ChecksFence bool `json:"checks_fence" default:"false"`
 	// LoadModelMs is the time to load a model, in milliseconds. Default 200.
-	LoadModelMs int `json:"load_model_ms"`
-}
-
-func (o Options) withDefaults() Options {
-	setDefault(&o.Slots, 16)
-	setDefault(&o.TokenMs, 12)
-	setDefault(&o.LoadSlope, 2)
-	setDefault(&o.PrefillTokensPerSecond, 20000)
-	setDefault(&o.CacheTokens, 65536)
-	setDefault(&o.LoadLagMs, 500)
-	setDefault(&o.EventLagMs, 1000)
-	setDefault(&o.EventGap, 50)
-	setDefault(&o.LoadModelMs, 200)
-	if len(o.Models) == 0 {
-		o.Models = []string{"tile-lm"}
-	}
-	return o
-}
-
-func setDefault[T int | float64](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
+	LoadModelMs int `json:"load_model_ms" default:"200" min:"1" max:"600000" unit:"milliseconds"`
 }
 
 // maxRuns bounds the list of executions that GET /engine/runs returns.
@@ -95,7 +74,7 @@
 
 // New returns an engine.
 func New(opts Options) *Engine {
-	opts = opts.withDefaults()
+	settings.ApplyDefaults(&opts)
 	e := &Engine{
 		opts:    opts,
 		batch:   newBatch(opts.Slots),
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -37,7 +37,7 @@
 // Options configure a list.
 type Options struct {
 	// LagMs is the age of the list that is returned, in milliseconds. Default 0.
-	LagMs int `json:"lag_ms"`
+	LagMs int `json:"lag_ms" default:"0" min:"0" max:"300000" unit:"milliseconds"`
 }
 
 // historyKeep bounds how stale a list can get.
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -12,15 +12,16 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/standin/fault"
 )
 
 // Options configure a service. Zero values select the defaults.
 type Options struct {
 	// Name begins every order ID. Default "order-svc".
-	Name string `json:"name"`
+	Name string `json:"name" default:"order-svc" format:"name"`
 	// WorkMs is the time that an order takes, in milliseconds. Default 5.
-	WorkMs int `json:"work_ms"`
+	WorkMs int `json:"work_ms" default:"5" min:"1" max:"600000" unit:"milliseconds"`
 }
 
 // maxBody bounds an order, in bytes.
@@ -51,12 +52,7 @@
 
 // New returns a service without orders.
 func New(opts Options) *Service {
-	if opts.Name == "" {
-		opts.Name = "order-svc"
-	}
-	if opts.WorkMs == 0 {
-		opts.WorkMs = 5
-	}
+	settings.ApplyDefaults(&opts)
 	s := &Service{opts: opts}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /orders", s.serveOrder)
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
 	"github.com/dragonflypin/dragonflypin/internal/standin/fault"
 )
@@ -29,11 +30,11 @@
 // Options configure a store. Zero values select the defaults.
 type Options struct {
 	// LatencyMs delays every call, in milliseconds. Default 0.
-	LatencyMs int `json:"latency_ms"`
+	LatencyMs int `json:"latency_ms" default:"0" min:"0" max:"60000" unit:"milliseconds"`
 	// ReadsPerSecond limits GET calls, watches included. Default 2000.
-	ReadsPerSecond float64 `json:"reads_per_second"`
+	ReadsPerSecond float64 `json:"reads_per_second" default:"2000" min:"0.1" unit:"calls per second"`
 	// WritesPerSecond limits PUT and DELETE calls. Default 400.
-	WritesPerSecond float64 `json:"writes_per_second"`
+	WritesPerSecond float64 `json:"writes_per_second" default:"400" min:"0.1" unit:"calls per second"`
 }
 
 // Calls counts calls since the start.
@@ -74,12 +75,7 @@
 
 // New returns an empty store.
 func New(opts Options) *Store {
-	if opts.ReadsPerSecond == 0 {
-		opts.ReadsPerSecond = 2000
-	}
-	if opts.WritesPerSecond == 0 {
-		opts.WritesPerSecond = 400
-	}
+	settings.ApplyDefaults(&opts)
 	now := time.Now()
 	s := &Store{
 		opts:       opts,
