measure: scenarios, fake engines in virtual time, policies and report

Cause: the decisions must be judged by outcome, with the production code and next to simpler policies.

--- /dev/null
+++ b/internal/measure/engine.go
@@ -0,0 +1,306 @@
+package measure
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// event is one entry of the virtual-time event loop.
+type event struct {
+	at  time.Duration
+	seq uint64
+	run func(now time.Time)
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, k int) bool {
+	if h[i].at != h[k].at {
+		return h[i].at < h[k].at
+	}
+	return h[i].seq < h[k].seq
+}
+func (h eventHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1].run = nil
+	*h = old[:len(old)-1]
+	return e
+}
+
+// world is one run: its clock, engines and requests.
+type world struct {
+	start    time.Time
+	events   eventHeap
+	seq      uint64
+	scenario *scenario
+	classes  []class
+	engines  []*engine
+	requests []*request
+	open     int
+}
+
+// after runs f once d has passed.
+func (w *world) after(now time.Time, d time.Duration, f func(now time.Time)) {
+	w.seq++
+	heap.Push(&w.events, event{at: now.Sub(w.start) + d, seq: w.seq, run: f})
+}
+
+// loop sleeps until the next event and runs it, until all requests have ended. Inside a synctest bubble the sleep
+// takes no real time.
+func (w *world) loop() {
+	for len(w.events) > 0 && w.open > 0 {
+		e := heap.Pop(&w.events).(event)
+		if wait := e.at - time.Since(w.start); wait > 0 {
+			time.Sleep(wait)
+		}
+		e.run(time.Now())
+	}
+}
+
+func (w *world) since(now time.Time) time.Duration { return now.Sub(w.start) }
+
+func (w *world) inCrest(at time.Duration) bool {
+	for _, c := range w.scenario.crest {
+		if at >= c.from && at < c.to {
+			return true
+		}
+	}
+	return false
+}
+
+// finish records how a request ended. The first call counts.
+func (w *world) finish(now time.Time, r *request, how end) {
+	if r.end != endNone {
+		return
+	}
+	r.end, r.done = how, w.since(now)
+	w.open--
+}
+
+// tickInterval is the time between two progress reports of an engine's streams.
+const tickInterval = 100 * time.Millisecond
+
+// client receives the events of an engine.
+type client interface {
+	// tokens reports n further tokens of a stream.
+	tokens(now time.Time, e *engine, r *request, n int)
+	// finished reports that a stream is complete; its slot is free.
+	finished(now time.Time, e *engine, r *request)
+	// lost reports that the engine crashed with these streams, running or paused.
+	lost(now time.Time, e *engine, rs []*request)
+	// back reports that a crashed engine is empty and running again.
+	back(now time.Time, e *engine)
+}
+
+type stream struct {
+	r *request
+	// prefill is the rest of the prompt's reading time at full speed.
+	prefill  time.Duration
+	progress float64
+	reported int
+}
+
+// engine is a fake model engine.
+type engine struct {
+	w        *world
+	client   client
+	id       int
+	service  int
+	zone     int
+	slow     float64
+	down     bool
+	running  []*stream
+	paused   []*stream
+	prefixes []uint64
+	last     time.Time
+	nextTick time.Time
+	epoch    int
+}
+
+func (e *engine) interval() float64 {
+	return e.slow * float64(baseInterval+time.Duration(len(e.running))*streamInterval)
+}
+
+// begin starts a stream; the caller keeps to the number of slots.
+func (e *engine) begin(now time.Time, r *request) {
+	e.advance(now)
+	fill := float64(r.prompt) / prefillRate * float64(time.Second)
+	if e.cached(r.prefix) {
+		fill *= prefixMiss
+	}
+	if !r.hasStarted {
+		r.hasStarted, r.started = true, e.w.since(now)
+	}
+	e.running = append(e.running, &stream{r: r, prefill: time.Duration(fill)})
+	e.plan(now)
+}
+
+// cached tells whether the prefix is in memory and makes it the most recently used.
+func (e *engine) cached(prefix uint64) bool {
+	i := slices.Index(e.prefixes, prefix)
+	if i >= 0 {
+		e.prefixes = slices.Delete(e.prefixes, i, i+1)
+	} else if len(e.prefixes) >= cachedPrefixes {
+		e.prefixes = slices.Delete(e.prefixes, 0, 1)
+	}
+	e.prefixes = append(e.prefixes, prefix)
+	return i >= 0
+}
+
+func (e *engine) pause(now time.Time, r *request) {
+	e.advance(now)
+	if i := find(e.running, r); i >= 0 {
+		e.paused = append(e.paused, e.running[i])
+		e.running = slices.Delete(e.running, i, i+1)
+		r.paused++
+	}
+	e.plan(now)
+}
+
+func (e *engine) resume(now time.Time, r *request) {
+	e.advance(now)
+	if i := find(e.paused, r); i >= 0 {
+		e.running = append(e.running, e.paused[i])
+		e.paused = slices.Delete(e.paused, i, i+1)
+	}
+	e.plan(now)
+}
+
+// cancel drops a stream, running or paused.
+func (e *engine) cancel(now time.Time, r *request) {
+	e.advance(now)
+	if i := find(e.running, r); i >= 0 {
+		e.running = slices.Delete(e.running, i, i+1)
+	}
+	if i := find(e.paused, r); i >= 0 {
+		e.paused = slices.Delete(e.paused, i, i+1)
+	}
+	e.plan(now)
+}
+
+func find(ss []*stream, r *request) int {
+	return slices.IndexFunc(ss, func(s *stream) bool { return s.r == r })
+}
+
+func (e *engine) setSlow(now time.Time, factor float64) {
+	e.advance(now)
+	e.slow = factor
+	e.plan(now)
+}
+
+func (e *engine) crash(now time.Time) {
+	e.advance(now)
+	var rs []*request
+	for _, s := range append(e.running, e.paused...) {
+		rs = append(rs, s.r)
+	}
+	e.running, e.paused, e.prefixes, e.down = nil, nil, nil, true
+	e.epoch++
+	e.client.lost(now, e, rs)
+}
+
+func (e *engine) restart(now time.Time) {
+	e.down, e.last = false, now
+	e.client.back(now, e)
+}
+
+// advance moves all running streams to now.
+func (e *engine) advance(now time.Time) {
+	dt := now.Sub(e.last)
+	e.last = now
+	if dt <= 0 {
+		return
+	}
+	step := float64(dt) / e.interval()
+	for _, s := range e.running {
+		if s.prefill > 0 {
+			s.prefill -= time.Duration(float64(dt) / e.slow)
+			if s.prefill <= time.Microsecond {
+				s.prefill, s.progress = 0, 1
+			}
+			continue
+		}
+		s.progress += step
+	}
+}
+
+// plan schedules the engine's next event: the end of a prompt's reading, the end of a stream, or the next report.
+func (e *engine) plan(now time.Time) {
+	e.epoch++
+	if len(e.running) == 0 {
+		return
+	}
+	interval := e.interval()
+	next := time.Duration(1 << 62)
+	decoding := false
+	for _, s := range e.running {
+		if s.prefill > 0 {
+			next = min(next, time.Duration(float64(s.prefill)*e.slow))
+			continue
+		}
+		decoding = true
+		next = min(next, time.Duration(max(0, float64(s.r.output)-s.progress)*interval))
+	}
+	if decoding {
+		if !e.nextTick.After(now) {
+			e.nextTick = now.Add(tickInterval)
+		}
+		next = min(next, e.nextTick.Sub(now))
+	}
+	epoch := e.epoch
+	e.w.after(now, next+time.Microsecond, func(now time.Time) {
+		if epoch == e.epoch {
+			e.step(now)
+		}
+	})
+}
+
+// step reports progress and completed streams.
+func (e *engine) step(now time.Time) {
+	e.advance(now)
+	tick := !e.nextTick.After(now)
+	crest := e.w.inCrest(e.w.since(now))
+	type report struct {
+		r    *request
+		n    int
+		done bool
+	}
+	var reports []report
+	kept := e.running[:0]
+	for _, s := range e.running {
+		done := s.prefill == 0 && s.progress >= float64(s.r.output)-0.01
+		have := min(int(s.progress), s.r.output)
+		if done {
+			have = s.r.output
+		}
+		if n := have - s.reported; n > 0 && (tick || done || s.reported == 0) {
+			s.reported = have
+			s.r.tokens = have
+			if crest {
+				s.r.crestTokens += n
+			}
+			reports = append(reports, report{s.r, n, done})
+		}
+		if !done {
+			kept = append(kept, s)
+		}
+	}
+	clear(e.running[len(kept):])
+	e.running = kept
+	e.plan(now)
+	for _, p := range reports {
+		e.client.tokens(now, e, p.r, p.n)
+		if p.done {
+			e.client.finished(now, e, p.r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/measure/production.go
@@ -0,0 +1,438 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/request/admit/crest"
+	"github.com/dragonflypin/dragonflypin/internal/request/route"
+	"github.com/dragonflypin/dragonflypin/internal/request/schedule"
+)
+
+// Binding selects where requests wait.
+type binding uint8
+
+const (
+	// lateBinding asks up to two sidecars; the request goes to the first that grants a slot.
+	lateBinding binding = iota
+	// earlyBinding sends the request with its body to one sidecar, where it waits.
+	earlyBinding
+)
+
+const (
+	reportInterval = 100 * time.Millisecond
+	evictInterval  = 50 * time.Millisecond
+	// noUpstreamRetry is the time between two attempts to find an upstream.
+	noUpstreamRetry = 50 * time.Millisecond
+)
+
+// production drives the production decision code: admission and upstream choice in the entries, the class scheduler in
+// the sidecars, and the messages between them.
+type production struct {
+	w        *world
+	binding  binding
+	entries  []*entry
+	sidecars []*sidecar
+	asks     uint64
+}
+
+type entry struct {
+	p      *production
+	picker *route.Picker
+	crest  [services]*crest.Controller
+	// mean is the moving average of the output length by class.
+	mean []float64
+}
+
+type sidecar struct {
+	p        *production
+	e        *engine
+	sched    *schedule.Scheduler
+	asks     map[uint64]*ask
+	running  map[*request]*ask
+	wake     uint64
+	reported time.Time
+	pending  bool
+}
+
+type ask struct {
+	id        uint64
+	r         *request
+	entry     *entry
+	sidecar   *sidecar
+	flight    route.Flight
+	committed bool
+	// begun is set by the sidecar when the upstream has the request; gone when the ask ended at the sidecar.
+	begun, gone bool
+}
+
+// dispatch is the entry's state of a request.
+type dispatch struct {
+	entry *entry
+	asks  [2]*ask
+	won   *ask
+	tried [route.MaxExclude]route.ID
+}
+
+var zones = [3]string{"a", "b", "c"}
+
+func newProduction(w *world, b binding) *production {
+	p := &production{w: w, binding: b}
+	for _, e := range w.engines {
+		p.sidecars = append(p.sidecars, &sidecar{p: p, e: e})
+		p.sidecars[e.id].reset()
+	}
+	for i := range entries {
+		en := &entry{p: p, picker: route.New(w.start, route.Settings{Zone: zones[i%len(zones)], Seed: uint64(i + 1)})}
+		for s := range en.crest {
+			en.crest[s] = crest.New(crest.Config{})
+		}
+		for range w.classes {
+			en.mean = append(en.mean, 128)
+		}
+		for _, e := range w.engines {
+			en.picker.Add(route.Upstream{Service: serviceNames[e.service], Zone: zones[e.zone], Slots: engineSlots})
+		}
+		p.entries = append(p.entries, en)
+		p.evict(w.start, en)
+	}
+	return p
+}
+
+// sidecarOf relies on the pickers having the engines added in order.
+func (p *production) sidecarOf(id route.ID) *sidecar { return p.sidecars[int(id)-1] }
+
+func (s *sidecar) routeID() route.ID { return route.ID(s.e.id + 1) }
+
+func (s *sidecar) reset() {
+	s.sched = schedule.New(schedule.Config{Slots: engineSlots, CanPause: true})
+	s.asks, s.running = map[uint64]*ask{}, map[*request]*ask{}
+}
+
+func (p *production) arrive(now time.Time, r *request) {
+	en := p.entries[r.entry]
+	row := &p.w.classes[r.class]
+	v := en.crest[r.service].Offer(now, &crest.Request{
+		ID: r.id, Class: row.Class, Priority: uint8(row.Priority), Weight: uint16(row.Weight), Protected: row.Protected,
+		TTFTTarget: row.TTFTTarget, MaxWait: row.MaxWait, Deadline: now.Add(row.Timeout),
+	})
+	if !v.Admitted() {
+		r.retryAfter = v.RetryAfter
+		p.w.finish(now, r, endShed)
+		return
+	}
+	d := &dispatch{entry: en}
+	r.policy = d
+	p.shed(now, en, r.service)
+	if r.end == endNone {
+		p.dispatch(now, d, r)
+	}
+}
+
+// evict runs the periodic shedding of an entry.
+func (p *production) evict(now time.Time, en *entry) {
+	for s := range en.crest {
+		p.shed(now, en, s)
+	}
+	p.w.after(now, evictInterval, func(now time.Time) { p.evict(now, en) })
+}
+
+func (p *production) shed(now time.Time, en *entry, service int) {
+	for {
+		s, ok := en.crest[service].Next(now)
+		if !ok {
+			return
+		}
+		r := p.w.requests[s.ID-1]
+		if d := r.policy.(*dispatch); d.won == nil && !begun(d) {
+			r.retryAfter = s.RetryAfter
+			p.withdraw(now, d, nil)
+			p.w.finish(now, r, endShed)
+		}
+	}
+}
+
+// begun tells whether a committed ask has started although its entry does not know yet.
+func begun(d *dispatch) bool {
+	for _, a := range d.asks {
+		if a != nil && a.begun {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *production) dispatch(now time.Time, d *dispatch, r *request) {
+	en := d.entry
+	tokens := int(en.mean[r.class]) + r.prompt/256
+	c := en.picker.Pick(now, &route.Request{
+		Service: serviceNames[r.service], PrefixHash: r.prefix, Tokens: tokens, PrefixTokens: r.prompt / 256,
+		Protected: p.w.classes[r.class].Protected, Exclude: d.tried,
+	})
+	if c.First == route.None {
+		d.tried = [route.MaxExclude]route.ID{}
+		p.w.after(now, noUpstreamRetry, func(now time.Time) {
+			if r.end == endNone {
+				p.dispatch(now, d, r)
+			}
+		})
+		return
+	}
+	single := c.Committed || p.binding == earlyBinding
+	d.asks[0] = p.ask(now, en, r, c.First, single, tokens)
+	d.asks[1] = nil
+	if !single && c.Second != route.None {
+		d.asks[1] = p.ask(now, en, r, c.Second, false, tokens)
+	}
+}
+
+func (p *production) ask(now time.Time, en *entry, r *request, id route.ID, committed bool, tokens int) *ask {
+	p.asks++
+	a := &ask{id: p.asks, r: r, entry: en, sidecar: p.sidecarOf(id), committed: committed}
+	a.flight = en.picker.Begin(now, id, tokens)
+	p.w.after(now, hop, func(now time.Time) { a.sidecar.receive(now, a) })
+	return a
+}
+
+// withdraw cancels all asks of a request except one.
+func (p *production) withdraw(now time.Time, d *dispatch, keep *ask) {
+	for _, a := range d.asks {
+		if a == nil || a == keep {
+			continue
+		}
+		d.entry.picker.End(now, &a.flight, 0)
+		p.w.after(now, hop, func(now time.Time) { a.sidecar.cancel(now, a) })
+	}
+}
+
+// granted handles a Grant, or the Started of a committed ask, at the entry.
+func (p *production) granted(now time.Time, a *ask) {
+	d := a.r.policy.(*dispatch)
+	if d.won != nil || a.r.end != endNone || (d.asks[0] != a && d.asks[1] != a) {
+		p.w.after(now, hop, func(now time.Time) { a.sidecar.cancel(now, a) })
+		return
+	}
+	d.won = a
+	d.entry.crest[a.r.service].Started(now, a.r.id)
+	d.entry.picker.Sent(a.sidecar.routeID(), a.r.prefix)
+	p.withdraw(now, d, a)
+	if !a.committed {
+		p.w.after(now, hop, func(now time.Time) { a.sidecar.begin(now, a) })
+	}
+}
+
+// refused handles a Refuse at the entry, or the loss of a session with a queued ask.
+func (p *production) refused(now time.Time, a *ask, final bool) {
+	d := a.r.policy.(*dispatch)
+	d.entry.picker.End(now, &a.flight, 0)
+	if d.won == a {
+		d.won = nil
+	}
+	if a.r.end != endNone || d.won != nil {
+		return
+	}
+	for i := range d.asks {
+		if d.asks[i] == a {
+			d.asks[i] = nil
+		}
+	}
+	if final {
+		p.withdraw(now, d, nil)
+		d.entry.crest[a.r.service].Left(now, a.r.id)
+		p.w.finish(now, a.r, endDeadline)
+		return
+	}
+	if d.asks[0] == nil && d.asks[1] == nil {
+		copy(d.tried[1:], d.tried[:])
+		d.tried[0] = a.sidecar.routeID()
+		p.dispatch(now, d, a.r)
+	}
+}
+
+func (s *sidecar) receive(now time.Time, a *ask) {
+	if s.e.down {
+		a.gone = true
+		s.p.w.after(now, hop, func(now time.Time) { s.p.refused(now, a, false) })
+		return
+	}
+	row := &s.p.w.classes[a.r.class]
+	s.asks[a.id] = a
+	s.sched.Enqueue(now, schedule.Item{
+		ID: a.id, Class: row.Class, Arrived: s.p.w.start.Add(a.r.arrived),
+		Deadline: s.p.w.start.Add(a.r.arrived + row.Timeout), PromptTokens: a.r.prompt,
+		Policy: schedule.Policy{
+			Version: 1, Priority: uint8(row.Priority), Weight: uint16(row.Weight), Protected: row.Protected,
+			TTFTTarget: row.TTFTTarget, TokenTarget: row.TokenTarget, MaxWait: row.MaxWait,
+		},
+	})
+	s.step(now)
+}
+
+func (s *sidecar) cancel(now time.Time, a *ask) {
+	if a.gone {
+		return
+	}
+	if a.begun {
+		s.e.cancel(now, a.r)
+		delete(s.running, a.r)
+	}
+	s.forget(a)
+	s.sched.Remove(a.id)
+	s.step(now)
+}
+
+func (s *sidecar) forget(a *ask) {
+	a.gone = true
+	delete(s.asks, a.id)
+}
+
+func (s *sidecar) begin(now time.Time, a *ask) {
+	if a.gone {
+		return
+	}
+	a.begun = true
+	s.running[a.r] = a
+	s.e.begin(now, a.r)
+}
+
+// step carries out the scheduler's decisions until there is none.
+func (s *sidecar) step(now time.Time) {
+	for !s.e.down {
+		d := s.sched.Next(now)
+		if d.Action == schedule.ActionNone {
+			s.sleep(now, d.Wake)
+			break
+		}
+		s.apply(now, d)
+	}
+	s.report(now)
+}
+
+func (s *sidecar) apply(now time.Time, d schedule.Decision) {
+	a := s.asks[d.ID]
+	switch d.Action {
+	case schedule.ActionStart:
+		if a.committed {
+			s.begin(now, a)
+		}
+		s.p.w.after(now, hop, func(now time.Time) { s.p.granted(now, a) })
+	case schedule.ActionPause:
+		s.e.pause(now, a.r)
+		if s.p.w.classes[a.r.class].Protected {
+			a.r.pausedForLower = true
+		}
+	case schedule.ActionResume:
+		s.e.resume(now, a.r)
+	case schedule.ActionRefuse:
+		s.forget(a)
+		s.p.w.after(now, hop, func(now time.Time) { s.p.refused(now, a, true) })
+	}
+}
+
+func (s *sidecar) sleep(now, until time.Time) {
+	s.wake++
+	if until.IsZero() {
+		return
+	}
+	wake := s.wake
+	s.p.w.after(now, until.Sub(now), func(now time.Time) {
+		if wake == s.wake {
+			s.step(now)
+		}
+	})
+}
+
+// report sends the load to every entry, at most once per reportInterval.
+func (s *sidecar) report(now time.Time) {
+	if s.pending {
+		return
+	}
+	s.pending = true
+	delay := max(0, s.reported.Add(reportInterval).Sub(now))
+	s.p.w.after(now, delay, func(now time.Time) {
+		s.pending, s.reported = false, now
+		st := s.sched.Stats()
+		_, interval := s.sched.Pace()
+		r := route.Report{Slots: st.Slots, Running: st.Running, Paused: st.Paused, Queued: st.Queued, Healthy: !s.e.down}
+		if interval > 0 {
+			r.TokensPerSecond = float64(time.Second) / float64(interval)
+		}
+		s.p.w.after(now, hop+s.p.w.scenario.reportDelay, func(now time.Time) {
+			for _, en := range s.p.entries {
+				en.picker.Report(now, s.routeID(), r)
+			}
+		})
+	})
+}
+
+func (p *production) tokens(now time.Time, e *engine, r *request, n int) {
+	s := p.sidecars[e.id]
+	a := s.running[r]
+	if a == nil {
+		return
+	}
+	firstToken(p.w, now, r)
+	s.sched.OnTokens(a.id, n, now)
+	p.w.after(now, hop, func(now time.Time) { a.entry.picker.Tokens(now, &a.flight, n) })
+	if s.sched.Stats().Queued > 0 {
+		s.step(now)
+	}
+}
+
+func (p *production) finished(now time.Time, e *engine, r *request) {
+	s := p.sidecars[e.id]
+	a := s.running[r]
+	if a == nil {
+		return
+	}
+	delete(s.running, r)
+	s.forget(a)
+	s.sched.OnDone(a.id, now)
+	s.step(now)
+	p.w.after(now, hop, func(now time.Time) {
+		a.entry.picker.End(now, &a.flight, 0)
+		a.entry.mean[r.class] += 0.05 * (float64(r.output) - a.entry.mean[r.class])
+		p.w.finish(now, r, endCompleted)
+	})
+}
+
+func (p *production) lost(now time.Time, e *engine, _ []*request) {
+	s := p.sidecars[e.id]
+	var all []*ask
+	for id := uint64(0); len(all) < len(s.asks); id++ {
+		if a := s.asks[id]; a != nil {
+			all = append(all, a)
+		}
+	}
+	for _, a := range all {
+		started := a.begun
+		a.gone = true
+		p.w.after(now, hop, func(now time.Time) {
+			if started {
+				a.entry.picker.End(now, &a.flight, 0)
+				p.w.finish(now, a.r, endInterrupted)
+				return
+			}
+			p.refused(now, a, false)
+		})
+	}
+	s.reset()
+	p.flag(now, s, true)
+}
+
+func (p *production) back(now time.Time, e *engine) { p.flag(now, p.sidecars[e.id], false) }
+
+// flag marks a sidecar as broken at every entry.
+func (p *production) flag(now time.Time, s *sidecar, on bool) {
+	p.w.after(now, hop, func(time.Time) {
+		for _, en := range p.entries {
+			en.picker.SetFlag(s.routeID(), route.Suspect, on)
+		}
+	})
+}
+
+func (p *production) expire(now time.Time, r *request) {
+	d := r.policy.(*dispatch)
+	d.entry.crest[r.service].Left(now, r.id)
+	p.withdraw(now, d, nil)
+	p.w.finish(now, r, endDeadline)
+}
--- /dev/null
+++ b/internal/measure/workload.go
@@ -0,0 +1,254 @@
+package measure
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/version/table"
+)
+
+// Engine model: continuous batching, where every further stream slows all streams of the engine a little.
+const (
+	engineSlots = 16
+	// baseInterval is the time between tokens of a lone stream; streamInterval is added by every stream of the batch.
+	baseInterval   = 24 * time.Millisecond
+	streamInterval = time.Millisecond
+	// fullInterval is the time between tokens with all slots in use.
+	fullInterval = baseInterval + engineSlots*streamInterval
+	// prefillRate is the pace of reading a prompt, in tokens/s; a cached prefix leaves prefixMiss of the time.
+	prefillRate = 10_000
+	prefixMiss  = 0.3
+	// cachedPrefixes is the number of prefixes in an engine's limited memory.
+	cachedPrefixes = 24
+)
+
+// horizon is the time during which requests arrive; a run ends when all of them have ended.
+const horizon = 60 * time.Second
+
+// Services of the workload.
+const (
+	lmPool = iota
+	sachetLM
+	services
+)
+
+var serviceNames = [services]string{"lm-pool", "sachetlm"}
+
+// serviceEngines is the number of replicas of each service, as in section 1 of the design page.
+var serviceEngines = [services]int{20, 10}
+
+// class is one row with the shape of its traffic.
+type class struct {
+	table.Row
+	service int
+	// share is the part of the service's load.
+	share float64
+	// prompt and output are mean lengths in tokens; outputs are log-normal with the given sigma.
+	prompt, output float64
+	sigma          float64
+	prefixes       int
+}
+
+func workloadClasses() []class {
+	row := func(name, owner string, priority, weight int, protected bool, ttft, maxWait time.Duration) table.Row {
+		return table.Row{
+			Class: name, Owner: owner, Priority: priority, Weight: weight, Protected: protected,
+			TTFTTarget: ttft, TokenTarget: 52 * time.Millisecond, MaxWait: maxWait, Timeout: 10 * time.Minute,
+		}
+	}
+	const ms, s = time.Millisecond, time.Second
+	return []class{
+		{row("suggest", "jadestone", 1, 10, true, 600*ms, 5*s), lmPool, 0.20, 900, 80, 0.6, 60},
+		{row("chat", "jadestone", 2, 30, false, 1*s, 10*s), lmPool, 0.30, 400, 150, 0.7, 200},
+		{row("draft", "jadestone", 2, 10, false, 2*s, 15*s), lmPool, 0.20, 300, 250, 0.7, 40},
+		{row("catalogue", "jadestone", 4, 10, false, 5*s, 20*s), lmPool, 0.20, 4000, 250, 0.5, 30},
+		{row("reindex", "jadestone", 8, 1, false, 20*s, 30*s), lmPool, 0.10, 2000, 300, 0.5, 10},
+		{row("certificate", "furano", 1, 10, true, 2*s, 10*s), sachetLM, 0.20, 1500, 200, 0.4, 20},
+		{row("buyer", "furano", 2, 10, false, 1*s, 10*s), sachetLM, 0.40, 500, 150, 0.7, 80},
+		{row("packing", "furano", 4, 10, false, 5*s, 20*s), sachetLM, 0.25, 600, 200, 0.5, 30},
+		{row("archive", "furano", 8, 1, false, 20*s, 30*s), sachetLM, 0.15, 2500, 300, 0.5, 10},
+	}
+}
+
+// Long jobs: one request in longOneIn runs longFactor times longer.
+const (
+	longOneIn  = 50
+	longFactor = 40
+)
+
+// swing multiplies the arrival rate of a class, or of all classes when class is empty, for a while.
+type swing struct {
+	from, to time.Duration
+	class    string
+	factor   float64
+}
+
+// span is a time during which some engines are affected by a fault: every engine whose number has the remainder rest
+// when divided by of.
+type span struct {
+	from, to time.Duration
+	of, rest int
+}
+
+func (s span) affects(engine int) bool { return engine%s.of == s.rest }
+
+// scenario is one load and fault pattern.
+type scenario struct {
+	name string
+	// load is the base load as a part of capacity.
+	load   float64
+	swings []swing
+	// crest lists the windows over which crest_goodput is taken.
+	crest       []swing
+	long        bool
+	slow, lost  []span
+	slowFactor  float64
+	reportDelay time.Duration
+}
+
+// crestSwings raises the load of all classes to factor times the base load, with ramps of one second.
+func crestSwings(factor float64) []swing {
+	var out []swing
+	for _, at := range []time.Duration{10 * time.Second, 28 * time.Second, 46 * time.Second} {
+		out = append(out,
+			swing{at, at + time.Second, "", (1 + factor) / 2},
+			swing{at + time.Second, at + 6*time.Second, "", factor},
+			swing{at + 6*time.Second, at + 7*time.Second, "", (1 + factor) / 2})
+	}
+	return out
+}
+
+func crestWindows(all []swing, factor float64) []swing {
+	var out []swing
+	for _, s := range all {
+		if s.class == "" && s.factor == factor {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func scenarios() []scenario {
+	const s = time.Second
+	crest := crestSwings(6)
+	bursts := []swing{
+		{10 * s, 14 * s, "chat", 8}, {30 * s, 34 * s, "chat", 8},
+		{20 * s, 24 * s, "certificate", 5}, {40 * s, 44 * s, "certificate", 5},
+	}
+	slow := []span{{10 * s, 30 * s, 5, 0}, {30 * s, 50 * s, 5, 2}}
+	lost := []span{{20 * s, 40 * s, 10, 3}}
+	return []scenario{
+		{name: "steady", load: 0.7},
+		{name: "crest", load: 0.5, swings: crest, crest: crestWindows(crest, 6)},
+		{name: "long_jobs", load: 0.7, long: true},
+		{name: "slow_upstreams", load: 0.7, slow: slow, slowFactor: 5, reportDelay: 5 * s},
+		{name: "one_class_bursts", load: 0.6, swings: bursts},
+		{name: "upstream_lost", load: 0.7, lost: lost},
+		{
+			name: "mixed", load: 0.5, swings: append(append([]swing{}, crest...), bursts...),
+			crest: crestWindows(crest, 6), long: true, slow: slow, slowFactor: 5, reportDelay: 5 * s, lost: lost,
+		},
+	}
+}
+
+// request is one request of the workload and what became of it.
+type request struct {
+	id             uint64
+	class          int
+	service, entry int
+	arrived        time.Duration
+	prompt, output int
+	long           bool
+	prefix         uint64
+
+	started, first, done time.Duration
+	hasStarted, hasFirst bool
+	end                  end
+	tokens, crestTokens  int
+	// pausedForLower is set when protected work was paused.
+	paused         int
+	pausedForLower bool
+	retryAfter     time.Duration
+	policy         any
+}
+
+// end is how a request ended.
+type end uint8
+
+const (
+	endNone end = iota
+	endCompleted
+	endShed
+	endDeadline
+	endInterrupted
+	endLimited
+)
+
+// entries is the number of entry instances that share the load.
+const entries = 3
+
+func (c *class) meanSlotTime(long bool) float64 {
+	output := c.output
+	if long {
+		output *= 1 + float64(longFactor-1)/longOneIn
+	}
+	return c.prompt/prefillRate + output*fullInterval.Seconds()
+}
+
+func (s *scenario) factor(c *class, at time.Duration) float64 {
+	f := 1.0
+	for _, w := range s.swings {
+		if at >= w.from && at < w.to && (w.class == "" || w.class == c.Class) {
+			f = max(f, w.factor)
+		}
+	}
+	return f
+}
+
+// generate returns the requests of a scenario in order of arrival: Poisson arrivals, thinned where the load is lower.
+func (s *scenario) generate(classes []class, seed uint64) []*request {
+	rng := rand.New(rand.NewPCG(seed, 0x64726167))
+	var out []*request
+	for ci := range classes {
+		c := &classes[ci]
+		peak := 1.0
+		for _, w := range s.swings {
+			if w.class == "" || w.class == c.Class {
+				peak = max(peak, w.factor)
+			}
+		}
+		slots := float64(serviceEngines[c.service] * engineSlots)
+		base := s.load * c.share * slots / c.meanSlotTime(s.long)
+		for at := time.Duration(0); ; {
+			at += time.Duration(rng.ExpFloat64() / (base * peak) * float64(time.Second))
+			if at >= horizon {
+				break
+			}
+			if rng.Float64()*peak > s.factor(c, at) {
+				continue
+			}
+			out = append(out, s.request(rng, classes, ci, at))
+		}
+	}
+	sort.SliceStable(out, func(i, k int) bool { return out[i].arrived < out[k].arrived })
+	for i, r := range out {
+		r.id = uint64(i + 1)
+	}
+	return out
+}
+
+func (s *scenario) request(rng *rand.Rand, classes []class, ci int, at time.Duration) *request {
+	c := &classes[ci]
+	r := &request{class: ci, service: c.service, entry: rng.IntN(entries), arrived: at}
+	r.prompt = int(c.prompt * (0.5 + rng.Float64()))
+	r.output = max(1, int(c.output*math.Exp(c.sigma*rng.NormFloat64()-c.sigma*c.sigma/2)))
+	if rng.IntN(longOneIn) == 0 && s.long {
+		r.output, r.long = r.output*longFactor, true
+	}
+	// Few prefixes are used often: the square skews the choice towards the first.
+	u := rng.Float64()
+	r.prefix = uint64(ci+1)<<32 | uint64(u*u*float64(c.prefixes)) + 1
+	return r
+}
--- a/internal/request/admit/crest/crest.go
+++ b/internal/request/admit/crest/crest.go
@@ -274,6 +274,9 @@
 	passed := now.Sub(c.last)
 	if c.queued == 0 {
 		c.last, c.busy = now, max(0, c.busy-passed)
+		for p := range c.tiers {
+			c.tiers[p].started = 0
+		}
 		return
 	}
 	if passed < 50*time.Millisecond {
