measure: fill the engines before measuring, bound outputs, drop hopeless work in the oracle

Cause: within 60 s the long jobs did not reach their steady share of slots, one output longer than the row's timeout was wasted by every policy, and late work took the oracle's capacity at the crest. Change: a lead of 20 s (300 s with long jobs) before 120 measured seconds, max_tokens 8192, the oracle drops unprotected work that can no longer meet its target.

--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -69,6 +69,7 @@
 func (w *world) since(now time.Time) time.Duration { return now.Sub(w.start) }
 
 func (w *world) inCrest(at time.Duration) bool {
+	at -= w.scenario.lead()
 	for _, c := range w.scenario.crest {
 		if at >= c.from && at < c.to {
 			return true
--- a/internal/measure/oracle.go
+++ b/internal/measure/oracle.go
@@ -8,7 +8,7 @@
 // oracle is the upper bound: one queue for all entries, without messages except the body's way to the engine, knowing
 // every length and the true speed of every engine. Tiers are strict; within a tier requests that can still meet their
 // target come first, by least slack; then shorter ones. Unprotected work of lower tiers, and long work, is paused at no
-// cost. Requests that can no longer meet their target wait for idle capacity.
+// cost. Unprotected requests that can no longer meet their target are dropped, so that they take no capacity.
 type oracle struct {
 	w       *world
 	waiting [services][]*request
@@ -57,6 +57,9 @@
 			}
 		}
 		r := q[best]
+		if o.slack(now, r) < 0 && !o.row(r).Protected {
+			o.w.finish(now, r, endShed)
+		}
 		if r.end != endNone {
 			o.waiting[service] = slices.Delete(q, best, best+1)
 			continue
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -98,6 +98,9 @@
 	for _, seed := range seeds {
 		w := run(s, policyName, seed)
 		for _, r := range w.requests {
+			if r.arrived < s.lead() {
+				continue
+			}
 			per[r.class].add(&classes[r.class], r)
 		}
 	}
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -92,20 +92,20 @@
 	for _, e := range w.engines {
 		for _, f := range s.slow {
 			if f.affects(e.id) {
-				w.after(w.start, f.from, func(now time.Time) { e.setSlow(now, s.slowFactor) })
-				w.after(w.start, f.to, func(now time.Time) { e.setSlow(now, 1) })
+				w.after(w.start, s.lead()+f.from, func(now time.Time) { e.setSlow(now, s.slowFactor) })
+				w.after(w.start, s.lead()+f.to, func(now time.Time) { e.setSlow(now, 1) })
 			}
 		}
 		for _, f := range s.lost {
 			if f.affects(e.id) {
-				w.after(w.start, f.from, e.crash)
-				w.after(w.start, f.to, e.restart)
+				w.after(w.start, s.lead()+f.from, e.crash)
+				w.after(w.start, s.lead()+f.to, e.restart)
 			}
 		}
 	}
 }
 
-// capacityAt is the nominal token rate of a service.
+// capacityOf is the nominal token rate of a service.
 func capacityOf(service int) float64 {
 	return float64(serviceEngines[service]*engineSlots) / fullInterval.Seconds()
 }
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -24,8 +24,14 @@
 	cachedPrefixes = 24
 )
 
-// horizon is the time during which requests arrive; a run ends when all of them have ended.
-const horizon = 60 * time.Second
+const (
+	// horizon is the measured time during which requests arrive; a run ends when all of them have ended.
+	horizon = 120 * time.Second
+	// lead is the time before it, which fills the engines; longLead is for scenarios with long jobs, which run for minutes.
+	lead, longLead = 20 * time.Second, 300 * time.Second
+	// maxOutput is the max_tokens of every request. A longer output would not fit into the rows' timeout.
+	maxOutput = 8192
+)
 
 // Services of the workload.
 const (
@@ -94,7 +100,7 @@
 
 func (s span) affects(engine int) bool { return engine%s.of == s.rest }
 
-// scenario is one load and fault pattern.
+// scenario is one load and fault pattern. Its times count from the end of the lead.
 type scenario struct {
 	name string
 	// load is the base load as a part of capacity.
@@ -111,7 +117,7 @@
 // crestSwings raises the load of all classes to factor times the base load, with ramps of one second.
 func crestSwings(factor float64) []swing {
 	var out []swing
-	for _, at := range []time.Duration{10 * time.Second, 28 * time.Second, 46 * time.Second} {
+	for at := 10 * time.Second; at < horizon-10*time.Second; at += 18 * time.Second {
 		out = append(out,
 			swing{at, at + time.Second, "", (1 + factor) / 2},
 			swing{at + time.Second, at + 6*time.Second, "", factor},
@@ -133,16 +139,16 @@
 func scenarios() []scenario {
 	const s = time.Second
 	crest := crestSwings(6)
-	bursts := []swing{
-		{10 * s, 14 * s, "chat", 8}, {30 * s, 34 * s, "chat", 8},
-		{20 * s, 24 * s, "certificate", 5}, {40 * s, 44 * s, "certificate", 5},
+	var bursts []swing
+	for at := 10 * s; at < horizon; at += 20 * s {
+		bursts = append(bursts, swing{at, at + 4*s, "chat", 8}, swing{at + 10*s, at + 14*s, "certificate", 5})
 	}
-	slow := []span{{10 * s, 30 * s, 5, 0}, {30 * s, 50 * s, 5, 2}}
-	lost := []span{{20 * s, 40 * s, 10, 3}}
+	slow := []span{{10 * s, 60 * s, 5, 0}, {60 * s, 110 * s, 5, 2}}
+	lost := []span{{40 * s, 80 * s, 10, 3}}
 	return []scenario{
 		{name: "steady", load: 0.7},
 		{name: "crest", load: 0.5, swings: crest, crest: crestWindows(crest, 6)},
-		{name: "long_jobs", load: 0.7, long: true},
+		{name: "long_jobs", load: 0.9, long: true},
 		{name: "slow_upstreams", load: 0.7, slow: slow, slowFactor: 5, reportDelay: 5 * s},
 		{name: "one_class_bursts", load: 0.6, swings: bursts},
 		{name: "upstream_lost", load: 0.7, lost: lost},
@@ -197,6 +203,14 @@
 	return c.prompt/prefillRate + output*fullInterval.Seconds()
 }
 
+// lead is the time before the measured part.
+func (s *scenario) lead() time.Duration {
+	if s.long {
+		return longLead
+	}
+	return lead
+}
+
 func (s *scenario) factor(c *class, at time.Duration) float64 {
 	f := 1.0
 	for _, w := range s.swings {
@@ -223,10 +237,10 @@
 		base := s.load * c.share * slots / c.meanSlotTime(s.long)
 		for at := time.Duration(0); ; {
 			at += time.Duration(rng.ExpFloat64() / (base * peak) * float64(time.Second))
-			if at >= horizon {
+			if at >= s.lead()+horizon {
 				break
 			}
-			if rng.Float64()*peak > s.factor(c, at) {
+			if rng.Float64()*peak > s.factor(c, at-s.lead()) {
 				continue
 			}
 			out = append(out, s.request(rng, classes, ci, at))
@@ -247,6 +261,7 @@
 	if rng.IntN(longOneIn) == 0 && s.long {
 		r.output, r.long = r.output*longFactor, true
 	}
+	r.output = min(r.output, maxOutput)
 	// Few prefixes are used often: the square skews the choice towards the first.
 	u := rng.Float64()
 	r.prefix = uint64(ci+1)<<32 | uint64(u*u*float64(c.prefixes)) + 1
