measure: ask another sidecar while a request waits

Cause: a probe of a slow upstream, or an ask on stale reports, waited behind a full engine while others had free slots; admission then shed work although capacity was free. Change: an entry replaces one of its two asks after 25 ms without a grant, doubling to 1 s; the request keeps its place because sidecars order by arrival at the entry.

--- a/internal/measure/production.go
+++ b/internal/measure/production.go
@@ -20,7 +20,11 @@
 
 const (
 	reportInterval = 100 * time.Millisecond
+	// promptPerToken is the number of prompt tokens that cost an engine as much as one output token of a stream.
+	promptPerToken = 256
 	evictInterval  = 50 * time.Millisecond
+	// firstReask is the wait without a grant after which another sidecar is asked; it doubles up to maxReask.
+	firstReask, maxReask = 25 * time.Millisecond, time.Second
 	// noUpstreamRetry is the time between two attempts to find an upstream.
 	noUpstreamRetry = 50 * time.Millisecond
 )
@@ -71,6 +75,8 @@
 	asks  [2]*ask
 	won   *ask
 	tried [route.MaxExclude]route.ID
+	// replace is the position of the next ask to replace; reask invalidates older timers.
+	replace, reask int
 }
 
 var zones = [3]string{"a", "b", "c"}
@@ -163,11 +169,8 @@
 
 func (p *production) dispatch(now time.Time, d *dispatch, r *request) {
 	en := d.entry
-	tokens := int(en.mean[r.class]) + r.prompt/256
-	c := en.picker.Pick(now, &route.Request{
-		Service: serviceNames[r.service], PrefixHash: r.prefix, Tokens: tokens, PrefixTokens: r.prompt / 256,
-		Protected: p.w.classes[r.class].Protected, Exclude: d.tried,
-	})
+	tokens := p.expected(d, r)
+	c := en.picker.Pick(now, p.routeRequest(d, r))
 	if c.First == route.None {
 		d.tried = [route.MaxExclude]route.ID{}
 		p.w.after(now, noUpstreamRetry, func(now time.Time) {
@@ -183,6 +186,61 @@
 	if !single && c.Second != route.None {
 		d.asks[1] = p.ask(now, en, r, c.Second, false, tokens)
 	}
+	d.reask++
+	if p.binding == lateBinding {
+		p.reaskAfter(now, d, r, firstReask, d.reask)
+	}
+}
+
+// reaskAfter replaces one of the asks of a request that still waits. The request keeps its place everywhere, because
+// sidecars order by the time of arrival at the entry.
+func (p *production) reaskAfter(now time.Time, d *dispatch, r *request, wait time.Duration, token int) {
+	p.w.after(now, wait, func(now time.Time) {
+		if r.end != endNone || d.won != nil || d.reask != token {
+			return
+		}
+		p.reaskOne(now, d, r)
+		p.reaskAfter(now, d, r, min(2*wait, maxReask), token)
+	})
+}
+
+func (p *production) reaskOne(now time.Time, d *dispatch, r *request) {
+	at := d.replace
+	if a := d.asks[at]; a != nil && a.committed {
+		at = 1 - at
+	}
+	d.replace = 1 - at
+	c := d.entry.picker.Pick(now, p.routeRequest(d, r, d.asks[0], d.asks[1]))
+	if c.First == route.None {
+		return
+	}
+	if old := d.asks[at]; old != nil {
+		p.drop(now, d.entry, old)
+	}
+	d.asks[at] = p.ask(now, d.entry, r, c.First, false, p.expected(d, r))
+}
+
+func (p *production) expected(d *dispatch, r *request) int {
+	return int(d.entry.mean[r.class]) + r.prompt/promptPerToken
+}
+
+// routeRequest describes a request to the picker, excluding the upstreams of the given asks and those tried before.
+func (p *production) routeRequest(d *dispatch, r *request, asks ...*ask) *route.Request {
+	out := &route.Request{
+		Service: serviceNames[r.service], PrefixHash: r.prefix, Tokens: p.expected(d, r),
+		PrefixTokens: r.prompt / promptPerToken, Protected: p.w.classes[r.class].Protected, Exclude: d.tried,
+	}
+	for i, a := range asks {
+		if a != nil {
+			out.Exclude[i] = a.sidecar.routeID()
+		}
+	}
+	return out
+}
+
+func (p *production) drop(now time.Time, en *entry, a *ask) {
+	en.picker.End(now, &a.flight, 0)
+	p.w.after(now, hop, func(now time.Time) { a.sidecar.cancel(now, a) })
 }
 
 func (p *production) ask(now time.Time, en *entry, r *request, id route.ID, committed bool, tokens int) *ask {
@@ -199,24 +257,30 @@
 		if a == nil || a == keep {
 			continue
 		}
-		d.entry.picker.End(now, &a.flight, 0)
-		p.w.after(now, hop, func(now time.Time) { a.sidecar.cancel(now, a) })
+		p.drop(now, d.entry, a)
 	}
 }
 
 // granted handles a Grant, or the Started of a committed ask, at the entry.
 func (p *production) granted(now time.Time, a *ask) {
 	d := a.r.policy.(*dispatch)
-	if d.won != nil || a.r.end != endNone || (d.asks[0] != a && d.asks[1] != a) {
+	if d.won != nil || a.r.end != endNone || (d.asks[0] != a && d.asks[1] != a) || (begun(d) && !a.begun) {
 		p.w.after(now, hop, func(now time.Time) { a.sidecar.cancel(now, a) })
 		return
 	}
 	d.won = a
 	d.entry.crest[a.r.service].Started(now, a.r.id)
 	d.entry.picker.Sent(a.sidecar.routeID(), a.r.prefix)
+	// A committed ask may start until its sidecar has confirmed the cancellation, so the other waits for that.
+	confirm := time.Duration(0)
+	for _, o := range d.asks {
+		if o != nil && o != a && o.committed {
+			confirm = 2 * hop
+		}
+	}
 	p.withdraw(now, d, a)
 	if !a.committed {
-		p.w.after(now, hop, func(now time.Time) { a.sidecar.begin(now, a) })
+		p.w.after(now, confirm+hop, func(now time.Time) { a.sidecar.begin(now, a) })
 	}
 }
 
