Limit allowances lent between entries

Cause: limits apply over all entries, and neither the store nor a coordination service may be asked per request. Change: limit.Owner lends allowances of requests, tokens and concurrency; limit.Local admits from them without I/O and falls back to a share of the limit when the owner is silent.

--- /dev/null
+++ b/internal/process/limit/local.go
@@ -0,0 +1,535 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// Interval is the time between batches to the owners.
+	Interval = 100 * time.Millisecond
+	// horizon is the demand, in time, that an entry borrows ahead.
+	horizon = 2 * Interval
+	// renewBefore is the remaining validity at which held allowances are renewed.
+	renewBefore = 1200 * time.Millisecond
+	// patience is how long a request waits for a silent owner before the entry falls back to its share.
+	patience = 250 * time.Millisecond
+	// callTimeout bounds one call to an owner.
+	callTimeout = time.Second
+	// maxDemands bounds the keys in one call, so that it stays well below the frame limit.
+	maxDemands = 1024
+	// demandAlpha is the weight of one interval in the estimated demand.
+	demandAlpha = 0.3
+	// fallbackRetry is the Retry-After of a refusal for concurrency without an owner.
+	fallbackRetry = time.Second
+)
+
+// Caller reaches another entry; peer.Caller satisfies it.
+type Caller interface {
+	Call(ctx context.Context, instance, method string, payload []byte) ([]byte, error)
+}
+
+// LocalSettings configure a Local. All fields are required.
+type LocalSettings struct {
+	// Self is the entry's instance name.
+	Self string
+	// Limits returns the limits in force for a key.
+	Limits func(Key) Limits
+	// Owner is the entry's own Owner, used without a call for the keys that it owns.
+	Owner  *Owner
+	Caller Caller
+	Codec  Codec
+	// Clock is time.Now, or virtual in tests.
+	Clock func() time.Time
+}
+
+// Local admits requests of one entry from borrowed allowances. It is safe for concurrent use.
+type Local struct {
+	set LocalSettings
+
+	mu       sync.Mutex
+	members  Members
+	accounts map[Key]*account
+	busy     map[string]bool
+	changed  chan struct{}
+	kick     chan struct{}
+}
+
+// account is the state of one key at this entry.
+type account struct {
+	limits Limits
+	owner  string
+
+	requests, tokens float64
+	permits, inUse   int
+	expires          time.Time
+
+	// rateRequests and rateTokens estimate the demand per Interval; seen* count the current one.
+	rateRequests, rateTokens float64
+	seenRequests, seenTokens float64
+	seenAt                   time.Time
+	// waiting, waitTokens and needTokens describe refused and waiting requests since the last batch.
+	waiting                int
+	waitTokens, needTokens float64
+	// give* are to be returned to the owner, or owed when negative.
+	giveRequests, giveTokens float64
+
+	askedAt  time.Time
+	answered time.Time
+	sending  bool
+	denied   Decision
+	deniedTo time.Time
+
+	fallback       bool
+	fbReqs, fbToks float64
+	fbAt           time.Time
+}
+
+// NewLocal returns a Local without members; it admits nothing limited before SetMembers.
+func NewLocal(set LocalSettings) *Local {
+	return &Local{
+		set: set, accounts: make(map[Key]*account), busy: make(map[string]bool),
+		changed: make(chan struct{}), kick: make(chan struct{}, 1),
+	}
+}
+
+// SetMembers replaces the live entries.
+func (l *Local) SetMembers(m Members) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members = m
+	for k, a := range l.accounts {
+		a.owner = m.owner(k)
+	}
+}
+
+// Changed returns a channel that is closed when the next answer of an owner has arrived.
+func (l *Local) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+// Admit decides about one request that reserves the given tokens. It does no I/O.
+// An admitted request must be passed to Settle once.
+func (l *Local) Admit(now time.Time, k Key, tokens int) Decision {
+	limits := l.set.Limits(k)
+	if limits.None() {
+		return Decision{Result: Admitted}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(now, k, limits)
+	a.seenRequests++
+	a.seenTokens += float64(tokens)
+	d := l.admit(now, k, a, tokens)
+	if d.Result != Wait || a.owner != l.set.Self {
+		return d
+	}
+	l.askSelf(now, k, a)
+	return l.admit(now, k, a, tokens)
+}
+
+// AdmitWait calls Admit until the answer is not Wait or the context ends, which refuses nothing and returns Wait.
+func (l *Local) AdmitWait(ctx context.Context, k Key, tokens int) Decision {
+	for {
+		changed := l.Changed()
+		d := l.Admit(l.set.Clock(), k, tokens)
+		if d.Result != Wait {
+			return d
+		}
+		timer := time.NewTimer(Interval)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return d
+		}
+		timer.Stop()
+	}
+}
+
+// Settle ends an admitted request: used is what it consumed of the reserved tokens, or more.
+func (l *Local) Settle(k Key, reserved, used int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[k]
+	if a == nil {
+		return
+	}
+	a.inUse = max(0, a.inUse-1)
+	if diff := float64(reserved - used); a.fallback {
+		a.fbToks += diff
+	} else {
+		a.giveTokens += diff
+	}
+}
+
+func (l *Local) account(now time.Time, k Key, limits Limits) *account {
+	a := l.accounts[k]
+	if a == nil {
+		a = &account{owner: l.members.owner(k), seenAt: now}
+		l.accounts[k] = a
+	}
+	a.limits = limits
+	return a
+}
+
+func (l *Local) admit(now time.Time, k Key, a *account, tokens int) Decision {
+	a.expire(now)
+	if a.fallback || l.ownerSilent(now, a) {
+		return l.admitFallback(now, k, a, tokens)
+	}
+	if a.take(tokens) {
+		return Decision{Result: Admitted}
+	}
+	a.waiting++
+	a.waitTokens += float64(tokens)
+	a.needTokens = math.Max(a.needTokens, float64(tokens))
+	if a.askedAt.IsZero() {
+		a.askedAt = now
+	}
+	if now.Before(a.deniedTo) {
+		return a.denied
+	}
+	l.wake()
+	return Decision{Result: Wait}
+}
+
+// take uses one request, the tokens and one permit if all are there.
+func (a *account) take(tokens int) bool {
+	if a.limits.Requests > 0 && a.requests < 1 ||
+		a.limits.Tokens > 0 && a.tokens < float64(tokens) ||
+		a.limits.Concurrency > 0 && a.inUse >= a.permits {
+		return false
+	}
+	if a.limits.Requests > 0 {
+		a.requests--
+	}
+	if a.limits.Tokens > 0 {
+		a.tokens -= float64(tokens)
+	}
+	a.inUse++
+	return true
+}
+
+// expire drops allowances whose time is over. They are returned: the owner may lend them again, and this entry cannot
+// use them any more.
+func (a *account) expire(now time.Time) {
+	if a.expires.IsZero() || now.Before(a.expires) {
+		return
+	}
+	a.giveRequests += a.requests
+	a.giveTokens += a.tokens
+	a.requests, a.tokens, a.permits = 0, 0, 0
+	a.expires = time.Time{}
+}
+
+func (l *Local) ownerSilent(now time.Time, a *account) bool {
+	return !a.askedAt.IsZero() && now.Sub(a.askedAt) >= patience && now.Sub(a.answered) >= patience && a.expires.IsZero()
+}
+
+// admitFallback uses the entry's share of the limits. Its buckets start empty, because allowances of the owner may
+// have been used up a moment ago.
+func (l *Local) admitFallback(now time.Time, k Key, a *account, tokens int) Decision {
+	share := l.members.share(a.limits, k, l.set.Self)
+	if !a.fallback {
+		a.fallback, a.fbReqs, a.fbToks, a.fbAt = true, 0, math.Min(0, a.giveTokens), now
+		a.giveRequests, a.giveTokens = 0, 0
+	}
+	s := now.Sub(a.fbAt).Seconds()
+	a.fbAt = now
+	a.fbReqs = math.Min(math.Max(1, share.Requests), a.fbReqs+s*share.Requests)
+	a.fbToks = math.Min(share.Tokens, a.fbToks+s*share.Tokens)
+	a.waiting++
+	a.needTokens = math.Max(a.needTokens, float64(tokens))
+	switch {
+	case a.limits.Requests > 0 && a.fbReqs < 1:
+		return Decision{RequestRate, seconds((1 - a.fbReqs) / share.Requests)}
+	case a.limits.Tokens > 0 && a.fbToks <= 0:
+		return Decision{TokenRate, seconds((1 - a.fbToks) / share.Tokens)}
+	case a.limits.Concurrency > 0 && a.inUse >= max(share.Concurrency, a.permits):
+		return Decision{Concurrency, fallbackRetry}
+	}
+	a.fbReqs--
+	a.fbToks -= float64(tokens)
+	a.inUse++
+	return Decision{Result: Admitted}
+}
+
+func (l *Local) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Batch is one call that is to be made to an owner.
+type Batch struct {
+	Owner   string
+	SentAt  time.Time
+	Request AllowanceRequest
+}
+
+// Collect returns the calls that are due, at most one at a time per owner. Pass each to Apply or Fail.
+func (l *Local) Collect(now time.Time) []Batch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var batches []Batch
+	index := make(map[string]int)
+	for k, a := range l.accounts {
+		a.expire(now)
+		a.estimate(now)
+		if a.sending || l.busy[a.owner] || a.owner == "" || !a.due(now) {
+			continue
+		}
+		if a.owner == l.set.Self {
+			l.askSelf(now, k, a)
+			l.forget(k, a)
+			continue
+		}
+		i, ok := index[a.owner]
+		if !ok {
+			i = len(batches)
+			index[a.owner] = i
+			batches = append(batches, Batch{Owner: a.owner, SentAt: now})
+		}
+		if len(batches[i].Request.Demands) < maxDemands {
+			batches[i].Request.Demands = append(batches[i].Request.Demands, a.demand(now, k))
+			a.sending = true
+		}
+	}
+	for _, b := range batches {
+		l.busy[b.Owner] = true
+	}
+	return batches
+}
+
+// Apply takes in an owner's answer.
+func (l *Local) Apply(now time.Time, b *Batch, g *AllowanceGrant) {
+	if len(g.Grants) != len(b.Request.Demands) {
+		l.Fail(now, b)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busy[b.Owner] = false
+	for i := range g.Grants {
+		d := &b.Request.Demands[i]
+		if a := l.accounts[d.key()]; a != nil {
+			a.sending = false
+			a.apply(now, b.SentAt, d, &g.Grants[i])
+			l.forget(d.key(), a)
+		}
+	}
+	l.notify()
+}
+
+// Fail takes in that a call failed. Returned allowances are lost with it, because the owner may have taken them in;
+// owed tokens are owed again.
+func (l *Local) Fail(now time.Time, b *Batch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busy[b.Owner] = false
+	for i := range b.Request.Demands {
+		d := &b.Request.Demands[i]
+		if a := l.accounts[d.key()]; a != nil {
+			a.sending = false
+			a.giveTokens += math.Min(0, d.ReturnTokens)
+			if a.askedAt.IsZero() {
+				a.askedAt = now
+			}
+		}
+	}
+	l.notify()
+}
+
+func (l *Local) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *Local) askSelf(now time.Time, k Key, a *account) {
+	d := a.demand(now, k)
+	g := l.set.Owner.Grant(now, l.set.Self, &AllowanceRequest{Demands: []Demand{d}})
+	a.apply(now, now, &d, &g.Grants[0])
+}
+
+// forget drops an account that holds, runs and owes nothing and sees no demand.
+func (l *Local) forget(k Key, a *account) {
+	if a.inUse == 0 && a.permits == 0 && a.requests == 0 && a.tokens == 0 && a.waiting == 0 &&
+		a.rateRequests == 0 && a.seenRequests == 0 && a.giveRequests == 0 && a.giveTokens == 0 && !a.sending && !a.fallback {
+		delete(l.accounts, k)
+	}
+}
+
+func (a *account) estimate(now time.Time) {
+	if now.Sub(a.seenAt) < Interval {
+		return
+	}
+	intervals := float64(now.Sub(a.seenAt)) / float64(Interval)
+	a.rateRequests += demandAlpha * (a.seenRequests/intervals - a.rateRequests)
+	a.rateTokens += demandAlpha * (a.seenTokens/intervals - a.rateTokens)
+	if a.rateRequests < 0.001 {
+		a.rateRequests, a.rateTokens = 0, 0
+	}
+	a.seenRequests, a.seenTokens, a.seenAt = 0, 0, now
+}
+
+// target is what the entry wants to hold ahead of its demand.
+func (a *account) target() (requests, tokens float64, spare int) {
+	f := float64(horizon / Interval)
+	requests, tokens = a.rateRequests*f, a.rateTokens*f
+	return requests, tokens, int(math.Ceil(requests))
+}
+
+func (a *account) due(now time.Time) bool {
+	requests, tokens, _ := a.target()
+	switch {
+	case a.waiting > 0, a.fallback:
+		return true
+	case a.giveRequests != 0 || a.giveTokens != 0:
+		return now.Sub(a.answered) >= 5*Interval
+	case a.limits.Requests > 0 && a.requests < requests/2, a.limits.Tokens > 0 && a.tokens < tokens/2:
+		return true
+	case a.inUse > 0 || a.permits > 0 || a.requests > 0 || a.tokens > 0:
+		return a.expires.Sub(now) <= renewBefore
+	default:
+		return false
+	}
+}
+
+func (a *account) demand(now time.Time, k Key) Demand {
+	a.expire(now)
+	requests, tokens, spare := a.target()
+	d := Demand{
+		Class: k.Class, Workspace: k.Workspace, Limits: a.limits,
+		ReturnRequests: a.giveRequests, ReturnTokens: a.giveTokens,
+		InUse: a.inUse, Permits: a.permits, Waiting: a.waiting, Spare: spare, NeedTokens: a.needTokens,
+	}
+	a.giveRequests, a.giveTokens = 0, 0
+	if a.limits.Requests > 0 {
+		requests = math.Ceil(requests + float64(a.waiting))
+		d.HeldRequests, d.WantRequests, d.ReturnRequests = split(a.requests, requests, d.ReturnRequests)
+		a.requests = d.HeldRequests
+	}
+	if a.limits.Tokens > 0 {
+		d.HeldTokens, d.WantTokens, d.ReturnTokens = split(a.tokens, tokens+a.waitTokens, d.ReturnTokens)
+		a.tokens = d.HeldTokens
+	}
+	if a.limits.Concurrency <= 0 {
+		d.Permits, d.Waiting, d.Spare = 0, 0, 0
+	}
+	a.permits = min(a.permits, a.inUse+d.Waiting+d.Spare)
+	d.Permits = max(a.permits, 0)
+	a.waiting, a.waitTokens, a.needTokens = 0, 0, 0
+	return d
+}
+
+// split keeps what is held up to the target, returns the rest and asks for what is missing.
+func split(held, target, give float64) (keep, want, back float64) {
+	if held > target {
+		return target, 0, give + held - target
+	}
+	return held, target - held, give
+}
+
+func (a *account) apply(now, sentAt time.Time, d *Demand, g *Grant) {
+	if g.Status == StatusNotOwner || !g.valid() {
+		a.giveTokens += math.Min(0, d.ReturnTokens)
+		return
+	}
+	a.answered = now
+	if g.Status == StatusTakingOver {
+		a.permits = g.Permits
+		a.fallback = true
+		a.fbAt = now
+		return
+	}
+	if a.fallback {
+		a.fallback = false
+		a.giveTokens += math.Min(0, a.fbToks)
+	}
+	a.askedAt = time.Time{}
+	expires := sentAt.Add(Lifetime)
+	if !now.Before(expires) {
+		return
+	}
+	a.requests += g.Requests
+	a.tokens += g.Tokens
+	a.permits = g.Permits
+	a.expires = expires
+	a.denied, a.deniedTo = denial(now, d, g)
+}
+
+// denial is the answer to requests that come before the next batch, if the owner could not meet the demand.
+func denial(now time.Time, d *Demand, g *Grant) (Decision, time.Time) {
+	retry := time.Duration(g.RetryMs) * time.Millisecond
+	until := now.Add(Interval)
+	switch {
+	case d.WantRequests > 0 && d.HeldRequests+g.Requests < 1:
+		return Decision{RequestRate, retry}, until
+	case d.NeedTokens > 0 && d.HeldTokens+g.Tokens < d.NeedTokens && d.Limits.Tokens > 0:
+		return Decision{TokenRate, retry}, until
+	case d.Waiting > 0 && g.Permits <= d.InUse && d.Limits.Concurrency > 0:
+		return Decision{Concurrency, retry}, until
+	default:
+		return Decision{}, time.Time{}
+	}
+}
+
+func (g *Grant) valid() bool {
+	return g.Requests >= 0 && g.Tokens >= 0 && g.Permits >= 0 && !math.IsInf(g.Requests, 0) && !math.IsInf(g.Tokens, 0)
+}
+
+// Run sends the batches and drives the Owner's clock until the context ends.
+func (l *Local) Run(ctx context.Context) {
+	ticker := time.NewTicker(Interval)
+	defer ticker.Stop()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.kick:
+		case <-ticker.C:
+		}
+		now := l.set.Clock()
+		l.set.Owner.Tick(now)
+		for _, b := range l.Collect(now) {
+			calls.Go(func() { l.send(ctx, &b) })
+		}
+	}
+}
+
+func (l *Local) send(ctx context.Context, b *Batch) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	g, err := l.call(ctx, b)
+	if err != nil {
+		l.Fail(l.set.Clock(), b)
+		return
+	}
+	l.Apply(l.set.Clock(), b, g)
+}
+
+func (l *Local) call(ctx context.Context, b *Batch) (*AllowanceGrant, error) {
+	payload, err := l.set.Codec.Marshal(&b.Request)
+	if err != nil {
+		return nil, fmt.Errorf("encode allowance request: %w", err)
+	}
+	answer, err := l.set.Caller.Call(ctx, b.Owner, Method, payload)
+	if err != nil {
+		return nil, fmt.Errorf("allowance of %s: %w", b.Owner, err)
+	}
+	var g AllowanceGrant
+	if err := l.set.Codec.Unmarshal(answer, &g); err != nil {
+		return nil, fmt.Errorf("decode allowance of %s: %w", b.Owner, err)
+	}
+	return &g, nil
+}
