--- a/internal/process/limit/limit.go
+++ b/internal/process/limit/limit.go
@@ -86,11 +86,15 @@
 	// StatusTakingOver means that allowances of an earlier owner may still be valid: concurrency that is reported as
 	// held is confirmed, and nothing new is lent.
 	StatusTakingOver
+	// StatusStale means that a later batch was processed before.
+	StatusStale
 )
 
 // AllowanceRequest carries the demands of one entry for keys of one owner.
 type AllowanceRequest struct {
 	Demands []Demand `cbor:"1,keyasint,omitempty"`
+	// Seq grows with every batch of demands of an entry. An Owner ignores a batch that a later one has overtaken.
+	Seq uint64 `cbor:"3,keyasint,omitempty"`
 	// Handover lists keys that the sender owns now and asks the previous owner about.
 	Handover []Key `cbor:"2,keyasint,omitempty"`
 }
@@ -147,8 +151,10 @@
 
 // Handover is the state of a key that its previous owner gives up.
 type Handover struct {
-	// Known is false when the previous owner does not consider itself replaced; nothing is handed over then.
-	Known  bool   `cbor:"1,keyasint,omitempty"`
+	// Known is false when a third entry may have lent allowances that are still valid.
+	Known bool `cbor:"1,keyasint,omitempty"`
+	// Lent is false when the previous owner has lent nothing; the other fields are not set then.
+	Lent   bool   `cbor:"7,keyasint,omitempty"`
 	Limits Limits `cbor:"2,keyasint"`
 	// Requests and Tokens are the levels of the rate buckets.
 	Requests float64 `cbor:"3,keyasint,omitempty"`
--- a/internal/process/limit/local.go
+++ b/internal/process/limit/local.go
@@ -23,8 +23,8 @@
 	maxDemands = 1024
 	// demandAlpha is the weight of one interval in the estimated demand.
 	demandAlpha = 0.3
-	// fallbackRetry is the Retry-After of a refusal for concurrency without an owner.
-	fallbackRetry = time.Second
+	// cutOffRetry is the Retry-After of a refusal for concurrency without an owner.
+	cutOffRetry = time.Second
 )
 
 // Caller reaches another entry; peer.Caller satisfies it.
@@ -54,6 +54,7 @@
 	members  Members
 	accounts map[Key]*account
 	busy     map[string]bool
+	seq      uint64
 	changed  chan struct{}
 	kick     chan struct{}
 }
@@ -83,16 +84,34 @@
 	denied   Decision
 	deniedTo time.Time
 
-	fallback       bool
-	fbReqs, fbToks float64
-	fbAt           time.Time
+	mode mode
+	// known is set while the owner keeps a record of this entry for the key.
+	known bool
+	// share* are the buckets of the entry's share, used in the modes other than modeLent.
+	shareRequests, shareTokens float64
+	shareAt                    time.Time
 }
 
+// mode tells what an account admits from.
+type mode uint8
+
+const (
+	// modeLent admits from allowances only.
+	modeLent mode = iota
+	// modeTakeover admits from allowances and the share of the rates, and from held permits only: the previous owner's
+	// permits are still out, and the new owner has not lent any.
+	modeTakeover
+	// modeCutOff admits from the share: the owner has been silent until all allowances expired.
+	modeCutOff
+)
+
 // NewLocal returns a Local without members; it admits nothing limited before SetMembers.
 func NewLocal(set LocalSettings) *Local {
 	return &Local{
 		set: set, accounts: make(map[Key]*account), busy: make(map[string]bool),
 		changed: make(chan struct{}), kick: make(chan struct{}, 1),
+		// A restarted entry of the same name must continue above its predecessor's numbers.
+		seq: uint64(set.Clock().UnixNano()),
 	}
 }
 
@@ -162,8 +181,8 @@
 		return
 	}
 	a.inUse = max(0, a.inUse-1)
-	if diff := float64(reserved - used); a.fallback {
-		a.fbToks += diff
+	if diff := float64(reserved - used); a.mode == modeCutOff {
+		a.shareTokens += diff
 	} else {
 		a.giveTokens += diff
 	}
@@ -181,10 +200,17 @@
 
 func (l *Local) admit(now time.Time, k Key, a *account, tokens int) Decision {
 	a.expire(now)
-	if a.fallback || l.ownerSilent(now, a) {
-		return l.admitFallback(now, k, a, tokens)
+	if a.mode == modeLent && a.ownerSilent(now) {
+		a.enter(now, modeCutOff)
+	}
+	var share Limits
+	if a.mode != modeLent {
+		share = l.members.share(a.limits, k, l.set.Self)
+		a.refillShare(now, share)
 	}
-	if a.take(tokens) {
+	lacking := a.lacking(tokens, share)
+	if lacking == Admitted {
+		a.take(tokens)
 		return Decision{Result: Admitted}
 	}
 	a.waiting++
@@ -193,6 +219,9 @@
 	if a.askedAt.IsZero() {
 		a.askedAt = now
 	}
+	if a.mode != modeLent {
+		return a.refuseShare(lacking, share)
+	}
 	if now.Before(a.deniedTo) {
 		return a.denied
 	}
@@ -200,21 +229,74 @@
 	return Decision{Result: Wait}
 }
 
-// take uses one request, the tokens and one permit if all are there.
-func (a *account) take(tokens int) bool {
-	if a.limits.Requests > 0 && a.requests < 1 ||
-		a.limits.Tokens > 0 && a.tokens < float64(tokens) ||
-		a.limits.Concurrency > 0 && a.inUse >= a.permits {
-		return false
+// lacking names what a request lacks, or returns Admitted.
+func (a *account) lacking(tokens int, share Limits) Result {
+	permits := a.permits
+	if a.mode == modeCutOff {
+		permits = max(permits, share.Concurrency)
 	}
+	switch {
+	case a.limits.Requests > 0 && a.requests < 1 && a.shareRequests < 1:
+		return RequestRate
+	case a.limits.Tokens > 0 && a.tokens < float64(tokens) && a.shareTokens <= 0:
+		return TokenRate
+	case a.limits.Concurrency > 0 && a.inUse >= permits:
+		return Concurrency
+	default:
+		return Admitted
+	}
+}
+
+func (a *account) take(tokens int) {
+	a.inUse++
 	if a.limits.Requests > 0 {
-		a.requests--
+		if a.requests >= 1 {
+			a.requests--
+		} else {
+			a.shareRequests--
+		}
 	}
 	if a.limits.Tokens > 0 {
-		a.tokens -= float64(tokens)
+		if a.tokens >= float64(tokens) {
+			a.tokens -= float64(tokens)
+		} else {
+			a.shareTokens -= float64(tokens)
+		}
+	}
+}
+
+// enter starts a mode with empty share buckets, because allowances may have been used up a moment ago.
+func (a *account) enter(now time.Time, m mode) {
+	if a.mode == modeLent {
+		a.shareRequests, a.shareTokens, a.shareAt = 0, 0, now
+	}
+	a.mode = m
+}
+
+func (a *account) leave() {
+	a.mode = modeLent
+	a.giveTokens += math.Min(0, a.shareTokens)
+	a.shareRequests, a.shareTokens = 0, 0
+}
+
+func (a *account) refillShare(now time.Time, share Limits) {
+	s := now.Sub(a.shareAt).Seconds()
+	a.shareAt = now
+	a.shareRequests = math.Min(math.Max(1, share.Requests), a.shareRequests+s*share.Requests)
+	a.shareTokens = math.Min(share.Tokens, a.shareTokens+s*share.Tokens)
+}
+
+func (a *account) refuseShare(lacking Result, share Limits) Decision {
+	switch {
+	case lacking == RequestRate:
+		return Decision{RequestRate, seconds((1 - a.shareRequests) / share.Requests)}
+	case lacking == TokenRate:
+		return Decision{TokenRate, seconds((1 - a.shareTokens) / share.Tokens)}
+	case a.mode == modeTakeover:
+		return Decision{Result: Wait}
+	default:
+		return Decision{Concurrency, cutOffRetry}
 	}
-	a.inUse++
-	return true
 }
 
 // expire drops allowances whose time is over. They are returned: the owner may lend them again, and this entry cannot
@@ -229,38 +311,10 @@
 	a.expires = time.Time{}
 }
 
-func (l *Local) ownerSilent(now time.Time, a *account) bool {
+func (a *account) ownerSilent(now time.Time) bool {
 	return !a.askedAt.IsZero() && now.Sub(a.askedAt) >= patience && now.Sub(a.answered) >= patience && a.expires.IsZero()
 }
 
-// admitFallback uses the entry's share of the limits. Its buckets start empty, because allowances of the owner may
-// have been used up a moment ago.
-func (l *Local) admitFallback(now time.Time, k Key, a *account, tokens int) Decision {
-	share := l.members.share(a.limits, k, l.set.Self)
-	if !a.fallback {
-		a.fallback, a.fbReqs, a.fbToks, a.fbAt = true, 0, math.Min(0, a.giveTokens), now
-		a.giveRequests, a.giveTokens = 0, 0
-	}
-	s := now.Sub(a.fbAt).Seconds()
-	a.fbAt = now
-	a.fbReqs = math.Min(math.Max(1, share.Requests), a.fbReqs+s*share.Requests)
-	a.fbToks = math.Min(share.Tokens, a.fbToks+s*share.Tokens)
-	a.waiting++
-	a.needTokens = math.Max(a.needTokens, float64(tokens))
-	switch {
-	case a.limits.Requests > 0 && a.fbReqs < 1:
-		return Decision{RequestRate, seconds((1 - a.fbReqs) / share.Requests)}
-	case a.limits.Tokens > 0 && a.fbToks <= 0:
-		return Decision{TokenRate, seconds((1 - a.fbToks) / share.Tokens)}
-	case a.limits.Concurrency > 0 && a.inUse >= max(share.Concurrency, a.permits):
-		return Decision{Concurrency, fallbackRetry}
-	}
-	a.fbReqs--
-	a.fbToks -= float64(tokens)
-	a.inUse++
-	return Decision{Result: Admitted}
-}
-
 func (l *Local) wake() {
 	select {
 	case l.kick <- struct{}{}:
@@ -296,7 +350,8 @@
 		if !ok {
 			i = len(batches)
 			index[a.owner] = i
-			batches = append(batches, Batch{Owner: a.owner, SentAt: now})
+			l.seq++
+			batches = append(batches, Batch{Owner: a.owner, SentAt: now, Request: AllowanceRequest{Seq: l.seq}})
 		}
 		if len(batches[i].Request.Demands) < maxDemands {
 			batches[i].Request.Demands = append(batches[i].Request.Demands, a.demand(now, k))
@@ -306,11 +361,15 @@
 	for _, b := range batches {
 		l.busy[b.Owner] = true
 	}
-	return batches
+	return append(batches, l.set.Owner.handovers(now)...)
 }
 
 // Apply takes in an owner's answer.
 func (l *Local) Apply(now time.Time, b *Batch, g *AllowanceGrant) {
+	if len(b.Request.Handover) > 0 {
+		l.set.Owner.applyHandover(now, b, g)
+		return
+	}
 	if len(g.Grants) != len(b.Request.Demands) {
 		l.Fail(now, b)
 		return
@@ -332,6 +391,9 @@
 // Fail takes in that a call failed. Returned allowances are lost with it, because the owner may have taken them in;
 // owed tokens are owed again.
 func (l *Local) Fail(now time.Time, b *Batch) {
+	if len(b.Request.Handover) > 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.busy[b.Owner] = false
@@ -362,7 +424,7 @@
 // forget drops an account that holds, runs and owes nothing and sees no demand.
 func (l *Local) forget(k Key, a *account) {
 	if a.inUse == 0 && a.permits == 0 && a.requests == 0 && a.tokens == 0 && a.waiting == 0 &&
-		a.rateRequests == 0 && a.seenRequests == 0 && a.giveRequests == 0 && a.giveTokens == 0 && !a.sending && !a.fallback {
+		a.rateRequests == 0 && a.seenRequests == 0 && a.giveRequests == 0 && a.giveTokens == 0 && !a.sending && !a.known && a.mode == modeLent {
 		delete(l.accounts, k)
 	}
 }
@@ -390,7 +452,7 @@
 func (a *account) due(now time.Time) bool {
 	requests, tokens, _ := a.target()
 	switch {
-	case a.waiting > 0, a.fallback:
+	case a.waiting > 0, a.mode != modeLent:
 		return true
 	case a.giveRequests != 0 || a.giveTokens != 0:
 		return now.Sub(a.answered) >= 5*Interval
@@ -399,7 +461,7 @@
 	case a.inUse > 0 || a.permits > 0 || a.requests > 0 || a.tokens > 0:
 		return a.expires.Sub(now) <= renewBefore
 	default:
-		return false
+		return a.known && requests == 0
 	}
 }
 
@@ -439,30 +501,25 @@
 }
 
 func (a *account) apply(now, sentAt time.Time, d *Demand, g *Grant) {
-	if g.Status == StatusNotOwner || !g.valid() {
+	if g.Status != StatusLent && g.Status != StatusTakingOver || !g.valid() {
 		a.giveTokens += math.Min(0, d.ReturnTokens)
 		return
 	}
 	a.answered = now
-	if g.Status == StatusTakingOver {
+	a.known = !d.idle()
+	expires := sentAt.Add(Lifetime)
+	if now.Before(expires) {
+		a.expires = expires
+		a.requests += g.Requests
+		a.tokens += g.Tokens
 		a.permits = g.Permits
-		a.fallback = true
-		a.fbAt = now
-		return
 	}
-	if a.fallback {
-		a.fallback = false
-		a.giveTokens += math.Min(0, a.fbToks)
-	}
-	a.askedAt = time.Time{}
-	expires := sentAt.Add(Lifetime)
-	if !now.Before(expires) {
+	if g.Status == StatusTakingOver {
+		a.enter(now, modeTakeover)
 		return
 	}
-	a.requests += g.Requests
-	a.tokens += g.Tokens
-	a.permits = g.Permits
-	a.expires = expires
+	a.leave()
+	a.askedAt = time.Time{}
 	a.denied, a.deniedTo = denial(now, d, g)
 }
 
--- a/internal/process/limit/owner.go
+++ b/internal/process/limit/owner.go
@@ -27,12 +27,18 @@
 	clock func() time.Time
 	codec Codec
 
-	mu       sync.Mutex
-	members  Members
-	live     map[string]bool
-	past     []pastMembers
-	started  bool
-	ledgers  map[Key]*ledger
+	mu      sync.Mutex
+	members Members
+	live    map[string]bool
+	past    []pastMembers
+	started bool
+	ledgers map[Key]*ledger
+	// retired are ledgers of keys that another entry owns now; it can ask for them.
+	retired map[Key]retired
+	// ceded are keys that another entry took over before this entry saw the change of members.
+	ceded map[Key]time.Time
+	// seqs are the last batches by entry.
+	seqs     map[string]uint64
 	lastTick time.Time
 	swept    time.Time
 }
@@ -50,7 +56,9 @@
 	requests, tokens float64
 	at               time.Time
 	// readyAt is when allowances of earlier owners have expired.
-	readyAt        time.Time
+	readyAt time.Time
+	// resumed is set when the process itself was the earlier owner and was paused.
+	resumed        bool
 	holdings       map[string]*holding
 	contendedUntil time.Time
 }
@@ -65,7 +73,19 @@
 
 // NewOwner returns the Owner of the entry named self. The clock is time.Now, or virtual in tests.
 func NewOwner(self string, clock func() time.Time, codec Codec) *Owner {
-	return &Owner{self: self, clock: clock, codec: codec, ledgers: make(map[Key]*ledger), live: make(map[string]bool)}
+	return &Owner{
+		self: self, clock: clock, codec: codec,
+		live: make(map[string]bool), ledgers: make(map[Key]*ledger), retired: make(map[Key]retired),
+		ceded: make(map[Key]time.Time), seqs: make(map[string]uint64),
+	}
+}
+
+// AssumeFresh declares that no entry ran within the last Lifetime, so that the first members need no takeover.
+// Call it before SetMembers, and only where the whole fleet is started at once.
+func (o *Owner) AssumeFresh() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.started = true
 }
 
 // SetMembers replaces the live entries. Keys that this entry no longer owns are forgotten.
@@ -73,7 +93,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	alone := len(m.Live) == 1 && m.Live[0] == o.self
-	if o.started || !alone {
+	if len(o.members.Live) > 0 || !o.started && !alone {
 		o.past = append(o.past, pastMembers{members: o.members, unknown: !o.started, until: now.Add(Lifetime)})
 	}
 	o.started, o.members = true, m
@@ -84,7 +104,12 @@
 	o.prunePast(now)
 	for k := range o.ledgers {
 		if m.owner(k) != o.self {
-			delete(o.ledgers, k)
+			o.retire(now, k)
+		}
+	}
+	for k := range o.ceded {
+		if m.owner(k) != o.self {
+			delete(o.ceded, k)
 		}
 	}
 }
@@ -110,10 +135,17 @@
 	}
 	o.swept = now
 	for k, l := range o.ledgers {
+		o.prune(now, l)
 		if len(l.holdings) == 0 && now.Sub(l.at) > forgetAfter {
 			delete(o.ledgers, k)
 		}
 	}
+	o.pruneRetired(now)
+	for name := range o.seqs {
+		if !o.live[name] {
+			delete(o.seqs, name)
+		}
+	}
 }
 
 // detectPause makes every key wait as after a change of owner, because another entry may have taken over meanwhile.
@@ -125,6 +157,7 @@
 	o.past = append(o.past, pastMembers{unknown: true, until: now.Add(Lifetime)})
 	for _, l := range o.ledgers {
 		l.takeOver(now.Add(Lifetime))
+		l.resumed = true
 	}
 }
 
@@ -144,26 +177,37 @@
 	defer o.mu.Unlock()
 	o.detectPause(now)
 	var g AllowanceGrant
+	stale := r.Seq != 0 && r.Seq <= o.seqs[from]
+	if r.Seq != 0 && !stale {
+		o.seqs[from] = r.Seq
+	}
 	for i := range r.Demands {
+		if stale {
+			g.Grants = append(g.Grants, Grant{Status: StatusStale})
+			continue
+		}
 		g.Grants = append(g.Grants, o.grant(now, from, &r.Demands[i]))
 	}
+	for _, k := range r.Handover {
+		g.Handovers = append(g.Handovers, o.handOver(now, from, k))
+	}
 	return g
 }
 
 func (o *Owner) grant(now time.Time, from string, d *Demand) Grant {
-	if !d.valid() || o.members.owner(d.key()) != o.self {
+	if !d.valid() || o.members.owner(d.key()) != o.self || now.Before(o.ceded[d.key()]) {
 		return Grant{Status: StatusNotOwner}
 	}
 	l := o.ledger(now, d)
+	o.prune(now, l)
 	l.refill(now, o.rates(now, l))
 	l.credit(d)
-	h := l.holding(now, from, d)
 	if d.idle() {
 		delete(l.holdings, from)
 		return Grant{Status: StatusLent}
 	}
+	h := l.holding(now, from, d)
 	if now.Before(l.readyAt) {
-		h.permits = max(h.permits, d.Permits, d.InUse)
 		return Grant{Status: StatusTakingOver, Permits: d.Permits, RetryMs: millis(l.readyAt.Sub(now))}
 	}
 	g := Grant{Status: StatusLent}
@@ -223,6 +267,15 @@
 	l.at, l.readyAt = ready, ready
 }
 
+// prune forgets entries that are gone and whose work the sidecars have cancelled.
+func (o *Owner) prune(now time.Time, l *ledger) {
+	for name, h := range l.holdings {
+		if !o.live[name] && now.After(h.expires) && now.After(h.contact.Add(cancelAfter)) {
+			delete(l.holdings, name)
+		}
+	}
+}
+
 func (l *ledger) capacity() (requests, tokens float64) {
 	return math.Max(1, l.limits.Requests*burstTime.Seconds()), l.limits.Tokens * burstTime.Seconds()
 }
@@ -264,7 +317,8 @@
 		h = &holding{}
 		l.holdings[from] = h
 	}
-	h.requests, h.tokens, h.inUse = d.HeldRequests, d.HeldTokens, d.InUse
+	h.requests, h.tokens, h.permits = d.HeldRequests, d.HeldTokens, max(d.Permits, d.InUse)
+	h.inUse = d.InUse
 	h.wants = d.Waiting > 0
 	h.contact, h.expires = now, now.Add(Lifetime)
 	return h
@@ -334,7 +388,8 @@
 		l.contendedUntil = now.Add(contendedFor)
 		g.RetryMs = max(g.RetryMs, millis(contendedFor/4))
 	}
-	h.permits = max(g.Permits, d.InUse)
+	// Until its next report the entry may use what it held when it sent the demand.
+	h.permits = max(g.Permits, d.Permits, d.InUse)
 }
 
 // permitsOfOthers counts what other entries hold, and how many of them use or want permits. A silent entry that is
@@ -350,12 +405,10 @@
 				users++
 			}
 		case o.live[name]:
-			used += max(h.inUse, share)
+			used += max(h.permits, share)
 			users++
-		case now.Before(h.contact.Add(cancelAfter)):
-			used += h.inUse
 		default:
-			delete(l.holdings, name)
+			used += h.permits
 		}
 	}
 	return used, users
