Entry and sidecar: table, directory, limits, claims, usage, metrics, fenced orders

Change: the entry follows table and directory from the store, enforces limits, claims non-idempotent calls, counts usage and ships it; the sidecar counts its own side, relays it through entries and gates orders by fencing number.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -17,13 +17,12 @@
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/membership"
+	"github.com/dragonflypin/dragonflypin/internal/process/metrics"
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
 	"github.com/dragonflypin/dragonflypin/internal/request/admit"
 	"github.com/dragonflypin/dragonflypin/internal/request/attempt"
 	"github.com/dragonflypin/dragonflypin/internal/request/retry"
-	"github.com/dragonflypin/dragonflypin/internal/version/directory"
-	"github.com/dragonflypin/dragonflypin/internal/version/table"
 )
 
 const (
@@ -36,16 +35,6 @@
 	drainCheck     = 20 * time.Millisecond
 )
 
-// Rules are the table and the directory in force.
-type Rules interface {
-	// Version is the highest table version known, 0 before the first.
-	Version() uint64
-	// Row returns the row of a class.
-	Row(class string) (table.Row, bool)
-	// Directory returns the directory; it is never nil.
-	Directory() *directory.Directory
-}
-
 // Deps are what an entry needs from the process around it.
 type Deps struct {
 	Store       store.Client
@@ -54,24 +43,26 @@
 	Log         *eventlog.Log
 	// Operator serves the operator API apart from /healthz and /readyz; nil answers 404.
 	Operator http.Handler
-	// Rules replace those read from the store.
-	Rules Rules
+	// Metrics records figures and is served at /metrics; nil records nothing.
+	Metrics *metrics.Metrics
 }
 
 // T is one entry instance.
 type T struct {
-	cfg      settings.Entry
-	deps     Deps
-	log      *eventlog.Log
-	node     *peer.Node
-	fleet    *fleet
-	tracker  *membership.Tracker
-	queue    *admit.Queue
-	runner   *attempt.Runner
-	ring     *ring
-	keys     atomic.Pointer[admit.Keys]
-	operator atomic.Pointer[http.Handler]
-	refusals refusals
+	cfg     settings.Entry
+	deps    Deps
+	log     *eventlog.Log
+	node    *peer.Node
+	fleet   *fleet
+	tracker *membership.Tracker
+	queue   *admit.Queue
+	runner  *attempt.Runner
+	ring    *ring
+	control control
+	// entryNames are the live entries last told to the limiter; only followMembers uses it.
+	entryNames []string
+	operator   atomic.Pointer[http.Handler]
+	refusals   refusals
 
 	callers   net.Listener
 	operators net.Listener
@@ -92,6 +83,7 @@
 		URL: cfg.InstancesURL, OnChange: t.kickMembers,
 		OnError: func(err error) { t.log.Emit(eventlog.MembershipFailed, eventlog.Err(err)) },
 	})
+	t.newControl()
 	if err := t.listen(); err != nil {
 		t.release()
 		return nil, err
@@ -102,14 +94,18 @@
 func (t *T) listen() error {
 	var err error
 	t.node, err = peer.Listen(t.cfg.PeerListen, peer.Options{
-		Credentials: t.deps.Credentials, Zone: t.cfg.Zone, TableVersion: t.deps.Rules.Version,
+		Credentials: t.deps.Credentials, Zone: t.cfg.Zone, TableVersion: t.control.follower.Number,
 		OnLoad: t.onLoad, OnState: t.onState,
+		OnTable: func(from peer.Identity, version uint64) { t.control.follower.OnAnnounce(from.Instance, version) },
 	})
 	if err != nil {
 		return err
 	}
 	t.fleet.node = t.node
 	t.registerCalls()
+	if err := t.registerControl(); err != nil {
+		return err
+	}
 	if t.callers, err = net.Listen("tcp", t.cfg.Listen); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
@@ -155,8 +151,9 @@
 func (t *T) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	wg.Go(func() { t.tracker.Run(background) })
-	wg.Go(func() { t.followMembers(background) })
+	for _, run := range t.background() {
+		wg.Go(func() { run(background) })
+	}
 	callers := &http.Server{
 		Handler: http.HandlerFunc(t.serveCaller), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: t.cfg.Limits.HeaderBytes,
@@ -175,8 +172,10 @@
 	_ = callers.Close()
 	_ = operators.Close()
 	stop()
-	t.release()
 	wg.Wait()
+	t.flush()
+	t.release()
+	t.log.Emit(eventlog.DrainFinished)
 	if errors.Is(err, http.ErrServerClosed) {
 		err = nil
 	}
@@ -236,6 +235,7 @@
 		wanted = append(wanted, membership.Subset(t.cfg.Instance, t.cfg.Zone, members, t.cfg.SidecarsPerService)...)
 	}
 	t.fleet.update(wanted, leaving)
+	t.applyEntries()
 	for _, m := range t.tracker.Members() {
 		if !t.tracker.Listed(m.Instance.Instance) && !t.fleet.holds(m.Instance.Instance) {
 			t.tracker.Forget(m.Instance.Instance)
@@ -265,14 +265,3 @@
 	t.fleet.onState(of, state)
 	t.tracker.SetSuspect(of.Instance, state == peer.StateSuspect)
 }
-
-// currentKeys indexes the directory again after it has changed.
-func (t *T) currentKeys() *admit.Keys {
-	d := t.deps.Rules.Directory()
-	k := t.keys.Load()
-	if k == nil || k.Source() != d {
-		k = admit.NewKeys(d)
-		t.keys.Store(k)
-	}
-	return k
-}
--- a/internal/app/entry/failure_test.go
+++ b/internal/app/entry/failure_test.go
@@ -39,7 +39,7 @@
 }
 
 // open starts a streamed request and reads its first event.
-func (r *runningEntry) open(t *testing.T, ctx context.Context, content string, maxTokens int) (*http.Response, *bufio.Reader) {
+func (r *runningEntry) open(ctx context.Context, t *testing.T, content string, maxTokens int) *openStream {
 	t.Helper()
 	resp, err := client().Do(newRequest(ctx, http.MethodPost, r.url+"/v1/chat/completions", chatBody(content, maxTokens, true)))
 	must(t, err)
@@ -47,13 +47,19 @@
 	body := bufio.NewReader(resp.Body)
 	_, err = body.ReadString('\n')
 	must(t, err)
-	return resp, body
+	return &openStream{resp: resp, body: body}
 }
 
-func rest(resp *http.Response, body *bufio.Reader) answer {
+// openStream is a streamed answer of which a part has been read.
+type openStream struct {
+	resp *http.Response
+	body *bufio.Reader
+}
+
+func (s *openStream) rest() answer {
 	var b strings.Builder
-	_, err := body.WriteTo(&b)
-	return answer{status: resp.StatusCode, header: resp.Header, trailer: resp.Trailer, body: b.String(), err: err}
+	_, err := s.body.WriteTo(&b)
+	return answer{status: s.resp.StatusCode, header: s.resp.Header, trailer: s.resp.Trailer, body: b.String(), err: err}
 }
 
 // Guards against a planned stop of either role that cuts a stream.
@@ -61,14 +67,9 @@
 	for _, role := range []string{"entry", "sidecar"} {
 		t.Run(role, func(t *testing.T) {
 			_, _, s, r := simple(t, engine.Options{TokenMs: 3})
-			type stream struct {
-				resp *http.Response
-				body *bufio.Reader
-			}
-			var streams []stream
+			var streams []*openStream
 			for i := range 8 {
-				resp, body := r.open(t, context.Background(), fmt.Sprintf("stream %d", i), 100)
-				streams = append(streams, stream{resp, body})
+				streams = append(streams, r.open(context.Background(), t, fmt.Sprintf("stream %d", i), 100))
 			}
 			if role == "entry" {
 				r.stop()
@@ -84,7 +85,7 @@
 				s.stop()
 			}
 			for i, st := range streams {
-				a := rest(st.resp, st.body)
+				a := st.rest()
 				if a.err != nil || a.outcome() != "completed" || !strings.HasSuffix(strings.TrimSpace(a.body), "data: [DONE]") {
 					t.Errorf("stream %d: outcome %q error %v end %.80q", i, a.outcome(), a.err, a.body[max(0, len(a.body)-80):])
 				}
@@ -104,9 +105,9 @@
 	w.sidecar("lm-pool-1", "lm-pool", settings.KindEngine, server.URL, nil)
 	r := w.entry("entry-1", nil)
 	r.ready(t, 1)
-	resp, body := r.open(t, context.Background(), "cut me", 2000)
+	stream := r.open(context.Background(), t, "cut me", 2000)
 	server.CloseClientConnections()
-	a := rest(resp, body)
+	a := stream.rest()
 	if a.err != nil || a.trailer.Get(outcome.HeaderOutcome) != "interrupted" {
 		t.Errorf("trailer %v error %v", a.trailer, a.err)
 	}
@@ -122,7 +123,7 @@
 func TestCallerLeavingCancelsAtTheEngine(t *testing.T) {
 	_, e, s, r := simple(t, engine.Options{TokenMs: 100})
 	ctx, cancel := context.WithCancel(context.Background())
-	r.open(t, ctx, "leave", 5000)
+	r.open(ctx, t, "leave", 5000)
 	cancel()
 	eventually(t, time.Second, "engine cancels the run", func() bool { return e.Runs()[0].State == "cancelled" })
 	eventually(t, time.Second, "slot is free", func() bool { return s.sidecar.Load().Running == 0 })
@@ -175,7 +176,7 @@
 	r := w.entry("entry-1", nil)
 	r.ready(t, 1)
 	for i := range 4 {
-		r.open(t, context.Background(), fmt.Sprint("kill ", i), 30000)
+		r.open(context.Background(), t, fmt.Sprint("kill ", i), 30000)
 	}
 	if n := s.sidecar.Load().Running; n != 4 {
 		t.Fatalf("%d slots taken, want 4", n)
@@ -263,7 +264,7 @@
 		t.Errorf("running request: status %d code %q outcome %q", a.status, a.code(), a.outcome())
 	}
 	eventually(t, time.Second, "slot is free", func() bool { return s.sidecar.Load().Running == 0 })
-	r.open(t, context.Background(), "occupies the slot", 100)
+	r.open(context.Background(), t, "occupies the slot", 100)
 	waiting := r.chat("no slot", 5, false, "Dragonflypin-Class", "hurried")
 	if waiting.status != http.StatusServiceUnavailable || waiting.code() != string(outcome.CodeDeadline) || waiting.outcome() != "not_run" {
 		t.Errorf("waiting request: status %d code %q outcome %q", waiting.status, waiting.code(), waiting.outcome())
--- a/internal/app/entry/fixture_test.go
+++ b/internal/app/entry/fixture_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"crypto/ed25519"
 	"crypto/rand"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +19,7 @@
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+	"github.com/dragonflypin/dragonflypin/internal/process/store/storetest"
 	"github.com/dragonflypin/dragonflypin/internal/standin/engine"
 	"github.com/dragonflypin/dragonflypin/internal/standin/instances"
 	"github.com/dragonflypin/dragonflypin/internal/standin/service"
@@ -26,38 +29,41 @@
 
 const testKey = "key-tilemend"
 
-// rules are a fixed table and directory.
-type rules struct {
-	directory *directory.Directory
-	table     *table.Version
-}
-
-func (r *rules) Version() uint64                    { return r.table.Number }
-func (r *rules) Row(class string) (table.Row, bool) { return r.table.Find(class) }
-func (r *rules) Directory() *directory.Directory    { return r.directory }
-
-func testRules() *rules {
-	return &rules{
-		directory: &directory.Directory{Workspaces: []directory.Workspace{{
-			Name: "tilemend", Owner: "jadestone", KeySHA256: directory.HashKey(testKey),
-			Classes: []string{"chat", "draft", "hurried", "absent"}, DefaultClass: "chat",
-		}}},
-		table: &table.Version{Number: 1, Rows: []table.Row{
-			{Class: "chat", Owner: "jadestone", Priority: 1, Weight: 1, Protected: true, TTFTTarget: time.Second},
-			{Class: "draft", Owner: "jadestone", Priority: 5, Weight: 1, TTFTTarget: time.Second},
-			{Class: "hurried", Owner: "jadestone", Priority: 2, Weight: 1, Timeout: 300 * time.Millisecond},
-			{Class: "reserved", Owner: "furano", Priority: 1, Weight: 1},
-		}},
-	}
+// testRows belong to both owners, so that publishing them takes two edits.
+var testRows = []table.Row{
+	{Class: "chat", Owner: "jadestone", Priority: 1, Weight: 1, Protected: true, TTFTTarget: time.Second},
+	{Class: "draft", Owner: "jadestone", Priority: 5, Weight: 1, TTFTTarget: time.Second},
+	{Class: "hurried", Owner: "jadestone", Priority: 2, Weight: 1, TTFTTarget: time.Second, Timeout: 300 * time.Millisecond},
+	{Class: "rated", Owner: "jadestone", Priority: 3, Weight: 1, TTFTTarget: time.Second, RequestRate: 1},
+	{Class: "reserved", Owner: "furano", Priority: 1, Weight: 1, TTFTTarget: time.Second},
+}
+
+func newStore(tb testing.TB) *storetest.Memory {
+	tb.Helper()
+	client := storetest.New()
+	publisher := table.NewPublisher(client, func() *table.Compiled { return nil }, func(*table.Version) {})
+	_, err := publisher.Apply(context.Background(), table.Edit{Author: "jadestone", Reason: "test", Rows: testRows[:4]})
+	must(tb, err)
+	_, err = publisher.Apply(context.Background(), table.Edit{Author: "furano", Reason: "test", Base: 1, Rows: testRows})
+	must(tb, err)
+	value, err := json.Marshal(directory.Directory{Workspaces: []directory.Workspace{{
+		Name: "tilemend", Owner: "jadestone", KeySHA256: directory.HashKey(testKey),
+		Classes: []string{"chat", "draft", "hurried", "rated", "absent"}, DefaultClass: "chat",
+	}}})
+	must(tb, err)
+	_, err = client.Create(context.Background(), "directory", "current", value)
+	must(tb, err)
+	return client
 }
 
 // world is the platform and the processes of one test.
 type world struct {
-	tb   testing.TB
-	ca   *peer.DevCA
-	list *instances.List
-	url  string
-	key  ed25519.PrivateKey
+	tb    testing.TB
+	ca    *peer.DevCA
+	list  *instances.List
+	store *storetest.Memory
+	url   string
+	key   ed25519.PrivateKey
 }
 
 func newWorld(tb testing.TB) *world {
@@ -69,7 +75,7 @@
 	list := instances.New(instances.Options{})
 	server := httptest.NewServer(list)
 	tb.Cleanup(server.Close)
-	return &world{tb: tb, ca: ca, list: list, url: server.URL, key: key}
+	return &world{tb: tb, ca: ca, list: list, store: newStore(tb), url: server.URL, key: key}
 }
 
 func must(tb testing.TB, err error) {
@@ -127,7 +133,7 @@
 	}
 	credentials, err := w.ca.Issue(wire.RoleSidecar, name)
 	must(w.tb, err)
-	s, err := sidecar.New(cfg, sidecar.Deps{Credentials: credentials, SigningKey: w.key, Log: eventlog.Discard()})
+	s, err := sidecar.New(cfg, sidecar.Deps{Store: w.store, Credentials: credentials, SigningKey: w.key, Log: testLog(name)})
 	must(w.tb, err)
 	p := start(w.tb, s.Run)
 	w.show(name, service, kind, s.AddrPeer(), "live")
@@ -177,9 +183,12 @@
 	}
 	credentials, err := w.ca.Issue(wire.RoleEntry, name)
 	must(w.tb, err)
-	e, err := entry.New(cfg, entry.Deps{Credentials: credentials, SigningKey: w.key, Log: eventlog.Discard(), Rules: testRules()})
+	e, err := entry.New(cfg, entry.Deps{Store: w.store, Credentials: credentials, SigningKey: w.key, Log: testLog(name)})
 	must(w.tb, err)
-	return &runningEntry{process: start(w.tb, e.Run), entry: e, url: "http://" + e.Addr()}
+	r := &runningEntry{process: start(w.tb, e.Run), entry: e, url: "http://" + e.Addr()}
+	w.list.Put(instances.Instance{Instance: name, Role: "entry", Zone: cfg.Zone, Address: e.AddrPeer(), State: "live"})
+	eventually(w.tb, 10*time.Second, "table in force", func() bool { return e.Status().TableVersion == 2 })
+	return r
 }
 
 // ready waits until the entry sees n healthy upstreams.
@@ -221,3 +230,11 @@
 var client = sync.OnceValue(func() *http.Client {
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
 })
+
+// testLog writes events when DRAGONFLYPIN_TEST_LOG is set.
+func testLog(instance string) *eventlog.Log {
+	if os.Getenv("DRAGONFLYPIN_TEST_LOG") == "" {
+		return eventlog.Discard()
+	}
+	return eventlog.New(os.Stderr, "debug", "test", instance)
+}
--- a/internal/app/entry/fleet.go
+++ b/internal/app/entry/fleet.go
@@ -92,6 +92,16 @@
 	f.broadcast()
 }
 
+// identity returns the service of a member and the service's owner.
+func (f *fleet) identity(name string) (service, owner string) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if m := f.members[name]; m != nil {
+		return m.info.Service, m.info.Owner
+	}
+	return "", ""
+}
+
 func (f *fleet) holds(name string) bool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
--- /dev/null
+++ b/internal/app/entry/idempotency.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
+	"github.com/dragonflypin/dragonflypin/internal/request/admit"
+	"github.com/dragonflypin/dragonflypin/internal/request/attempt"
+	"github.com/dragonflypin/dragonflypin/internal/request/claim"
+	"github.com/dragonflypin/dragonflypin/internal/request/outcome"
+)
+
+// finishTimeout bounds the wait for the record of a claim's result; the log writes it later if it can.
+const finishTimeout = 10 * time.Second
+
+// runOnce runs a non-idempotent call under the claim of its key, or answers with what the claim's holder got.
+func (e *exchange) runOnce(req *attempt.Request) *outcome.Error {
+	value := e.r.Header.Get(HeaderIdempotencyKey)
+	if value == "" {
+		return &outcome.Error{
+			Status: http.StatusBadRequest, Code: outcome.CodeIdempotencyNeeded, Outcome: outcome.NotRun,
+			Message: fmt.Sprintf("A %s call needs an %s header.", e.r.Method, HeaderIdempotencyKey),
+		}
+	}
+	if len(value) > claim.MaxKey {
+		return admit.Invalid(fmt.Sprintf("The %s is longer than %d bytes.", HeaderIdempotencyKey, claim.MaxKey))
+	}
+	key := claim.Key{Workspace: e.workspace.Name, Service: req.Service, Value: value}
+	state, err := e.t.control.claims.Claim(e.r.Context(), key, claim.BodyHash(req.Ask.Method, req.Ask.Path, req.Body), e.x.RequestID)
+	if err != nil {
+		return unavailable(outcome.CodeClaimUnavailable, "The call cannot be claimed now, so that it was not run.")
+	}
+	if state.Status != claim.Granted {
+		return e.repeat(&state)
+	}
+	req.MayStart = func() bool { return state.MayStart(time.Now()) }
+	if state.ValidUntil.Before(req.Deadline) {
+		req.Deadline = state.ValidUntil
+	}
+	oerr := e.run(req)
+	e.finishClaim(key, oerr)
+	return oerr
+}
+
+// finishClaim records the result; the answer does not wait for it, but a drain does.
+func (e *exchange) finishClaim(key claim.Key, oerr *outcome.Error) {
+	result := claim.Result{Outcome: outcome.Completed}
+	if oerr != nil {
+		result = claim.Result{Outcome: oerr.Outcome, Status: oerr.Status}
+	} else {
+		result.Status, result.Header = e.sink.status(), e.sink.head.Header
+		result.Body, result.Dropped = e.sink.buf, e.sink.sent
+	}
+	t, id := e.t, e.x.RequestID
+	t.active.Add(1)
+	go func() {
+		defer t.active.Add(-1)
+		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+		defer cancel()
+		if err := t.control.claims.Finish(ctx, key, id, result); err != nil {
+			t.log.Emit(eventlog.ClaimsBlocked, eventlog.Request(id), eventlog.Err(err))
+		}
+	}()
+}
+
+// repeat answers a call whose key was claimed before.
+func (e *exchange) repeat(state *claim.State) *outcome.Error {
+	switch state.Status {
+	case claim.Mismatch:
+		return &outcome.Error{
+			Status: http.StatusUnprocessableEntity, Code: outcome.CodeIdempotencyReuse, Outcome: outcome.NotRun,
+			Message: "The " + HeaderIdempotencyKey + " was used for another call.",
+		}
+	case claim.Active:
+		return &outcome.Error{
+			Status: http.StatusConflict, Code: outcome.CodeIdempotencyActive, Outcome: outcome.Unknown, RetryAfter: retryAfter,
+			Message: "A call with this " + HeaderIdempotencyKey + " is running.",
+		}
+	case claim.Finished:
+		if state.Result.Outcome == outcome.Completed {
+			e.replay(&state.Result)
+			return nil
+		}
+		return upstreamFailed(state.Result.Outcome, "The first call with this "+HeaderIdempotencyKey+" did not complete.")
+	default:
+		return upstreamFailed(outcome.Unknown, "The first call with this "+HeaderIdempotencyKey+" may have run.")
+	}
+}
+
+// replay writes the kept answer. Of one that was too long to keep, only the status is known.
+func (e *exchange) replay(result *claim.Result) {
+	e.sink = &sink{e: e, head: &wire.Head{Status: uint16(result.Status), Header: result.Header}, buf: result.Body}
+	e.sink.complete()
+}
--- a/internal/app/entry/operator.go
+++ b/internal/app/entry/operator.go
@@ -16,6 +16,12 @@
 			return
 		}
 		_, _ = io.WriteString(w, "ok\n")
+	case "/metrics":
+		if t.deps.Metrics != nil {
+			t.deps.Metrics.Handler().ServeHTTP(w, r)
+			return
+		}
+		http.NotFound(w, r)
 	default:
 		(*t.operator.Load()).ServeHTTP(w, r)
 	}
--- /dev/null
+++ b/internal/app/entry/order.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/dragonflypin/dragonflypin/internal/app/sidecar"
+	"github.com/dragonflypin/dragonflypin/internal/connection/upstream"
+	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/process/lease"
+)
+
+// Order implements lease.Sidecar: it sends a load_model order to the sidecar of an upstream that this entry has a
+// session to. The error is lease.ErrRefused when the order provably did not run.
+func (t *T) Order(ctx context.Context, instance string, o lease.Order) error {
+	payload, err := wire.Marshal(upstream.Order{Order: "load_model", Model: o.Model, Version: o.Version, Fence: o.Fence})
+	if err != nil {
+		return err
+	}
+	if t.node.Session(instance) == nil {
+		return fmt.Errorf("%w: no session to %s", lease.ErrRefused, instance)
+	}
+	reply, err := t.node.Call(ctx, instance, sidecar.MethodOrder, payload)
+	if err != nil {
+		return err
+	}
+	var answer sidecar.OrderAnswer
+	if err := wire.Unmarshal(reply, &answer); err != nil {
+		return err
+	}
+	switch {
+	case answer.Refused:
+		return fmt.Errorf("%w: %s", lease.ErrRefused, answer.Detail)
+	case answer.Detail != "":
+		return fmt.Errorf("order at %s: %s", instance, answer.Detail)
+	}
+	return nil
+}
+
+var _ lease.Sidecar = (*T)(nil)
--- a/internal/app/entry/serve.go
+++ b/internal/app/entry/serve.go
@@ -83,17 +83,17 @@
 
 // identify sets the workspace and the row.
 func (e *exchange) identify() *outcome.Error {
-	ws, oerr := e.t.currentKeys().Authenticate(e.r.Header)
+	ws, oerr := e.t.control.keys.Load().Authenticate(e.r.Header)
 	if oerr != nil {
 		return oerr
 	}
 	e.workspace, e.x.Workspace, e.x.Owner = ws, ws.Name, ws.Owner
-	rules := e.t.deps.Rules
-	row, oerr := admit.Row(ws, e.r.Header, rules.Row)
+	version := e.t.control.follower.Number()
+	row, oerr := admit.Row(ws, e.r.Header, e.t.row)
 	if oerr != nil {
 		return oerr
 	}
-	e.row, e.x.Class, e.x.TableVersion = row, row.Class, rules.Version()
+	e.row, e.x.Class, e.x.TableVersion = row, row.Class, version
 	return nil
 }
 
@@ -213,9 +213,16 @@
 	defer ticket.Leave()
 	ctx, stop := context.WithDeadline(ctx, req.Deadline)
 	defer stop()
+	settle, oerr := e.enforce(ctx, req)
+	if oerr != nil {
+		return oerr
+	}
 	e.sink = newSink(e, req, ticket)
+	e.t.deps.Metrics.Enqueued(e.row.Class)
 	result := e.t.runner.Run(ctx, req, e.sink, &e.trace)
 	e.x.CallerGone = e.r.Context().Err() != nil
+	e.sink.dequeued()
+	settle(e.account(ctx, req))
 	e.x.PromptTokens, e.x.CompletionTokens = result.Done.PromptTokens, result.Done.CompletionTokens
 	return e.conclude(ctx, &result)
 }
@@ -260,11 +267,13 @@
 			e.x.Status = e.sink.status()
 		}
 		e.t.ring.add(e.x)
+		e.measure()
 		return false
 	}
 	e.t.refusals.add(oerr.Code)
 	e.x.Outcome, e.x.Code, e.x.Status = oerr.Outcome, oerr.Code, oerr.Status
 	e.t.ring.add(e.x)
+	e.measure()
 	if e.sink != nil && e.sink.Sent() {
 		return e.sink.fail(oerr)
 	}
--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -42,11 +42,8 @@
 		req.Ask.Path += "?" + e.r.URL.RawQuery
 	}
 	req.Ask.Header = forwarded(e.r.Header)
-	if !req.Idempotent && e.r.Header.Get(HeaderIdempotencyKey) == "" {
-		return &outcome.Error{
-			Status: http.StatusBadRequest, Code: outcome.CodeIdempotencyNeeded, Outcome: outcome.NotRun,
-			Message: fmt.Sprintf("A %s call needs an %s header.", e.r.Method, HeaderIdempotencyKey),
-		}
+	if !req.Idempotent {
+		return e.runOnce(req)
 	}
 	return e.run(req)
 }
--- a/internal/app/entry/sink.go
+++ b/internal/app/entry/sink.go
@@ -30,6 +30,8 @@
 	head   *wire.Head
 	buf    []byte
 	sent   bool
+	// started is set at the first start, or at the end without one.
+	started bool
 }
 
 func newSink(e *exchange, req *attempt.Request, ticket *admit.Ticket) *sink {
@@ -39,7 +41,18 @@
 }
 
 // Started implements attempt.Sink: the request no longer waits.
-func (s *sink) Started(string) { s.ticket.Leave() }
+func (s *sink) Started(string) {
+	s.ticket.Leave()
+	s.dequeued()
+}
+
+// dequeued counts the end of the wait, once.
+func (s *sink) dequeued() {
+	if !s.started {
+		s.started = true
+		s.e.t.deps.Metrics.Dequeued(s.e.row.Class, time.Since(s.e.x.Accepted))
+	}
+}
 
 // Sent implements attempt.Sink.
 func (s *sink) Sent() bool { return s.sent }
--- a/internal/app/entry/status.go
+++ b/internal/app/entry/status.go
@@ -77,7 +77,7 @@
 // Status returns the state of this entry.
 func (t *T) Status() Status {
 	return Status{
-		Entry: t.cfg.Instance, Zone: t.cfg.Zone, TableVersion: t.deps.Rules.Version(), Draining: t.draining.Load(),
+		Entry: t.cfg.Instance, Zone: t.cfg.Zone, TableVersion: t.control.follower.Number(), Draining: t.draining.Load(),
 		InFlight: t.active.Load(), Waiting: t.queue.Waiting(), Refusals: t.refusals.copy(), Upstreams: t.fleet.view(),
 	}
 }
--- a/internal/app/sidecar/sidecar.go
+++ b/internal/app/sidecar/sidecar.go
@@ -13,8 +13,10 @@
 	"github.com/dragonflypin/dragonflypin/internal/connection/upstream"
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
+	"github.com/dragonflypin/dragonflypin/internal/process/lease"
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/internal/process/usage"
 	"github.com/dragonflypin/dragonflypin/internal/request/execute"
 )
 
@@ -27,6 +29,9 @@
 	// probeFailures is the number of failed checks in a row that make an upstream unhealthy, so that a single slow
 	// answer does not.
 	probeFailures = 2
+	flushTimeout  = 10 * time.Second
+	// lonelyFlushTimeout applies when no entry has a session.
+	lonelyFlushTimeout = 200 * time.Millisecond
 )
 
 // Deps are what a sidecar needs from the process around it.
@@ -46,6 +51,9 @@
 	client   *upstream.Client
 	executor *execute.Executor
 	changed  chan struct{}
+	gate     *lease.Gate
+	writer   *usage.Writer
+	shipper  *usage.Shipper
 }
 
 // New binds the sessions' address. Run must follow, also to release it.
@@ -61,10 +69,12 @@
 	}
 	t.executor = execute.New(execute.Options{
 		Client: client, Kind: kind, Slots: cfg.Slots, Models: cfg.Models, CanPause: cfg.CanPause,
-		OnChange: t.onChange, OnError: func(err error) {
+		OnChange: t.onChange, OnRecord: t.count, OnError: func(err error) {
 			t.log.Emit(eventlog.InternalError, eventlog.Reason("pause or resume failed"), eventlog.Err(err))
 		},
 	})
+	t.gate = lease.NewGate(deps.Store, cfg.Instance)
+	t.writer = usage.NewWriter(cfg.Instance, usage.SideSidecar, deps.SigningKey, cfg.UsageBufferBytes)
 	t.node, err = peer.Listen(cfg.PeerListen, peer.Options{
 		Credentials: deps.Credentials, Zone: cfg.Zone, Service: cfg.Service,
 		Load: func() *wire.Load { return t.executor.Load() }, OnAsk: t.serve,
@@ -72,6 +82,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("sidecar %s: %w", cfg.Instance, err)
 	}
+	t.shipper = &usage.Shipper{
+		Writer:  t.writer,
+		Sink:    &usage.Relay{Caller: t.node, Entries: func() []string { return t.node.Instances(wire.RoleEntry) }},
+		OnError: func(err error) { t.log.Emit(eventlog.StoreUnavailable, eventlog.Reason("usage"), eventlog.Err(err)) },
+	}
+	t.node.Handle(MethodOrder, t.order)
 	return t, nil
 }
 
@@ -88,6 +104,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { t.report(background) })
 	wg.Go(func() { t.probe(background) })
+	wg.Go(func() { t.shipper.Run(background) })
 	t.log.Emit(eventlog.SidecarStarted, eventlog.Address(t.AddrPeer()))
 	<-ctx.Done()
 	t.log.Emit(eventlog.DrainStarted, eventlog.Count(t.executor.Load().Running))
@@ -100,6 +117,7 @@
 	}
 	stop()
 	wg.Wait()
+	t.flush()
 	_ = t.node.Close()
 	t.client.Close()
 	return err
@@ -169,3 +187,59 @@
 	var status *upstream.StatusError
 	return err == nil || errors.As(err, &status) && status.Status < 500
 }
+
+// flush ships the last usage records over the sessions that are still open. Without any, it gives up soon: an entry that
+// is to dial again would do so within the time that is waited.
+func (t *T) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	go t.cancelWhenAlone(ctx, cancel)
+	if err := t.shipper.Flush(ctx); err != nil {
+		t.log.Emit(eventlog.StoreUnavailable, eventlog.Reason("usage"), eventlog.Err(err))
+	}
+}
+
+// cancelWhenAlone cancels once no entry has had a session for lonelyFlushTimeout.
+func (t *T) cancelWhenAlone(ctx context.Context, cancel func()) {
+	ticker := time.NewTicker(lonelyFlushTimeout / 4)
+	defer ticker.Stop()
+	last := time.Now()
+	for ctx.Err() == nil {
+		if len(t.node.Instances(wire.RoleEntry)) > 0 {
+			last = time.Now()
+		} else if time.Since(last) > lonelyFlushTimeout {
+			cancel()
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// count adds the sidecar's own record of an attempt.
+func (t *T) count(r execute.Record) {
+	if r.Done.Outcome == wire.DoneNotRun {
+		return
+	}
+	record := usage.Record{
+		RequestID: r.Ask.RequestID, Attempt: r.Ask.Attempt, Side: usage.SideSidecar, UnixMs: time.Now().UnixMilli(),
+		Owner: r.Ask.Owner, Workspace: r.Ask.Workspace, Class: r.Ask.Class, Model: r.Ask.Model,
+		Service: t.cfg.Service, Upstream: t.cfg.Instance, UpstreamOwner: t.cfg.Owner, Outcome: outcomes[r.Done.Outcome],
+		PromptTokens: uint64(r.Done.PromptTokens), CompletionTokens: uint64(r.Done.CompletionTokens),
+	}
+	if record.PromptTokens == 0 {
+		record.PromptTokens = uint64(r.Ask.PromptTokens)
+	}
+	if r.Done.Outcome != wire.DoneCompleted {
+		record.WastedTokens, record.ChargedTo = record.CompletionTokens, usage.ChargeUpstreamOwner
+		if r.Cancelled {
+			record.ChargedTo = usage.ChargeWorkspace
+		}
+	}
+	t.writer.Add(record, time.Now())
+}
+
+var outcomes = map[wire.DoneOutcome]string{
+	wire.DoneCompleted: "completed", wire.DoneInterrupted: "interrupted", wire.DoneUnknown: "unknown",
+}
--- a/internal/connection/peer/node.go
+++ b/internal/connection/peer/node.go
@@ -148,6 +148,26 @@
 	return n.sessions[instance]
 }
 
+// Post sends a control message to one instance, if there is a session. It does not wait, and the message may be lost.
+func (n *Node) Post(instance string, m wire.Message) {
+	if s := n.Session(instance); s != nil {
+		s.post(m)
+	}
+}
+
+// Instances lists the instances of a role that have a session.
+func (n *Node) Instances(role wire.Role) []string {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	var names []string
+	for name, s := range n.sessions {
+		if s.peer.Role == role {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Broadcast sends a control message on every session. A session that takes no message at once is skipped.
 func (n *Node) Broadcast(m wire.Message) {
 	for _, s := range n.all() {
--- a/internal/connection/upstream/events.go
+++ b/internal/connection/upstream/events.go
@@ -117,6 +117,27 @@
 	return ev, nil
 }
 
+var usageKey = []byte(`"usage":{`)
+
+// StreamUsage finds the usage object in whole server-sent events.
+func StreamUsage(events []byte) (Usage, bool) {
+	if !bytes.Contains(events, usageKey) {
+		return Usage{}, false
+	}
+	var usage Usage
+	found := false
+	reader := NewEventReader(bytes.NewReader(events))
+	for {
+		ev, err := reader.Next()
+		if err != nil {
+			return usage, found
+		}
+		if ev.Usage != nil {
+			usage, found = *ev.Usage, true
+		}
+	}
+}
+
 // ParseUsage reads the usage object of a complete answer; absent counts are 0.
 func ParseUsage(body []byte) Usage {
 	if !bytes.Contains(body, []byte(`"usage"`)) {
--- a/internal/request/attempt/attempt.go
+++ b/internal/request/attempt/attempt.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/connection/upstream"
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
 	"github.com/dragonflypin/dragonflypin/internal/request/retry"
 )
@@ -60,6 +61,9 @@
 	// Accepted is when the entry accepted the request, Deadline when its answer must be complete.
 	Accepted time.Time
 	Deadline time.Time
+	// MayStart is asked before the request is handed to a sidecar; nil allows it always. It stops a process that was
+	// paused for longer than its claim is valid.
+	MayStart func() bool
 }
 
 // End is how an attempt ended.
@@ -99,6 +103,9 @@
 	FirstByte time.Time
 	// Refusals by sidecar.
 	Refusals []Refusal
+	// Tokens is the entry's own count of the streamed completion tokens that arrived, Usage what the stream stated.
+	Tokens uint32
+	Usage  upstream.Usage
 	// Done is the sidecar's final statement.
 	Done wire.Done
 	// Detail explains an end that Done does not.
--- a/internal/request/attempt/bind.go
+++ b/internal/request/attempt/bind.go
@@ -25,6 +25,11 @@
 	ended  bool
 }
 
+// detailClaim tells that the claim of a non-idempotent call was no longer valid when a slot was granted.
+const detailClaim = "claim expired before the start"
+
+func (r *Request) mayStart() bool { return r.MayStart == nil || r.MayStart() }
+
 type event struct {
 	ask *ask
 	m   wire.Message
@@ -54,6 +59,10 @@
 }
 
 func (b *binding) send(up Upstream, number uint32, committed bool) {
+	if !b.req.mayStart() {
+		b.result.End, b.result.Detail = EndCancelled, detailClaim
+		return
+	}
 	st, err := up.Open()
 	if err != nil {
 		b.unreachable(up)
@@ -212,6 +221,11 @@
 		a.drop()
 		return
 	}
+	if !b.req.mayStart() {
+		b.result.End, b.result.Detail = EndCancelled, detailClaim
+		b.cancel()
+		return
+	}
 	b.granted, a.handed = a, true
 	if err := a.st.Send(&wire.Start{Body: b.req.Body}); err != nil {
 		return // the reader reports the broken stream
--- a/internal/request/attempt/relay.go
+++ b/internal/request/attempt/relay.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/connection/upstream"
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
 )
 
@@ -36,6 +37,7 @@
 			if result.FirstByte.IsZero() {
 				result.FirstByte = time.Now()
 			}
+			result.count(m)
 			if !discard {
 				err = sink.Chunk(m)
 			}
@@ -64,6 +66,14 @@
 	result.End, result.Detail = EndInterrupted, detail
 }
 
+// count keeps the entry's own count of tokens.
+func (r *Result) count(c *wire.Chunk) {
+	r.Tokens += c.Tokens
+	if usage, ok := upstream.StreamUsage(c.Data); ok {
+		r.Usage = usage
+	}
+}
+
 // finish applies the sidecar's statement. An answer with fewer chunks than it names is cut.
 func (r *Result) finish(done *wire.Done, seq uint64) {
 	r.Done = *done
--- a/internal/request/attempt/runner.go
+++ b/internal/request/attempt/runner.go
@@ -83,6 +83,9 @@
 		sink.Started(result.Upstream)
 		won.relay(ctx, sink, &result)
 	}
+	if result.End == EndInterrupted && req.Ask.Kind == wire.KindPlain {
+		result.End = EndUnknown // the service may have finished the call
+	}
 	round := Round{Asked: asked, Reason: choice.Reason, Result: result}
 	for _, up := range choice.Targets {
 		round.Targets = append(round.Targets, up.Name())
--- a/internal/request/execute/execute.go
+++ b/internal/request/execute/execute.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -259,12 +260,17 @@
 }
 
 func (e *Executor) serves(model string) bool {
-	for _, m := range e.models {
-		if m == model {
-			return true
-		}
+	return len(e.models) == 0 || slices.Contains(e.models, model)
+}
+
+// AddModel records that the engine has loaded a model.
+func (e *Executor) AddModel(model string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.Contains(e.models, model) {
+		e.models = append(slices.Clone(e.models), model)
+		e.dispatch(time.Now())
 	}
-	return len(e.models) == 0
 }
 
 // displace makes room in a full queue by refusing the newest unprotected ask of a lower tier than j's.
