measure: report the time between tokens next to the time to the first

Cause: the oracle met ttft_target by starting new work and leaving it paused, which the time to the first token alone does not show. Change: token_attainment and full_attainment (both targets) by class; crest_goodput counts responses within both.

--- a/internal/measure/production.go
+++ b/internal/measure/production.go
@@ -79,6 +79,7 @@
 	replace, reask int
 	// saturated is set when a committed ask was refused because its sidecar had no free slot.
 	saturated bool
+	reason    route.Reason
 }
 
 var zones = [3]string{"a", "b", "c"}
@@ -182,6 +183,7 @@
 		})
 		return
 	}
+	d.reason = c.Reason
 	single := p.commit(en, d, r, &c) || p.binding == earlyBinding
 	d.asks[0] = p.ask(now, en, r, c.First, single, tokens)
 	d.asks[1] = nil
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -36,10 +36,12 @@
 // All is the class of lines over all classes.
 const All = "all"
 
-// sample collects the requests of a class over the seeds of a file.
+// sample collects the requests of a class over the seeds of a file. A complete response counts for attainment when its
+// first token came within the row's ttft_target, for token_attainment when its mean time between tokens, pauses
+// included, is within token_target, and for full_attainment and crest_goodput when both hold.
 type sample struct {
 	offered, attained, shed, deadline, pausedForLower int
-	paced, completed, started                         int
+	steady, full, completed, started                  int
 	ttft, shortWait, wait                             []float64
 	tokens, wasted, crestTokens                       float64
 }
@@ -72,12 +74,18 @@
 		return
 	}
 	s.completed++
-	if r.first-r.arrived <= c.TTFTTarget {
+	prompt := r.first-r.arrived <= c.TTFTTarget
+	// A pause counts as time between tokens.
+	steady := float64(r.done-r.first) <= float64(max(0, r.output-1))*float64(c.TokenTarget)+float64(tickInterval)
+	if prompt {
 		s.attained++
-		s.crestTokens += float64(r.crestTokens)
 	}
-	if float64(r.done-r.first) <= float64(max(0, r.output-1))*float64(c.TokenTarget)+float64(tickInterval) {
-		s.paced++
+	if steady {
+		s.steady++
+	}
+	if prompt && steady {
+		s.full++
+		s.crestTokens += float64(r.crestTokens)
 	}
 }
 
@@ -116,6 +124,7 @@
 func (s *sample) merge(o *sample) {
 	s.offered += o.offered
 	s.attained += o.attained
+	s.full += o.full
 	s.shed += o.shed
 	s.tokens += o.tokens
 	s.wasted += o.wasted
@@ -138,7 +147,8 @@
 	}
 	n := float64(m.offered)
 	add("attainment", share(float64(m.attained), n), "share")
-	add("token_attainment", share(float64(m.paced), float64(m.completed)), "share")
+	add("token_attainment", share(float64(m.steady), n), "share")
+	add("full_attainment", share(float64(m.full), n), "share")
 	add("ttft_p99", percentile(m.ttft, 0.99), "s")
 	add("short_wait_p99", percentile(m.shortWait, 0.99), "s")
 	add("wasted_tokens", share(m.wasted, m.tokens), "share")
@@ -158,6 +168,7 @@
 func totalLines(s *scenario, policyName string, m *sample, seeds int) []Line {
 	lines := []Line{
 		{s.name, policyName, All, "attainment", share(float64(m.attained), float64(m.offered)), "share"},
+		{s.name, policyName, All, "full_attainment", share(float64(m.full), float64(m.offered)), "share"},
 		{s.name, policyName, All, "ttft_p99", percentile(m.ttft, 0.99), "s"},
 		{s.name, policyName, All, "short_wait_p99", percentile(m.shortWait, 0.99), "s"},
 		{s.name, policyName, All, "wasted_tokens", share(m.wasted, m.tokens), "share"},
