measure: probe slow upstreams with tolerant requests, less often

Change: requests with a latency target below 3 s are marked so that they probe last, and probes are 10 s to 60 s apart instead of 0.5 s to 4 s.

--- a/internal/measure/production.go
+++ b/internal/measure/production.go
@@ -20,6 +20,10 @@
 
 const (
 	reportInterval = 100 * time.Millisecond
+	// probeTarget is the latency target below which a request is not used as a probe of a slow upstream.
+	probeTarget = 3 * time.Second
+	// probeEvery and probeMax space the probes of a slow upstream, because every probe is a request served slowly.
+	probeEvery, probeMax = 10 * time.Second, time.Minute
 	// promptPerToken is the number of prompt tokens that cost an engine as much as one output token of a stream.
 	promptPerToken = 256
 	evictInterval  = 50 * time.Millisecond
@@ -91,7 +95,7 @@
 		p.sidecars[e.id].reset()
 	}
 	for i := range entries {
-		en := &entry{p: p, picker: route.New(w.start, route.Settings{Zone: zones[i%len(zones)], Seed: uint64(i + 1)})}
+		en := &entry{p: p, picker: route.New(w.start, route.Settings{Zone: zones[i%len(zones)], Seed: uint64(i + 1), ProbeEvery: probeEvery, ProbeMax: probeMax})}
 		for s := range en.crest {
 			en.crest[s] = crest.New(crest.Config{})
 		}
@@ -243,9 +247,10 @@
 
 // routeRequest describes a request to the picker, excluding the upstreams of the given asks and those tried before.
 func (p *production) routeRequest(d *dispatch, r *request, asks ...*ask) *route.Request {
+	row := &p.w.classes[r.class]
 	out := &route.Request{
 		Service: serviceNames[r.service], PrefixHash: r.prefix, Tokens: p.expected(d, r),
-		PrefixTokens: r.prompt / promptPerToken, Protected: p.w.classes[r.class].Protected, Exclude: d.tried,
+		PrefixTokens: r.prompt / promptPerToken, Protected: row.Protected || row.TTFTTarget < probeTarget, Exclude: d.tried,
 	}
 	for i, a := range asks {
 		if a != nil {
