schedule, crest: properties of fairness, floor and protection

Change: a rapid state machine of the scheduler, properties and examples of admission, a test of adaptive concurrency.

--- /dev/null
+++ b/internal/request/admit/crest/crest_test.go
@@ -0,0 +1,182 @@
+package crest
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func request(id uint64, class string, priority uint8) *Request {
+	return &Request{ID: id, Class: class, Priority: priority, Weight: 1, TTFTTarget: time.Second, MaxWait: 10 * time.Second}
+}
+
+// station starts the queued requests of a controller at a fixed rate, highest tier first, as sidecars would.
+type station struct {
+	c     *Controller
+	now   time.Time
+	next  uint64
+	queue [maxPriority + 1][]uint64
+	shed  map[uint64]bool
+	class map[uint64]uint8
+}
+
+func newStation(cfg Config) *station {
+	return &station{c: New(cfg), now: epoch, shed: map[uint64]bool{}, class: map[uint64]uint8{}}
+}
+
+func (s *station) offer(class string, priority uint8, protected bool) Verdict {
+	s.next++
+	r := request(s.next, class, priority)
+	r.Protected = protected
+	v := s.c.Offer(s.now, r)
+	if v.Admitted() {
+		s.queue[priority] = append(s.queue[priority], r.ID)
+		s.class[r.ID] = priority
+	}
+	s.evict()
+	return v
+}
+
+func (s *station) evict() {
+	for x, ok := s.c.Next(s.now); ok; x, ok = s.c.Next(s.now) {
+		s.shed[x.ID] = true
+	}
+}
+
+func (s *station) start() {
+	for p := range s.queue {
+		for len(s.queue[p]) > 0 {
+			id := s.queue[p][0]
+			s.queue[p] = s.queue[p][1:]
+			if !s.shed[id] {
+				s.c.Started(s.now, id)
+				return
+			}
+		}
+	}
+}
+
+// run offers n requests and starts m in every step of 100 ms.
+func (s *station) run(d time.Duration, n, m int, offer func(i int)) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		for i := range n {
+			offer(i)
+		}
+		for range m {
+			s.start()
+		}
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.evict()
+	}
+}
+
+// Guards against refusing work while slots are free.
+func TestUnsaturatedAdmitsEverything(t *testing.T) {
+	s := newStation(Config{})
+	s.run(5*time.Second, 10, 10, func(int) {
+		if v := s.offer("a", 3, false); !v.Admitted() {
+			t.Fatalf("refused without a backlog: %+v", v)
+		}
+	})
+}
+
+// Guards against shedding a higher tier while a lower one is admitted, and against a queue longer than its time bound.
+func TestCrestShedsLowestTierFirst(t *testing.T) {
+	s := newStation(Config{})
+	var refused [maxPriority + 1]int
+	s.run(10*time.Second, 10, 6, func(i int) {
+		p := uint8(2)
+		if i >= 5 {
+			p = 6
+		}
+		if !s.offer(string(rune('a'+p)), p, false).Admitted() {
+			refused[p]++
+		}
+	})
+	for id := range s.shed {
+		refused[s.class[id]]++
+	}
+	// Demand of tier 2 is 50/s and fits the 60/s; tier 6 gets the rest.
+	if refused[2] != 0 || refused[6] < 300 {
+		t.Fatalf("refused %d of tier 2 and %d of tier 6, want 0 and at least 300 of 500", refused[2], refused[6])
+	}
+	if wait := s.c.Wait(s.now, request(0, "g", 6)); wait > 2*time.Second {
+		t.Fatalf("expected wait %v exceeds twice the target", wait)
+	}
+}
+
+// Guards against a Retry-After that sends callers back too early.
+func TestRetryAfterIsTruthful(t *testing.T) {
+	s := newStation(Config{TargetShare: 1, EvictShare: 100})
+	var last Verdict
+	s.run(4*time.Second, 20, 5, func(int) { last = s.offer("a", 2, false) })
+	if last.Admitted() {
+		t.Fatal("admitted at four times the drain rate")
+	}
+	s.run(last.RetryAfter, 0, 5, nil)
+	if v := s.offer("a", 2, false); !v.Admitted() {
+		t.Fatalf("refused again after waiting %v: %+v", last.RetryAfter, v)
+	}
+}
+
+// Guards against shedding protected work, which invariant 1 forbids, whatever the mix of load and service.
+func TestProtectedIsNeverShed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newStation(Config{MaxQueue: 200})
+		drain := rapid.IntRange(0, 10).Draw(t, "drain")
+		protected := rapid.IntRange(1, 3).Draw(t, "protected")
+		tier := uint8(rapid.IntRange(1, 8).Draw(t, "tier"))
+		others := rapid.IntRange(0, 15).Draw(t, "others")
+		mine := map[uint64]bool{}
+		s.run(5*time.Second, protected+others, drain, func(i int) {
+			if i < protected {
+				v := s.offer("p", tier, true)
+				mine[s.next] = true
+				if v.Reason == ReasonSaturated {
+					t.Fatalf("protected request refused: %+v", v)
+				}
+				return
+			}
+			s.offer("o", uint8(1+i%8), false)
+		})
+		for id := range s.shed {
+			if mine[id] {
+				t.Fatalf("protected request %d shed", id)
+			}
+		}
+	})
+}
+
+// Guards against a full queue that refuses high-tier work while it holds low-tier work.
+func TestFullQueueMakesRoomFromTheLowestTier(t *testing.T) {
+	s := newStation(Config{MaxQueue: 2})
+	s.offer("low", 8, false)
+	s.offer("mid", 5, false)
+	if v := s.offer("high", 1, false); !v.Admitted() || !s.shed[1] || s.shed[2] {
+		t.Fatalf("verdict %+v, shed %v, want request 1 shed", v, s.shed)
+	}
+	if v := s.offer("low", 8, false); v.Reason != ReasonFull {
+		t.Fatalf("verdict %+v, want full", v)
+	}
+}
+
+// Guards against queueing work whose caller will be gone before its turn.
+func TestUnreachableDeadlineIsRefused(t *testing.T) {
+	s := newStation(Config{TargetShare: 10})
+	s.run(3*time.Second, 20, 2, func(int) { s.offer("a", 2, true) })
+	r := request(1_000_000, "a", 2)
+	r.Protected, r.Deadline = true, s.now.Add(time.Second)
+	if v := s.c.Offer(s.now, r); v.Reason != ReasonDeadline {
+		t.Fatalf("verdict %+v, want deadline", v)
+	}
+}
--- a/internal/request/schedule/schedule_test.go
+++ b/internal/request/schedule/schedule_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"flag"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -182,3 +184,167 @@
 		}
 	})
 }
+
+// machine drives a Scheduler with random work and keeps what an upstream would know.
+type machine struct {
+	t       *rapid.T
+	s       *Scheduler
+	now     time.Time
+	next    uint64
+	items   map[uint64]Item
+	running map[uint64]bool
+	started map[uint64]bool
+	tokens  map[uint64]int
+}
+
+func (m *machine) enqueue() {
+	m.next++
+	t := m.t
+	it := Item{
+		ID: m.next, Arrived: m.now, PromptTokens: rapid.IntRange(0, 2000).Draw(t, "prompt"),
+		Policy: Policy{
+			Priority: uint8(rapid.IntRange(1, 8).Draw(t, "tier")), Weight: uint16(rapid.IntRange(1, 9).Draw(t, "weight")),
+			TTFTTarget: time.Duration(rapid.IntRange(0, 3).Draw(t, "target")) * time.Second, MaxWait: 20 * time.Second,
+		},
+	}
+	it.Policy.Protected = it.Policy.Priority <= 2
+	it.Class = string(rune('a' + it.Policy.Priority))
+	if rapid.IntRange(0, 9).Draw(t, "bounded") == 0 {
+		it.Deadline = m.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "deadline")) * time.Second)
+	}
+	m.items[it.ID] = it
+	m.s.Enqueue(m.now, it)
+}
+
+func (m *machine) pick() (uint64, bool) {
+	ids := slices.Sorted(maps.Keys(m.running))
+	if len(ids) == 0 {
+		return 0, false
+	}
+	return rapid.SampledFrom(ids).Draw(m.t, "running"), true
+}
+
+func (m *machine) decide() {
+	t := m.t
+	for steps := 0; ; steps++ {
+		if steps > 1000 {
+			t.Fatal("decisions do not come to an end")
+		}
+		d := m.s.Next(m.now)
+		it := m.items[d.ID]
+		switch d.Action {
+		case ActionNone:
+			m.check()
+			return
+		case ActionStart, ActionResume:
+			if (d.Action == ActionResume) != m.started[d.ID] || m.running[d.ID] {
+				t.Fatalf("%d was started twice or resumed without a start", d.ID)
+			}
+			m.running[d.ID], m.started[d.ID] = true, true
+		case ActionPause:
+			if it.Policy.Protected || !m.running[d.ID] {
+				t.Fatalf("paused %+v, protected or not running", it)
+			}
+			delete(m.running, d.ID)
+		case ActionRefuse:
+			if m.started[d.ID] || it.Deadline.IsZero() {
+				t.Fatalf("refused %+v, which ran or has no deadline", it)
+			}
+			delete(m.items, d.ID)
+		}
+		if len(m.running) > m.s.Slots() {
+			t.Fatalf("%d running in %d slots", len(m.running), m.s.Slots())
+		}
+	}
+}
+
+// check looks for protected work that waits behind pausable work of a lower tier, and for unused slots.
+func (m *machine) check() {
+	st := m.s.Stats()
+	waiting := st.Queued + st.Paused
+	if waiting > 0 && st.Running < st.Slots {
+		m.t.Fatalf("%d wait although %d of %d slots are free", waiting, st.Slots-st.Running, st.Slots)
+	}
+	for id, it := range m.items {
+		if m.started[id] || !it.Policy.Protected || st.Paused >= m.s.cfg.MaxPaused {
+			continue
+		}
+		for r := range m.running {
+			j := m.s.jobs[r]
+			if !j.Policy.Protected && j.Policy.Priority > it.Policy.Priority && j.tokens >= j.floorUntil {
+				m.t.Fatalf("protected %+v waits behind %+v", it, j.Item)
+			}
+		}
+	}
+}
+
+// Guards invariants 1 and 2 at a sidecar: protected work is never paused and never waits behind pausable lower tiers,
+// nothing is started twice, slots are neither exceeded nor left unused, and every item that is not refused completes.
+func TestSchedulerStateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{
+			t: t, now: epoch, items: map[uint64]Item{}, running: map[uint64]bool{}, started: map[uint64]bool{}, tokens: map[uint64]int{},
+			s: New(Config{Slots: rapid.IntRange(1, 6).Draw(t, "slots"), MaxPaused: 50, CanPause: true, LongTokens: 200}),
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"enqueue": func(*rapid.T) { m.enqueue(); m.decide() },
+			"tokens": func(t *rapid.T) {
+				if id, ok := m.pick(); ok {
+					m.s.OnTokens(id, rapid.IntRange(1, 300).Draw(t, "n"), m.now)
+					m.decide()
+				}
+			},
+			"done": func(*rapid.T) {
+				if id, ok := m.pick(); ok {
+					m.done(id)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				if len(m.items) > 0 {
+					id := rapid.SampledFrom(slices.Sorted(maps.Keys(m.items))).Draw(t, "id")
+					m.s.Remove(id)
+					delete(m.items, id)
+					delete(m.running, id)
+					m.decide()
+				}
+			},
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+				m.decide()
+			},
+		})
+		for range 10_000 {
+			id, ok := m.pick()
+			if !ok {
+				break
+			}
+			m.done(id)
+		}
+		if len(m.items) > 0 || len(m.s.jobs) > 0 {
+			t.Fatalf("%d items never completed", len(m.items))
+		}
+	})
+}
+
+func (m *machine) done(id uint64) {
+	m.s.OnTokens(id, 10, m.now)
+	m.s.OnDone(id, m.now)
+	delete(m.items, id)
+	delete(m.running, id)
+	m.decide()
+}
+
+// Guards against an engine of unknown capacity that is run slower than its rows' token target, or left half idle.
+func TestConcurrencyFindsCapacity(t *testing.T) {
+	// The interval grows by 2 ms a stream from 20 ms, so 16 streams meet a target of 52 ms.
+	c := NewConcurrency(4, 1, 64)
+	now := epoch
+	for range 120 {
+		n := c.Limit()
+		now = now.Add(time.Second)
+		c.Observe(now, 10*n, 20*time.Millisecond+time.Duration(2*n)*time.Millisecond, 52*time.Millisecond, true)
+	}
+	if n := c.Limit(); n < 12 || n > 17 {
+		t.Fatalf("limit %d, want 12 to 17", n)
+	}
+}
