--- a/internal/measure/baseline.go
+++ b/internal/measure/baseline.go
@@ -70,8 +70,8 @@
 }
 
 func (b *baseline) enqueue(e *engine, r *request) {
-	q := append(b.queues[e.id], r)
-	if b.byPriority {
+	b.queues[e.id] = append(b.queues[e.id], r)
+	if q := b.queues[e.id]; b.byPriority {
 		i := len(q) - 1
 		for i > 0 && b.w.classes[q[i-1].class].Priority > b.w.classes[r.class].Priority {
 			q[i] = q[i-1]
@@ -79,7 +79,6 @@
 		}
 		q[i] = r
 	}
-	b.queues[e.id] = q
 }
 
 func (b *baseline) dispatch(now time.Time, e *engine) {
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -46,6 +46,26 @@
 	engines  []*engine
 	requests []*request
 	open     int
+	// windows counts the tokens by class in windows of shareWindow.
+	windows map[int][]float64
+}
+
+// shareWindow is the time over which the shares of a tier must follow the weights.
+const shareWindow = 10 * time.Second
+
+// count adds generated tokens to the window of at.
+func (w *world) count(at time.Duration, class, n int) {
+	at -= w.scenario.lead()
+	if at < 0 || at >= horizon {
+		return
+	}
+	if w.windows == nil {
+		w.windows = map[int][]float64{}
+	}
+	if w.windows[class] == nil {
+		w.windows[class] = make([]float64, horizon/shareWindow)
+	}
+	w.windows[class][at/shareWindow] += float64(n)
 }
 
 // after runs f once d has passed.
@@ -286,6 +306,7 @@
 		if n := have - s.reported; n > 0 && (tick || done || s.reported == 0) {
 			s.reported = have
 			s.r.tokens = have
+			e.w.count(e.w.since(now), s.r.class, n)
 			if crest {
 				s.r.crestTokens += n
 			}
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"time"
 )
 
@@ -101,7 +102,9 @@
 }
 
 func measure(s scenario, policyName string, seeds []uint64) []Line {
-	classes := workloadClasses()
+	classes := s.rows()
+	shares := make([]float64, len(classes))
+	shareError := make([]float64, len(classes))
 	per := make([]sample, len(classes))
 	for _, seed := range seeds {
 		w := run(s, policyName, seed)
@@ -111,16 +114,61 @@
 			}
 			per[r.class].add(&classes[r.class], r)
 		}
+		addShareErrors(shareError, w)
+		addShares(shares, w, float64(len(seeds)))
 	}
 	var total sample
 	var lines []Line
 	for i := range classes {
 		lines = append(lines, classLines(&s, policyName, &classes[i], &per[i], len(seeds))...)
+		if s.name == WeightedBacklog {
+			lines = append(lines, Line{s.name, policyName, classes[i].Class, "share_error", shareError[i], "share"},
+				Line{s.name, policyName, classes[i].Class, "share_of_weight", shares[i], "ratio"})
+		}
 		total.merge(&per[i])
 	}
 	return append(lines, totalLines(&s, policyName, &total, len(seeds))...)
 }
 
+// addShareErrors raises the errors to the largest relative difference of a class's share of tokens from its weight in
+// any window.
+func addShareErrors(errs []float64, w *world) {
+	weights := 0.0
+	for i := range w.classes {
+		weights += float64(w.classes[i].Weight)
+	}
+	for k := range horizon / shareWindow {
+		all := 0.0
+		for i := range w.classes {
+			if w.windows[i] != nil {
+				all += w.windows[i][k]
+			}
+		}
+		for i := range w.classes {
+			if all > 0 && w.windows[i] != nil {
+				want := float64(w.classes[i].Weight) / weights
+				errs[i] = max(errs[i], math.Abs(w.windows[i][k]/all/want-1))
+			}
+		}
+	}
+}
+
+// addShares adds each class's share of the tokens, relative to its weight, averaged over n runs.
+func addShares(shares []float64, w *world, n float64) {
+	weights, all := 0.0, 0.0
+	sums := make([]float64, len(w.classes))
+	for i := range w.classes {
+		weights += float64(w.classes[i].Weight)
+		for _, v := range w.windows[i] {
+			sums[i] += v
+		}
+		all += sums[i]
+	}
+	for i := range w.classes {
+		shares[i] += share(sums[i], all) / (float64(w.classes[i].Weight) / weights) / n
+	}
+}
+
 func (s *sample) merge(o *sample) {
 	s.offered += o.offered
 	s.attained += o.attained
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -53,7 +53,7 @@
 
 // run simulates one scenario under one policy and returns the world with the ended requests.
 func run(s scenario, policyName string, seed uint64) *world {
-	w := &world{start: time.Now(), scenario: &s, classes: workloadClasses()}
+	w := &world{start: time.Now(), scenario: &s, classes: s.rows()}
 	for service, n := range serviceEngines {
 		for i := range n {
 			w.engines = append(w.engines, &engine{w: w, id: len(w.engines), service: service, zone: i % len(zones), slow: 1, last: w.start})
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// backloggedClasses are classes of one tier with different weights and lengths, each with more demand than its share.
+func backloggedClasses() []class {
+	row := func(name string, weight int) table.Row {
+		return table.Row{
+			Class: name, Owner: "jadestone", Priority: 3, Weight: weight, TTFTTarget: 2 * time.Second,
+			TokenTarget: 52 * time.Millisecond, MaxWait: 20 * time.Second, Timeout: 10 * time.Minute,
+		}
+	}
+	return []class{
+		{row("weight_10", 10), lmPool, 0.25, 400, 100, 0.6, 50},
+		{row("weight_20", 20), lmPool, 0.35, 400, 200, 0.6, 50},
+		{row("weight_50", 50), lmPool, 0.80, 400, 150, 0.6, 50},
+	}
+}
+
 // Long jobs: one request in longOneIn runs longFactor times longer.
 const (
 	longOneIn  = 50
@@ -112,6 +127,8 @@
 	slow, lost  []span
 	slowFactor  float64
 	reportDelay time.Duration
+	// classes replaces the workload's classes.
+	classes []class
 }
 
 // crestSwings raises the load of all classes to factor times the base load, with ramps of one second.
@@ -156,9 +173,13 @@
 			name: "mixed", load: 0.5, swings: append(append([]swing{}, crest...), bursts...),
 			crest: crestWindows(crest, 6), long: true, slow: slow, slowFactor: 5, reportDelay: 5 * s, lost: lost,
 		},
+		{name: WeightedBacklog, load: 2, classes: backloggedClasses()},
 	}
 }
 
+// WeightedBacklog is the scenario in which all classes of one tier are backlogged.
+const WeightedBacklog = "weighted_backlog"
+
 // request is one request of the workload and what became of it.
 type request struct {
 	id             uint64
@@ -203,6 +224,14 @@
 	return c.prompt/prefillRate + output*fullInterval.Seconds()
 }
 
+// rows returns the scenario's classes.
+func (s *scenario) rows() []class {
+	if s.classes != nil {
+		return s.classes
+	}
+	return workloadClasses()
+}
+
 // lead is the time before the measured part.
 func (s *scenario) lead() time.Duration {
 	if s.long {
