Limit allowances: redirect to the new owner, fair shares of permits, pauses

Change: a previous owner names its successor, a handover raises what is known of each entry, a pause of an entry does not count as silence of the owner, permits that others lack are kept for them, and simulated calls time out.

--- a/internal/process/limit/handover.go
+++ b/internal/process/limit/handover.go
@@ -13,6 +13,19 @@
 	until  time.Time
 }
 
+// cession records to whom a key was handed over before the instance list shows the change.
+type cession struct {
+	to    string
+	until time.Time
+}
+
+func (o *Owner) ownerOf(now time.Time, k Key) string {
+	if c, ok := o.ceded[k]; ok && now.Before(c.until) {
+		return c.to
+	}
+	return o.members.owner(k)
+}
+
 func (o *Owner) retire(now time.Time, k Key) {
 	if l := o.ledgers[k]; l != nil {
 		o.retired[k] = retired{ledger: l, until: now.Add(2 * Lifetime)}
@@ -26,8 +39,8 @@
 			delete(o.retired, k)
 		}
 	}
-	for k, until := range o.ceded {
-		if now.After(until) {
+	for k, c := range o.ceded {
+		if now.After(c.until) {
 			delete(o.ceded, k)
 		}
 	}
@@ -51,7 +64,7 @@
 	}
 	if o.members.owner(k) == o.self {
 		o.retire(now, k)
-		o.ceded[k] = now.Add(cedeFor)
+		o.ceded[k] = cession{to: to, until: now.Add(cedeFor)}
 	}
 	r, ok := o.retired[k]
 	if !ok || now.After(r.until) {
@@ -68,7 +81,7 @@
 	h := Handover{Known: true, Lent: true, Limits: l.limits, Requests: l.requests, Tokens: l.tokens}
 	for name, held := range l.holdings {
 		h.Holdings = append(h.Holdings, Held{
-			Instance: name, Requests: held.requests, Tokens: held.tokens, Permits: held.permits, InUse: held.inUse,
+			Instance: name, Requests: held.requests, Tokens: held.tokens, Permits: held.permits, Need: held.need,
 			ValidMs: millis(held.expires.Sub(now)),
 		})
 	}
@@ -145,11 +158,15 @@
 	}
 	l.resumed = false
 	for _, held := range h.Holdings {
-		if l.holdings[held.Instance] == nil {
-			l.holdings[held.Instance] = &holding{
-				requests: held.Requests, tokens: held.Tokens, permits: held.Permits, inUse: held.InUse,
-				contact: now, expires: now.Add(time.Duration(held.ValidMs) * time.Millisecond),
-			}
+		have := l.holdings[held.Instance]
+		if have == nil {
+			have = &holding{contact: now}
+			l.holdings[held.Instance] = have
+		}
+		have.requests, have.tokens = max(have.requests, held.Requests), max(have.tokens, held.Tokens)
+		have.permits, have.need = max(have.permits, held.Permits), max(have.need, held.Need)
+		if until := now.Add(time.Duration(held.ValidMs) * time.Millisecond); until.After(have.expires) {
+			have.contact, have.expires = now, until
 		}
 	}
 }
--- a/internal/process/limit/limit.go
+++ b/internal/process/limit/limit.go
@@ -147,6 +147,10 @@
 	Permits int `cbor:"4,keyasint,omitempty"`
 	// RetryMs is when an unmet demand can be met.
 	RetryMs uint32 `cbor:"5,keyasint,omitempty"`
+	// Scarce is set while some entry lacks permits: unused ones are to be reported in the next batch.
+	Scarce bool `cbor:"6,keyasint,omitempty"`
+	// Owner is the entry that took the key over, with StatusNotOwner; empty if unknown.
+	Owner string `cbor:"7,keyasint,omitempty"`
 }
 
 // Handover is the state of a key that its previous owner gives up.
@@ -168,7 +172,8 @@
 	Requests float64 `cbor:"2,keyasint,omitempty"`
 	Tokens   float64 `cbor:"3,keyasint,omitempty"`
 	Permits  int     `cbor:"4,keyasint,omitempty"`
-	InUse    int     `cbor:"5,keyasint,omitempty"`
+	// Need is the number of requests that run or want a permit.
+	Need int `cbor:"5,keyasint,omitempty"`
 	// ValidMs is the remaining validity.
 	ValidMs uint32 `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/process/limit/local.go
+++ b/internal/process/limit/local.go
@@ -55,8 +55,10 @@
 	accounts map[Key]*account
 	busy     map[string]bool
 	seq      uint64
-	changed  chan struct{}
-	kick     chan struct{}
+	// awakeAt is the last call, resumedAt the end of the last pause of this process.
+	awakeAt, resumedAt time.Time
+	changed            chan struct{}
+	kick               chan struct{}
 }
 
 // account is the state of one key at this entry.
@@ -87,6 +89,8 @@
 	mode mode
 	// known is set while the owner keeps a record of this entry for the key.
 	known bool
+	// scarce is set while the owner wants unused permits back.
+	scarce bool
 	// share* are the buckets of the entry's share, used in the modes other than modeLent.
 	shareRequests, shareTokens float64
 	shareAt                    time.Time
@@ -141,6 +145,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.awake(now)
 	a := l.account(now, k, limits)
 	a.seenRequests++
 	a.seenTokens += float64(tokens)
@@ -200,7 +205,7 @@
 
 func (l *Local) admit(now time.Time, k Key, a *account, tokens int) Decision {
 	a.expire(now)
-	if a.mode == modeLent && a.ownerSilent(now) {
+	if a.mode == modeLent && a.owner != l.set.Self && a.ownerSilent(now, l.resumedAt) {
 		a.enter(now, modeCutOff)
 	}
 	var share Limits
@@ -311,8 +316,19 @@
 	a.expires = time.Time{}
 }
 
-func (a *account) ownerSilent(now time.Time) bool {
-	return !a.askedAt.IsZero() && now.Sub(a.askedAt) >= patience && now.Sub(a.answered) >= patience && a.expires.IsZero()
+// ownerSilent reports that a request has waited for the owner and no allowance is valid. A pause of this process does
+// not count as silence of the owner.
+func (a *account) ownerSilent(now, resumedAt time.Time) bool {
+	return !a.askedAt.IsZero() && now.Sub(a.askedAt) >= patience && now.Sub(resumedAt) >= patience &&
+		now.Sub(a.answered) >= patience && a.expires.IsZero()
+}
+
+// awake notes that the process runs; a gap means that it was paused.
+func (l *Local) awake(now time.Time) {
+	if now.Sub(l.awakeAt) > pauseAfter {
+		l.resumedAt = now
+	}
+	l.awakeAt = now
 }
 
 func (l *Local) wake() {
@@ -333,6 +349,7 @@
 func (l *Local) Collect(now time.Time) []Batch {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.awake(now)
 	var batches []Batch
 	index := make(map[string]int)
 	for k, a := range l.accounts {
@@ -454,6 +471,8 @@
 	switch {
 	case a.waiting > 0, a.mode != modeLent:
 		return true
+	case a.scarce && a.permits > a.inUse:
+		return now.Sub(a.answered) >= Interval
 	case a.giveRequests != 0 || a.giveTokens != 0:
 		return now.Sub(a.answered) >= 5*Interval
 	case a.limits.Requests > 0 && a.requests < requests/2, a.limits.Tokens > 0 && a.tokens < tokens/2:
@@ -486,6 +505,9 @@
 	if a.limits.Concurrency <= 0 {
 		d.Permits, d.Waiting, d.Spare = 0, 0, 0
 	}
+	if a.scarce {
+		d.Spare = 0
+	}
 	a.permits = min(a.permits, a.inUse+d.Waiting+d.Spare)
 	d.Permits = max(a.permits, 0)
 	a.waiting, a.waitTokens, a.needTokens = 0, 0, 0
@@ -503,6 +525,9 @@
 func (a *account) apply(now, sentAt time.Time, d *Demand, g *Grant) {
 	if g.Status != StatusLent && g.Status != StatusTakingOver || !g.valid() {
 		a.giveTokens += math.Min(0, d.ReturnTokens)
+		if g.Owner != "" {
+			a.owner = g.Owner
+		}
 		return
 	}
 	a.answered = now
@@ -519,6 +544,7 @@
 		return
 	}
 	a.leave()
+	a.scarce = g.Scarce
 	a.askedAt = time.Time{}
 	a.denied, a.deniedTo = denial(now, d, g)
 }
--- a/internal/process/limit/overshoot.go
+++ b/internal/process/limit/overshoot.go
@@ -91,6 +91,7 @@
 	batch    Batch
 	at       time.Time
 	answer   *AllowanceGrant
+	failed   bool
 }
 
 type simulation struct {
@@ -262,23 +263,20 @@
 	return false
 }
 
-// deliver handles the calls whose message arrives now.
+// deliver handles the calls whose message arrives now. A call to a stopped process times out at the caller and is
+// still processed when the process resumes.
 func (s *simulation) deliver() {
 	calls := s.calls
 	s.calls = nil
 	for _, c := range calls {
-		switch {
-		case c.at.After(s.now):
-			s.calls = append(s.calls, c)
-		case s.broken(c.from, c.to):
+		if !c.failed && !s.stopped(c.from) && (s.broken(c.from, c.to) || s.now.Sub(c.batch.SentAt) > callTimeout) {
+			c.failed = true
 			c.from.local.Fail(s.now, &c.batch)
-		case c.answer != nil && s.stopped(c.from), c.answer == nil && s.stopped(c.to):
+		}
+		switch {
+		case c.to.dead, c.failed && c.answer != nil, s.broken(c.from, c.to):
+		case c.at.After(s.now), c.answer != nil && s.stopped(c.from), c.answer == nil && s.stopped(c.to):
 			s.calls = append(s.calls, c)
-		case s.now.Sub(c.batch.SentAt) > callTimeout:
-			if c.answer == nil {
-				c.to.owner.Grant(s.now, c.from.name, &c.batch.Request)
-			}
-			c.from.local.Fail(s.now, &c.batch)
 		case c.answer != nil:
 			c.from.local.Apply(s.now, &c.batch, c.answer)
 		default:
--- a/internal/process/limit/owner.go
+++ b/internal/process/limit/owner.go
@@ -15,8 +15,8 @@
 	pauseAfter = time.Second
 	// cancelAfter is when sidecars have cancelled the work of a silent entry.
 	cancelAfter = 3 * time.Second
-	// contendedFor is how long an unmet want for permits limits the other entries to their fair share.
-	contendedFor = time.Second
+	// permitRetry is the Retry-After of a refusal for concurrency.
+	permitRetry = 250 * time.Millisecond
 	// forgetAfter is the idle time after which a key's state equals the initial one: every bucket is full.
 	forgetAfter = time.Minute
 )
@@ -36,7 +36,7 @@
 	// retired are ledgers of keys that another entry owns now; it can ask for them.
 	retired map[Key]retired
 	// ceded are keys that another entry took over before this entry saw the change of members.
-	ceded map[Key]time.Time
+	ceded map[Key]cession
 	// seqs are the last batches by entry.
 	seqs     map[string]uint64
 	lastTick time.Time
@@ -58,16 +58,14 @@
 	// readyAt is when allowances of earlier owners have expired.
 	readyAt time.Time
 	// resumed is set when the process itself was the earlier owner and was paused.
-	resumed        bool
-	holdings       map[string]*holding
-	contendedUntil time.Time
+	resumed  bool
+	holdings map[string]*holding
 }
 
 // holding is what one entry was lent.
 type holding struct {
 	requests, tokens float64
-	permits, inUse   int
-	wants            bool
+	permits, need    int
 	contact, expires time.Time
 }
 
@@ -76,7 +74,7 @@
 	return &Owner{
 		self: self, clock: clock, codec: codec,
 		live: make(map[string]bool), ledgers: make(map[Key]*ledger), retired: make(map[Key]retired),
-		ceded: make(map[Key]time.Time), seqs: make(map[string]uint64),
+		ceded: make(map[Key]cession), seqs: make(map[string]uint64),
 	}
 }
 
@@ -195,9 +193,12 @@
 }
 
 func (o *Owner) grant(now time.Time, from string, d *Demand) Grant {
-	if !d.valid() || o.members.owner(d.key()) != o.self || now.Before(o.ceded[d.key()]) {
+	if !d.valid() {
 		return Grant{Status: StatusNotOwner}
 	}
+	if owner := o.ownerOf(now, d.key()); owner != o.self {
+		return Grant{Status: StatusNotOwner, Owner: owner}
+	}
 	l := o.ledger(now, d)
 	o.prune(now, l)
 	l.refill(now, o.rates(now, l))
@@ -318,8 +319,7 @@
 		l.holdings[from] = h
 	}
 	h.requests, h.tokens, h.permits = d.HeldRequests, d.HeldTokens, max(d.Permits, d.InUse)
-	h.inUse = d.InUse
-	h.wants = d.Waiting > 0
+	h.need = d.InUse + d.Waiting
 	h.contact, h.expires = now, now.Add(Lifetime)
 	return h
 }
@@ -369,49 +369,54 @@
 	}
 }
 
-// lendPermits lends concurrency up to the limit. While some entry lacks permits, each gets at most its fair share, and
-// an entry above it admits nothing until it is below.
+// lendPermits lends concurrency up to the limit. Each entry can have its fair share of it; what others need up to
+// their fair share and do not have is kept for them. An entry with fewer permits than running requests admits nothing.
 func (o *Owner) lendPermits(now time.Time, l *ledger, h *holding, d *Demand, g *Grant) {
 	if l.limits.Concurrency <= 0 {
 		return
 	}
-	used, users := o.permitsOfOthers(now, l, h)
-	limit := l.limits.Concurrency * len(o.members.Live) / o.members.divisor()
-	limit = max(limit, min(1, l.limits.Concurrency))
-	need := d.InUse + d.Waiting
-	want := need + d.Spare
-	if now.Before(l.contendedUntil) {
-		want = min(need, max(1, (limit+users)/(users+1)))
-	}
-	g.Permits = max(0, min(want, limit-used))
-	if g.Permits < need {
-		l.contendedUntil = now.Add(contendedFor)
-		g.RetryMs = max(g.RetryMs, millis(contendedFor/4))
+	limit := max(min(1, l.limits.Concurrency), l.limits.Concurrency*len(o.members.Live)/o.members.divisor())
+	others := o.permitsOfOthers(now, l, h, limit)
+	want := h.need + d.Spare
+	g.Permits = max(0, min(want, max(others.fair, limit-others.lent-others.lacking), limit-others.lent))
+	g.Scarce = others.lacking > 0 || g.Permits < h.need
+	if g.Permits < h.need {
+		g.RetryMs = max(g.RetryMs, millis(permitRetry))
 	}
 	// Until its next report the entry may use what it held when it sent the demand.
 	h.permits = max(g.Permits, d.Permits, d.InUse)
 }
 
-// permitsOfOthers counts what other entries hold, and how many of them use or want permits. A silent entry that is
-// still live falls back to its share and keeps what was running; one that is gone is cancelled by the sidecars.
-func (o *Owner) permitsOfOthers(now time.Time, l *ledger, own *holding) (used, users int) {
+// permits sums up what the entries other than the asking one have of a key.
+type permits struct {
+	// lent cannot be lent again; lacking is missing from their fair shares; fair is the fair share of one entry.
+	lent, lacking, fair int
+}
+
+// permitsOfOthers adds up the permits of other entries. A silent entry that is still live falls back to its share and
+// keeps what was running; one that is gone is cancelled by the sidecars.
+func (o *Owner) permitsOfOthers(now time.Time, l *ledger, own *holding, limit int) permits {
+	users := 1
+	for _, h := range l.holdings {
+		if h != own && h.need > 0 && now.Before(h.expires) {
+			users++
+		}
+	}
+	p := permits{fair: (limit + users - 1) / users}
 	share := (l.limits.Concurrency + o.members.divisor() - 1) / o.members.divisor()
 	for name, h := range l.holdings {
 		switch {
 		case h == own:
 		case now.Before(h.expires):
-			used += h.permits
-			if h.inUse > 0 || h.wants {
-				users++
-			}
+			p.lent += h.permits
+			p.lacking += max(0, min(h.need, p.fair)-h.permits)
 		case o.live[name]:
-			used += max(h.permits, share)
-			users++
+			p.lent += max(h.permits, share)
 		default:
-			used += h.permits
+			p.lent += h.permits
 		}
 	}
-	return used, users
+	return p
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
