directory: validation, key index and follower

Cause: entries need the workspaces and operators by key, and have to survive a store outage and an invalid directory.

--- /dev/null
+++ b/internal/version/directory/directory_test.go
@@ -0,0 +1,114 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/store/storetest"
+)
+
+func sample() *Directory {
+	return &Directory{
+		Operators: []Operator{{Owner: "jadestone", KeySHA256: HashKey("op-j")}, {Owner: "furano", KeySHA256: HashKey("op-f")}},
+		Workspaces: []Workspace{
+			{Name: "shop-1", Owner: "jadestone", KeySHA256: HashKey("k1"), Classes: []string{"chat", "draft"}, DefaultClass: "chat"},
+			{Name: "lot-1", Owner: "furano", KeySHA256: HashKey("k2"), Classes: []string{"cert"}, DefaultClass: "cert"},
+		},
+	}
+}
+
+// Guards against a directory that locks callers out or lets one key name two workspaces.
+func TestValidateNamesEachProblem(t *testing.T) {
+	for want, spoil := range map[string]func(d *Directory){
+		`workspaces[1].key_sha256: the same key is used at workspaces[0].key_sha256`: func(d *Directory) { d.Workspaces[1].KeySHA256 = HashKey("k1") },
+		`workspaces[1].key_sha256: the same key is used at operators[0].key_sha256`:  func(d *Directory) { d.Workspaces[1].KeySHA256 = HashKey("op-j") },
+		`workspaces[0].name: value "Shop 1" is not allowed`:                          func(d *Directory) { d.Workspaces[0].Name = "Shop 1" },
+		`workspaces[1].name: "shop-1" is used at workspaces[0].name already`:         func(d *Directory) { d.Workspaces[1].Name = "shop-1" },
+		`workspaces[0].owner: "nobody" is not an operator`:                           func(d *Directory) { d.Workspaces[0].Owner = "nobody" },
+		`workspaces[0].default_class: "cert" is not one of the workspace's classes`:  func(d *Directory) { d.Workspaces[0].DefaultClass = "cert" },
+		`operators: 0 operators`: func(d *Directory) { d.Operators = nil },
+		`operators[0].key_sha256: must be the SHA-256 of the key as 64 lower-case hex digits`: func(d *Directory) { d.Operators[0].KeySHA256 = "plain-key" },
+	} {
+		d := sample()
+		spoil(d)
+		err := d.Validate()
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+		if err != nil && strings.Contains(err.Error(), "plain-key") {
+			t.Errorf("error shows a key: %v", err)
+		}
+	}
+	if err := sample().Validate(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a key that opens another workspace or the operator API.
+func TestIndexSeparatesKeys(t *testing.T) {
+	x := NewIndex(sample())
+	if w, ok := x.Workspace("k2"); !ok || w.Name != "lot-1" {
+		t.Errorf("workspace of k2: %v, %t", w, ok)
+	}
+	if _, ok := x.Workspace("op-j"); ok {
+		t.Error("an operator key opened a workspace")
+	}
+	if _, ok := x.Operator("k1"); ok {
+		t.Error("a workspace key opened the operator API")
+	}
+	if owner, ok := x.Operator("op-f"); !ok || owner != "furano" {
+		t.Errorf("operator of op-f: %q, %t", owner, ok)
+	}
+	if _, ok := x.Workspace(HashKey("k1")); ok {
+		t.Error("a key's hash was accepted as the key")
+	}
+}
+
+// Guards against losing the directory when the store is down or holds an invalid one, and against missing a new one.
+func TestFollowerKeepsLastValidDirectory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := storetest.New()
+		value, err := json.Marshal(sample())
+		if err != nil {
+			t.Fatal(err)
+		}
+		obj, err := m.Create(t.Context(), Kind, Name, value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var failures atomic.Int32
+		f := NewFollower(m, func(error) { failures.Add(1) })
+		go f.Run(ctx)
+		<-f.Ready()
+		m.SetFaults(storetest.Faults{Outage: true})
+		time.Sleep(2 * refreshEvery)
+		m.SetFaults(storetest.Faults{})
+		obj.Value = []byte(`{"workspaces":[{}]}`)
+		if obj, err = m.Update(t.Context(), obj); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * refreshEvery)
+		if _, ok := f.Current().Workspace("k1"); !ok || failures.Load() == 0 {
+			t.Errorf("workspace known: %t, failures reported: %d", ok, failures.Load())
+		}
+		d := sample()
+		d.Workspaces = d.Workspaces[1:]
+		if obj.Value, err = json.Marshal(d); err != nil {
+			t.Fatal(err)
+		}
+		if _, err = m.Update(t.Context(), obj); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * refreshEvery)
+		if _, ok := f.Current().Workspace("k1"); ok {
+			t.Error("a removed workspace is still accepted")
+		}
+	})
+}
