--- a/internal/version/table/log.go
+++ b/internal/version/table/log.go
@@ -60,25 +60,28 @@
 // Head returns the highest version that follows known, or nil when there is none.
 // Numbers have no gaps, so that a search by doubling finds the end of a log of any length in few reads.
 func (l Log) Head(ctx context.Context, known uint64) (*Version, error) {
-	var head *Version
-	for {
-		next, err := l.After(ctx, known, pageSize)
-		if err != nil {
-			return nil, err
-		}
-		if len(next) > 0 {
-			head = next[len(next)-1]
-		}
-		if len(next) < pageSize {
-			return head, nil
-		}
-		if known, err = l.skip(ctx, head.Number); err != nil {
-			return nil, err
-		}
+	head, full, err := l.last(ctx, known)
+	if err != nil || !full {
+		return head, err
+	}
+	before, err := l.skip(ctx, head.Number)
+	if err != nil {
+		return nil, err
+	}
+	head, _, err = l.last(ctx, before)
+	return head, err
+}
+
+// last returns the last version of one page after known, and whether the page is full.
+func (l Log) last(ctx context.Context, known uint64) (*Version, bool, error) {
+	page, err := l.After(ctx, known, pageSize)
+	if err != nil || len(page) == 0 {
+		return nil, false, err
 	}
+	return page[len(page)-1], len(page) == pageSize, nil
 }
 
-// skip returns the number of an existing version, at most one page before the end.
+// skip returns the number before an existing version that is at most one page before the end.
 func (l Log) skip(ctx context.Context, known uint64) (uint64, error) {
 	low, step := known, uint64(pageSize)
 	for {
@@ -103,7 +106,7 @@
 			high = middle
 		}
 	}
-	return low, nil
+	return low - 1, nil
 }
 
 func (l Log) exists(ctx context.Context, number uint64) (bool, error) {
