peer: no heartbeat while data shows that the peer lives

Cause: a session that streams exchanged a heartbeat and its answer every second although its data and their acknowledgements show the same; at the target nearly every session of an entry streams, and control may take 8 KB/s. Change: the dialler postpones the heartbeat while request streams deliver data; both sides take received QUIC packets, which include acknowledgements, as a sign of life.

--- a/internal/connection/peer/session.go
+++ b/internal/connection/peer/session.go
@@ -55,6 +55,10 @@
 	busy      atomic.Int32
 	busySince atomic.Int64
 	lastHeard atomic.Int64
+	// lastData is when the last message of a request stream arrived.
+	lastData atomic.Int64
+	// packets is the number of QUIC packets received at the last check of silence; only watchSilence uses it.
+	packets uint64
 	suspect   atomic.Bool
 }
 
@@ -241,6 +245,10 @@
 			timer.Reset(max(0, busyHeartbeat-time.Since(last)))
 			continue
 		case <-timer.C:
+			if wait := s.heartbeatWait(time.Now()); wait > 0 {
+				timer.Reset(wait)
+				continue
+			}
 			seq++
 			last = time.Now()
 			m = &wire.Heartbeat{Seq: seq, TableVersion: s.node.tableVersion()}
@@ -260,6 +268,15 @@
 	return idleHeartbeat - time.Duration(rand.Int64N(int64(idleHeartbeat/10)))
 }
 
+// heartbeatWait returns how long the heartbeat of a busy session can wait. Data from the peer makes a heartbeat needless:
+// it shows that the peer lives, and QUIC's acknowledgements of it show the same to the peer.
+func (s *Session) heartbeatWait(now time.Time) time.Duration {
+	if s.busy.Load() == 0 {
+		return 0
+	}
+	return busyHeartbeat - time.Duration(now.UnixNano()-s.lastData.Load())
+}
+
 // watchSilence ends the session when the peer is silent for too long.
 func (s *Session) watchSilence() {
 	timer := time.NewTimer(idleCheck)
@@ -284,6 +301,10 @@
 }
 
 func (s *Session) checkSilence(now time.Time) bool {
+	if n := s.conn.ConnectionStats().PacketsReceived; n != s.packets {
+		s.packets = n
+		s.heard()
+	}
 	heard := s.lastHeard.Load()
 	if s.busy.Load() == 0 {
 		return now.UnixNano()-heard < int64(idleSilence)
--- a/internal/connection/peer/stream.go
+++ b/internal/connection/peer/stream.go
@@ -70,6 +70,7 @@
 	m, err := st.reader.Read()
 	if err == nil {
 		st.session.heard()
+		st.session.lastData.Store(st.session.lastHeard.Load())
 	}
 	return m, err
 }
