load: open-loop load generator

Change: arrivals are drawn from the seed before the run, latencies count from the scheduled time, each answer is compared with what the engine stand-in answers to its prompt, and orders with their idempotency key. Settings files may hold lists of objects.

--- a/internal/app/cli/commands.go
+++ b/internal/app/cli/commands.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jessevdk/go-flags"
 
+	"github.com/dragonflypin/dragonflypin/internal/app/load"
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/standin/engine"
 	"github.com/dragonflypin/dragonflypin/internal/standin/instances"
@@ -54,6 +55,10 @@
 		{name: "explain", short: "Print what happened to one request", long: "Prints what happened to a request and why: class, " +
 			"queue time in milliseconds, the upstream chosen, attempts and outcome. An entry remembers its last 4,096 requests.",
 			data: &explainCommand{operatorOptions: operatorOptions{env: env}}},
+		{name: "load", short: "Send load and report by class", long: "Sends the requests of a workload file at their times, however long " +
+			"answers take, checks every answer's content and reports by class. Times in the report are in milliseconds. " +
+			"Exit status 1 when an answer is wrong or none completed.\n\nWorkload file: " + settings.Help[load.Workload](),
+			data: &loadCommand{env: env}},
 		{name: "version", short: "Print version, commit and Go version", long: "Prints version, commit and Go version.",
 			data: &versionCommand{out: env.out}},
 	}
--- /dev/null
+++ b/internal/app/load/send.go
@@ -0,0 +1,265 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/request/outcome"
+)
+
+// maxAnswer bounds an answer and one line of a stream, in bytes.
+const maxAnswer = 16 << 20
+
+// Outcomes of requests that have none from the router.
+const (
+	outcomeNotSent = "not_sent"
+	outcomeNone    = "no_outcome"
+)
+
+// result is what one request led to.
+type result struct {
+	class   int
+	outcome string
+	code    string
+	// late is how long after its time the request was sent.
+	late time.Duration
+	// first and last are the times to the first and last token, from the scheduled time.
+	first, last time.Duration
+	gaps        []time.Duration
+	tokens      int
+	// wrong says what is wrong with the content of a completed answer, or is empty.
+	wrong string
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type modelRequest struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages,omitempty"`
+	Prompt    string        `json:"prompt,omitempty"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream,omitempty"`
+}
+
+type orderRequest struct {
+	Item string `json:"item"`
+}
+
+// answerBody has the members of every answer and stream event that are checked.
+type answerBody struct {
+	Choices []struct {
+		Message struct{ Content string } `json:"message"`
+		Delta   struct{ Content string } `json:"delta"`
+		Text    string                   `json:"text"`
+	} `json:"choices"`
+	Usage *struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+	Error *struct {
+		Code    string `json:"code"`
+		Outcome string `json:"outcome"`
+	} `json:"error"`
+	OrderID        string `json:"order_id"`
+	IdempotencyKey string `json:"idempotency_key"`
+}
+
+func (a *answerBody) text() string {
+	if len(a.Choices) == 0 {
+		return ""
+	}
+	c := a.Choices[0]
+	return c.Message.Content + c.Delta.Content + c.Text
+}
+
+func (r *request) build(ctx context.Context, target, key, idempotencyKey string) (*http.Request, error) {
+	path, body := "/v1/chat/completions", any(nil)
+	switch r.class.Kind {
+	case KindChat:
+		body = modelRequest{Model: r.class.Model, Messages: []chatMessage{{"user", r.prompt}}, MaxTokens: r.maxTokens, Stream: !r.class.Plain}
+	case KindCompletion:
+		path = "/v1/completions"
+		body = modelRequest{Model: r.class.Model, Prompt: r.prompt, MaxTokens: r.maxTokens, Stream: !r.class.Plain}
+	default:
+		path, body = r.class.Path, orderRequest{Item: r.prompt}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost, strings.TrimRight(target, "/")+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	out.Header.Set("Authorization", "Bearer "+key)
+	out.Header.Set("Content-Type", "application/json")
+	out.Header.Set(outcome.HeaderClass, r.class.Class)
+	if r.class.Kind == KindOrder {
+		out.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	return out, nil
+}
+
+// send runs one request; scheduled is the time at which it should have been sent.
+func (g *generator) send(ctx context.Context, r *request, n int, scheduled time.Time) result {
+	res := result{class: r.index, outcome: outcomeNone, late: time.Since(scheduled)}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(g.workload.Timeout))
+	defer cancel()
+	idempotencyKey := fmt.Sprintf("load-%s-%d", g.run, n)
+	call, err := r.build(ctx, g.targets[n%len(g.targets)], g.keys[r.workspace], idempotencyKey)
+	if err != nil {
+		res.code = "invalid_target"
+		return res
+	}
+	resp, err := g.client.Do(call)
+	if err != nil {
+		res.code = transportCode(err)
+		return res
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if value := resp.Header.Get(outcome.HeaderOutcome); value != "" {
+		res.outcome = value
+	}
+	streamed := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		res.readError(resp.Body)
+	case streamed:
+		res.readStream(resp, r, scheduled)
+	default:
+		res.readPlain(resp, r, scheduled, idempotencyKey)
+	}
+	return res
+}
+
+func transportCode(err error) string {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return "client_timeout"
+	}
+	return "connection_failed"
+}
+
+func (res *result) readError(body io.Reader) {
+	var a answerBody
+	data, _ := io.ReadAll(io.LimitReader(body, maxAnswer))
+	res.code = "unreadable_error"
+	if json.Unmarshal(data, &a) == nil && a.Error != nil {
+		res.code = a.Error.Code
+	}
+}
+
+func (res *result) readPlain(resp *http.Response, r *request, scheduled time.Time, idempotencyKey string) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	res.first = time.Since(scheduled)
+	res.last = res.first
+	var a answerBody
+	if err != nil || json.Unmarshal(data, &a) != nil {
+		res.cut("cut_answer")
+		return
+	}
+	if r.class.Kind == KindOrder {
+		if a.OrderID == "" || a.IdempotencyKey != idempotencyKey {
+			res.wrong = fmt.Sprintf("order answer %q has idempotency key %q", a.OrderID, a.IdempotencyKey)
+		}
+		return
+	}
+	res.tokens = len(strings.Fields(a.text()))
+	res.check(r, a.text(), usageOf(&a))
+}
+
+func (res *result) readStream(resp *http.Response, r *request, scheduled time.Time) {
+	var text strings.Builder
+	usage, done := -1, false
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, 4096), maxAnswer)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var a answerBody
+		if json.Unmarshal([]byte(data), &a) != nil {
+			res.cut("unreadable_event")
+			return
+		}
+		if a.Error != nil {
+			res.outcome, res.code = a.Error.Outcome, a.Error.Code
+			return
+		}
+		if a.Usage != nil {
+			usage = a.Usage.CompletionTokens
+		}
+		if piece := a.text(); piece != "" {
+			text.WriteString(piece)
+			res.token(time.Since(scheduled))
+		}
+	}
+	if value := resp.Trailer.Get(outcome.HeaderOutcome); value != "" {
+		res.outcome = value
+	}
+	if lines.Err() != nil || !done {
+		res.cut("cut_stream")
+		return
+	}
+	if res.outcome == outcomeNone {
+		res.outcome = string(outcome.Completed)
+	}
+	res.check(r, text.String(), usage)
+}
+
+// cut records an answer that ended early, whatever the header said before.
+func (res *result) cut(code string) {
+	res.code = code
+	if res.outcome == string(outcome.Completed) || res.outcome == outcomeNone {
+		res.outcome = string(outcome.Interrupted)
+	}
+}
+
+func (res *result) token(at time.Duration) {
+	if res.tokens == 0 {
+		res.first = at
+	} else {
+		res.gaps = append(res.gaps, at-res.last)
+	}
+	res.last = at
+	res.tokens++
+}
+
+func usageOf(a *answerBody) int {
+	if a.Usage == nil {
+		return -1
+	}
+	return a.Usage.CompletionTokens
+}
+
+// check compares the content with what an engine stand-in answers to the prompt. usage is -1 when none was sent.
+func (res *result) check(r *request, text string, usage int) {
+	words := strings.Fields(text)
+	sum := sha256.Sum256([]byte(r.prompt))
+	switch want := hex.EncodeToString(sum[:8]); {
+	case len(words) == 0:
+		res.wrong = "the answer is empty"
+	case words[0] != want:
+		res.wrong = fmt.Sprintf("the answer begins with %q, not with %q", words[0], want)
+	case usage >= 0 && usage != len(words):
+		res.wrong = fmt.Sprintf("the answer has %d words, its usage says %d", len(words), usage)
+	case len(words) > r.maxTokens:
+		res.wrong = fmt.Sprintf("the answer has %d words, max_tokens is %d", len(words), r.maxTokens)
+	}
+}
--- a/internal/process/settings/help.go
+++ b/internal/process/settings/help.go
@@ -41,6 +41,10 @@
 			list = append(list, fields(field.Type, at, docs)...)
 			continue
 		}
+		if isStructList(field.Type) {
+			list = append(list, fields(field.Type.Elem(), at+"[]", docs)...)
+			continue
+		}
 		value, hasDefault := field.Tag.Lookup(tagDefault)
 		list = append(list, Field{
 			Path: at, Doc: docs[t.Name()+"."+field.Name], Allowed: Allowed(field), Default: value,
--- a/internal/process/settings/load.go
+++ b/internal/process/settings/load.go
@@ -264,12 +264,33 @@
 	if v.Kind() == reflect.Struct {
 		return decodeStruct(v, path, raw)
 	}
+	if isStructList(field.Type) {
+		return decodeList(v, path, raw)
+	}
 	if string(raw) == "null" || json.Unmarshal(raw, v.Addr().Interface()) != nil || !allowed(v, field) {
 		return &Error{Path: path, Value: string(raw), Problem: "must be " + Allowed(field)}
 	}
 	return nil
 }
 
+func isStructList(t reflect.Type) bool {
+	return t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Struct
+}
+
+func decodeList(v reflect.Value, path string, raw []byte) *Error {
+	var items []json.RawMessage
+	if err := json.Unmarshal(raw, &items); err != nil || items == nil {
+		return &Error{Path: path, Value: string(raw), Problem: "must be a list of objects"}
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(items), len(items)))
+	for i, item := range items {
+		if problem := decodeStruct(v.Index(i), fmt.Sprintf("%s[%d]", path, i), item); problem != nil {
+			return problem
+		}
+	}
+	return nil
+}
+
 func allowed(v reflect.Value, field reflect.StructField) bool {
 	switch v.Kind() {
 	case reflect.Int, reflect.Int64:
@@ -346,6 +367,8 @@
 		return "a number" + allowedUnit(field) + allowedRange(field)
 	case field.Type.Kind() == reflect.Bool:
 		return "true or false"
+	case isStructList(field.Type):
+		return "a list of objects"
 	case field.Type.Kind() == reflect.Slice:
 		return "a list of strings that are not empty"
 	default:
--- a/internal/process/settings/load_test.go
+++ b/internal/process/settings/load_test.go
@@ -93,6 +93,25 @@
 	}
 }
 
+type listSettings struct {
+	Items []struct {
+		Rate float64 `json:"rate" min:"1" unit:"requests per second"`
+	} `json:"items"`
+}
+
+// Guards against a bad value inside a list whose message does not say in which element it is.
+func TestListOfObjects(t *testing.T) {
+	for text, message := range map[string]string{
+		`{"items":[{"rate":2},{"rate":0}]}`: "settings: items[1].rate is 0: must be a number of requests per second, at least 1",
+		`{"items":[{"rat":2}]}`:             "settings: items[0].rat is 2: is an unknown field; allowed here are rate",
+		`{"items":{}}`:                      "settings: items is {}: must be a list of objects",
+	} {
+		if _, err := settings.Parse[listSettings]([]byte(text)); err == nil || err.Error() != message {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
 // Guards against an engine sidecar that would serve no model.
 func TestEngineNeedsModels(t *testing.T) {
 	_, err := settings.Parse[settings.Sidecar]([]byte(strings.Replace(sidecarFile, `["tile-lm"]`, `[]`, 1)))
