--- a/internal/version/table/follower.go
+++ b/internal/version/table/follower.go
@@ -22,6 +22,8 @@
 	checkEvery = 3 * time.Second
 	// callTimeout bounds one call to a peer.
 	callTimeout = time.Second
+	// checkHedge is the time after which a check asks another peer as well.
+	checkHedge = 300 * time.Millisecond
 	// startRetry is the wait between two attempts of a starting entry to learn a first version.
 	startRetry = 200 * time.Millisecond
 	// electEvery is the time between two decisions whether this entry watches the store.
@@ -164,14 +166,25 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { f.watchWhileElected(ctx) })
-	timer := time.NewTimer(checkInterval())
-	defer timer.Stop()
+	// Checks run beside the announcements, which must not wait for peers and a store that do not answer.
+	wg.Go(func() { f.checkForever(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-f.wake:
 			f.followAnnounced(ctx)
+		}
+	}
+}
+
+func (f *Follower) checkForever(ctx context.Context) {
+	timer := time.NewTimer(checkInterval())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
 		case <-timer.C:
 			f.check(ctx)
 			timer.Reset(checkInterval())
@@ -317,17 +330,30 @@
 }
 
 // check compares the number in force with a watching entry, and with the store when no peer answers.
+// Peers are asked one after the other at short intervals without giving up the earlier ones.
 func (f *Follower) check(ctx context.Context) {
 	peers := f.peersWatchersFirst()
-	for i, instance := range peers {
-		if i == checkPeers {
-			break
-		}
-		err := f.fetch(ctx, instance)
-		if err == nil {
-			return
+	peers = peers[:min(checkPeers, len(peers))]
+	results := make(chan error, len(peers))
+	asked, failed := 0, 0
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for failed < len(peers) {
+		select {
+		case <-next.C:
+			if asked < len(peers) {
+				instance := peers[asked]
+				go func() { results <- f.fetch(ctx, instance) }()
+				asked++
+				next.Reset(checkHedge)
+			}
+		case err := <-results:
+			if err == nil {
+				return
+			}
+			f.failed("peer", err)
+			failed++
 		}
-		f.failed("peer", err)
 	}
 	f.readStore(ctx)
 }
