schedule: keep the share of a class whose ask is elsewhere; slack only within the share

Change: a class seen within 5 s saves up to 6 mean requests; slack to the target orders only classes that are not ahead.

--- a/internal/request/schedule/lane.go
+++ b/internal/request/schedule/lane.go
@@ -89,6 +89,8 @@
 	// meanTokens is the moving average of the output length.
 	meanTokens float64
 	active     int
+	// seen is the last time at which an item arrived.
+	seen time.Time
 }
 
 // initialTokens is the assumed output length of a class that has not completed a request.
--- a/internal/request/schedule/pick.go
+++ b/internal/request/schedule/pick.go
@@ -67,7 +67,7 @@
 	if j := urgent(tier, now, s.firstToken); j != nil {
 		return j
 	}
-	return s.roundRobin(tier)
+	return s.roundRobin(tier, now)
 }
 
 // resumable returns the paused job of the tier that arrived first, passing over long jobs above their share.
@@ -89,13 +89,13 @@
 }
 
 // urgent returns the queued job with the least slack to its latency target among those that can still meet it, of
-// classes that are not far ahead of their share.
+// classes that have not used more than their share.
 func urgent(tier []*lane, now time.Time, firstToken time.Duration) *job {
 	var best *job
 	var least time.Duration
 	for _, l := range tier {
 		j := l.waiting.head
-		if j == nil || j.Policy.TTFTTarget <= 0 || l.deficit < -borrowRequests*l.meanTokens {
+		if j == nil || j.Policy.TTFTTarget <= 0 || l.deficit < 0 {
 			continue
 		}
 		slack := j.Arrived.Add(j.Policy.TTFTTarget).Sub(now) - firstToken
@@ -114,8 +114,8 @@
 }
 
 // roundRobin returns the head of the next lane with a positive deficit. When no lane has one, all lanes with queued
-// work receive the smallest number of rounds that gives one of them a positive deficit.
-func (s *Scheduler) roundRobin(tier []*lane) *job {
+// or recent work receive the smallest number of rounds that gives one of them a positive deficit.
+func (s *Scheduler) roundRobin(tier []*lane, now time.Time) *job {
 	rounds := -1.0
 	for _, l := range tier {
 		if l.waiting.n == 0 {
@@ -134,8 +134,13 @@
 	}
 	if rounds > 0 {
 		for _, l := range tier {
-			if l.waiting.n > 0 {
+			switch {
+			case l.waiting.n > 0:
 				l.deficit += rounds * l.weight
+			case now.Sub(l.seen) <= creditWindow:
+				l.deficit = max(l.deficit, min(l.deficit+rounds*l.weight, creditRequests*l.meanTokens))
+			default:
+				l.deficit = min(l.deficit, 0)
 			}
 		}
 	}
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -3,8 +3,8 @@
 //
 // Rules, in this order: queued work that cannot meet its deadline is refused; work that has waited for a large part of
 // its MaxWait may use a bounded share of the slots ahead of higher tiers; higher tiers come first; within a tier
-// interrupted work is resumed first, then the work closest to its latency target, as long as its class has not used
-// much more than its share, then weighted shares by deficit round robin over estimated tokens. Long work, known by the
+// interrupted work is resumed first, then the work closest to its latency target of the classes that have not used more
+// than their share, then weighted shares by deficit round robin over estimated tokens. Long work, known by the
 // tokens it has produced, holds a bounded share of the slots while other work waits.
 //
 // A Scheduler has no clock: every call carries the time.
@@ -22,8 +22,11 @@
 	floorQuantum = 64
 	// urgentPoint is the part of the latency target after which waiting work is urgent.
 	urgentPoint = 0.5
-	// borrowRequests bounds how far urgency serves a class ahead of its share, in mean requests of the class.
-	borrowRequests = 2
+	// creditWindow is the time after its last arrival during which a class without queued work still receives its share:
+	// a class that waits at many sidecars often has no ask at the one whose slot becomes free.
+	creditWindow = 5 * time.Second
+	// creditRequests bounds the share saved that way, in mean requests of the class.
+	creditRequests = 6
 	// timingGain is the weight of a new observation in the averages of the upstream's timing.
 	timingGain = 0.1
 	// deadlineShare is the part of the expected output time that must fit before the deadline. Lengths are skewed:
@@ -88,6 +91,7 @@
 		item.Policy.MaxWait = s.cfg.DefaultMaxWait
 	}
 	l := s.lane(&item)
+	l.seen = now
 	j := s.newJob()
 	*j = job{Item: item, lane: l, state: queued, heapIndex: -1}
 	j.due = floorDue(item.Arrived, item.Policy.MaxWait)
@@ -223,9 +227,13 @@
 	}
 }
 
-// settle ends the round of a lane without waiting work, so that an idle class saves up no share and keeps no debt.
+// settle bounds the share saved by a lane without waiting work and ends the debt of an idle one.
 func (s *Scheduler) settle(l *lane) {
-	if l.idle() && (l.deficit > 0 || l.active == 0) {
+	if !l.idle() {
+		return
+	}
+	l.deficit = min(l.deficit, creditRequests*l.meanTokens)
+	if l.active == 0 && l.deficit < 0 {
 		l.deficit = 0
 	}
 }
