--- a/internal/request/route/index.go
+++ b/internal/request/route/index.go
@@ -14,8 +14,12 @@
 	slow list
 	// probeNext is the position in slow where the search for a due probe continues.
 	probeNext int
+	// inflight is the entry's own work at upstreams whose home is this group.
+	inflight int
 	// meanOthers and meanTokens are running means over the group's upstreams and requests.
 	meanOthers, meanTokens float64
+	// reportGap is a running mean of the time between reports of an upstream, in nanoseconds.
+	reportGap float64
 	// perToken is the median time per token in nanoseconds; 0 means unknown.
 	perToken   float64
 	medianAt   int64
@@ -87,7 +91,11 @@
 	for _, m := range models {
 		u.groups = append(u.groups, p.group(groupKey{u.info.Service, m}))
 	}
+	if u.home != nil {
+		u.home.inflight -= u.inflight
+	}
 	u.home = u.groups[min(1, len(u.groups)-1)]
+	u.home.inflight += u.inflight
 	p.reindex(u)
 }
 
--- a/internal/request/route/pick.go
+++ b/internal/request/route/pick.go
@@ -8,6 +8,9 @@
 // commitLoad is the load up to which the body is sent with the ask: above it, another entry may take the last slot.
 const commitLoad = 0.75
 
+// paceTolerance is the difference to the median pace that does not count.
+const paceTolerance = 0.2
+
 // Pick chooses up to two upstreams. It does not allocate.
 func (p *Picker) Pick(now time.Time, r *Request) Choice {
 	p.mu.Lock()
@@ -60,32 +63,52 @@
 	n := 0
 	if r.PrefixHash != 0 {
 		a, b := p.prefix.find(r.PrefixHash)
-		n = p.consider(g, at, r, from, a, n, true)
-		n = p.consider(g, at, r, from, b, n, true)
+		n = p.consider(at, r, from, a, n, true)
+		n = p.consider(at, r, from, b, n, true)
 	}
-	n = p.draw(g, at, r, from, from, p.set.SampleAny, n)
+	n = p.draw(at, r, from, from, p.drawAny(g), n)
 	if from == &g.fast {
-		n = p.draw(g, at, r, from, &g.own, p.set.SampleZone, n)
+		n = p.draw(at, r, from, &g.own, p.set.SampleZone, n)
 	}
 	return n
 }
 
+// drawAny is the number of candidates from all zones. Reports that many entries see and that lag make a large sample
+// harmful, because all choose alike; own work and fresh reports do not.
+func (p *Picker) drawAny(g *group) int {
+	k := p.set.SampleAny + g.ownPart(p.set.SampleOwn)
+	if g.reportGap > 0 && g.reportGap <= float64(freshReport) {
+		k += p.set.SampleFresh
+	}
+	return min(k, maxSample-2-p.set.SampleZone)
+}
+
+// ownPart is k times the part of the group's load that is the entry's own, rounded.
+func (g *group) ownPart(k int) int {
+	own := float64(g.inflight)
+	total := own + g.meanOthers*float64(len(g.fast.ids))
+	if total < 1 {
+		return k
+	}
+	return int(float64(k)*own/total + 0.5)
+}
+
 // draw considers k random members of a list, or all of a list that is not longer than k.
-func (p *Picker) draw(g *group, at int64, r *Request, eligible, l *list, k, n int) int {
+func (p *Picker) draw(at int64, r *Request, eligible, l *list, k, n int) int {
 	if len(l.ids) <= k {
 		for _, id := range l.ids {
-			n = p.consider(g, at, r, eligible, id, n, false)
+			n = p.consider(at, r, eligible, id, n, false)
 		}
 		return n
 	}
 	// A draw can repeat or hit an excluded upstream; twice the number of draws bounds the cost.
 	for want, draws := n+k, 0; n < want && draws < 2*k+MaxExclude; draws++ {
-		n = p.consider(g, at, r, eligible, l.ids[p.random(len(l.ids))], n, false)
+		n = p.consider(at, r, eligible, l.ids[p.random(len(l.ids))], n, false)
 	}
 	return n
 }
 
-func (p *Picker) consider(g *group, at int64, r *Request, eligible *list, id ID, n int, prefix bool) int {
+func (p *Picker) consider(at int64, r *Request, eligible *list, id ID, n int, prefix bool) int {
 	if n >= maxSample || id == None {
 		return n
 	}
@@ -98,7 +121,7 @@
 		return n
 	}
 	c := &p.sample[n]
-	p.fill(c, g, p.ups[id], at)
+	p.fill(c, p.ups[id], at)
 	c.Prefix = prefix
 	if !p.set.Filter.Allow(c, r) {
 		return n
@@ -107,7 +130,7 @@
 	return n + 1
 }
 
-func (p *Picker) fill(c *Candidate, g *group, u *upstream, at int64) {
+func (p *Picker) fill(c *Candidate, u *upstream, at int64) {
 	*c = Candidate{
 		ID: u.id, InFlight: u.inflight, Outstanding: u.outstanding, Slots: max(1, u.slots),
 		MeanTokens: max(1, u.home.meanTokens), PerToken: u.perToken, OwnZone: u.zoneIsOwn,
@@ -119,16 +142,25 @@
 		c.Others += (u.others - c.Others) * half / (half + age)
 		c.fresh = u.others == 0 || at-u.reportAt <= freshReport
 	}
-	if c.PerToken == 0 {
-		if c.PerToken = g.perToken; c.PerToken == 0 {
-			c.PerToken = defaultPerToken
-		}
-	}
+	c.PerToken = u.home.level(c.PerToken)
 	if silence := at - u.lastToken; u.decoding > 0 && silence > stallAfter {
 		c.PerToken = max(c.PerToken, float64(silence))
 	}
 }
 
+// level replaces an unknown pace, or one close to the median, by the median: otherwise the upstream that is faster by
+// chance gets all the work of an idle group.
+func (g *group) level(perToken float64) float64 {
+	median := g.perToken
+	if median == 0 {
+		median = defaultPerToken
+	}
+	if perToken == 0 || (perToken > median*(1-paceTolerance) && perToken < median*(1+paceTolerance)) {
+		return median
+	}
+	return perToken
+}
+
 func committed(c *Candidate) bool {
 	used := float64(c.InFlight) + c.Others
 	return c.fresh && used < float64(c.Slots) && (c.Others < 0.5 || c.Load() <= commitLoad)
--- a/internal/request/route/picker.go
+++ b/internal/request/route/picker.go
@@ -129,11 +129,18 @@
 	Zone string
 	// Seed starts the sampling sequence; entries must use different seeds.
 	Seed uint64
-	// SampleZone and SampleAny are the numbers of candidates drawn from the own zone and from all zones. Default 1 and 2.
+	// SampleZone and SampleAny are the numbers of candidates drawn from the own zone and from all zones when other
+	// entries cause nearly all the load. Default 1 and 1: larger samples of lagging reports made entries choose the
+	// same upstreams.
 	SampleZone, SampleAny int
+	// SampleOwn is added in proportion to the part of the load that is the entry's own and therefore known exactly.
+	// Default 6.
+	SampleOwn int
+	// SampleFresh is added while reports of an upstream follow each other within freshReport. Default 2.
+	SampleFresh int
 	// ZonePenalty multiplies the cost of an upstream in another zone. Default 1.1.
 	ZonePenalty float64
-	// ReportHalfLife is the age at which half of a report's difference from the mean is believed. Default 1 s.
+	// ReportHalfLife is the age at which half of a report's difference from the mean is believed. Default 200 ms.
 	ReportHalfLife time.Duration
 	// SlowBelow and FastAbove are fractions of the peers' median pace: an upstream becomes slow below the first
 	// and is readmitted above the second. Default 0.5 and 0.75.
@@ -152,17 +159,20 @@
 
 func (s Settings) withDefaults() Settings {
 	setInt(&s.SampleZone, 1)
-	setInt(&s.SampleAny, 2)
+	setInt(&s.SampleAny, 1)
+	setInt(&s.SampleOwn, 6)
+	setInt(&s.SampleFresh, 2)
 	setFloat(&s.ZonePenalty, 1.1)
-	setDuration(&s.ReportHalfLife, time.Second)
+	setDuration(&s.ReportHalfLife, 200*time.Millisecond)
 	setFloat(&s.SlowBelow, 0.5)
 	setFloat(&s.FastAbove, 0.75)
 	setDuration(&s.ProbeEvery, 500*time.Millisecond)
 	setDuration(&s.ProbeMax, 4*time.Second)
 	setFloat(&s.PrefixLoad, 1.25)
 	setInt(&s.Prefixes, 16384)
-	s.SampleZone = min(s.SampleZone, maxSample/3)
-	s.SampleAny = min(s.SampleAny, maxSample/3)
+	// Two places of the sample are for upstreams that hold the prefix.
+	s.SampleAny = min(s.SampleAny, (maxSample-2)/2)
+	s.SampleZone = min(s.SampleZone, (maxSample-2)/2)
 	if s.Filter == nil {
 		s.Filter = NotExcluded{}
 	}
@@ -234,6 +244,7 @@
 	defer p.mu.Unlock()
 	if u := p.get(id); u != nil {
 		p.leave(u)
+		u.home.inflight -= u.inflight
 		p.ups[id] = nil
 	}
 }
@@ -274,8 +285,11 @@
 		p.setModels(u, r.Models)
 	}
 	u.others = max(0, float64(r.Running+r.Queued)-float64(u.inflight))
-	u.reportAt = p.nanos(now)
-	u.reported = true
+	at := p.nanos(now)
+	if u.reported {
+		u.home.reportGap += meanAlpha * (float64(at-u.reportAt) - u.home.reportGap)
+	}
+	u.reportAt, u.reported = at, true
 	u.home.meanOthers += meanAlpha * (u.others - u.home.meanOthers)
 	p.setFlag(u, Draining, r.Draining)
 	p.setFlag(u, Unhealthy, !r.Healthy)
@@ -291,6 +305,7 @@
 		return Flight{ended: true}
 	}
 	u.inflight++
+	u.home.inflight++
 	u.outstanding += int64(tokens)
 	u.home.meanTokens += meanAlpha * (float64(tokens) - u.home.meanTokens)
 	return Flight{ID: id, remaining: int64(tokens), last: p.nanos(now)}
@@ -334,6 +349,7 @@
 		return
 	}
 	u.inflight--
+	u.home.inflight--
 	u.outstanding -= f.remaining
 	if f.decoding {
 		u.decoding--
