claim: tests of races, lost entries, outages at each step, retention and paused processes

Change: clusters in virtual time on the in-memory store, whose hook may now change the faults of the same call.

--- a/internal/process/store/storetest/memory.go
+++ b/internal/process/store/storetest/memory.go
@@ -102,6 +102,9 @@
 		if err := hook(op, kind, name); err != nil {
 			return f, err
 		}
+		m.mu.Lock()
+		f = m.faults // the hook may have changed them
+		m.mu.Unlock()
 	}
 	if f.LoseRequests && writes(op) {
 		return f, store.ErrUnknown
--- /dev/null
+++ b/internal/request/claim/claim_test.go
@@ -0,0 +1,554 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/connection/peer"
+	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/internal/process/store/storetest"
+	"github.com/dragonflypin/dragonflypin/internal/request/outcome"
+)
+
+// cluster is a number of entries on one store, connected in memory.
+type cluster struct {
+	store *storetest.Memory
+	ctx   context.Context
+	wg    sync.WaitGroup
+
+	mu      sync.Mutex
+	entries map[string]*entryProcess
+	// listed are the names in the instance list, which may lag.
+	listed []string
+	cut    func(from, to, method string) bool
+	// runs counts executions by key.
+	runs map[string]int
+}
+
+type entryProcess struct {
+	*Log
+	stop context.CancelFunc
+}
+
+func newCluster(ctx context.Context) *cluster {
+	return &cluster{
+		store: storetest.New(), ctx: ctx, entries: map[string]*entryProcess{}, runs: map[string]int{},
+		cut: func(string, string, string) bool { return false },
+	}
+}
+
+func (c *cluster) start(t testing.TB, name string, change func(*Options)) *entryProcess {
+	o := Options{
+		Instance: name, Client: c.store, Caller: &clusterCaller{cluster: c, self: name}, Members: c.members,
+		Shards: 2, WritesPerSecond: 1000,
+	}
+	if change != nil {
+		change(&o)
+	}
+	l, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(c.ctx)
+	e := &entryProcess{Log: l, stop: stop}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries[name] = e
+	c.listed = append(c.listed, name)
+	c.wg.Go(func() { l.Run(ctx) })
+	return e
+}
+
+func (c *cluster) members() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.listed...)
+}
+
+// kill ends a process; the instance list still shows it.
+func (c *cluster) kill(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries[name].stop()
+	delete(c.entries, name)
+}
+
+func (c *cluster) unlist(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, n := range c.listed {
+		if n == name {
+			c.listed = append(c.listed[:i:i], c.listed[i+1:]...)
+			return
+		}
+	}
+}
+
+func (c *cluster) setCut(cut func(from, to, method string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+}
+
+// run executes the call of a key.
+func (c *cluster) run(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs[key]++
+}
+
+func (c *cluster) ran(key string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[key]
+}
+
+type clusterCaller struct {
+	cluster *cluster
+	self    string
+}
+
+func (c *clusterCaller) Call(ctx context.Context, instance, method string, payload []byte) ([]byte, error) {
+	time.Sleep(time.Millisecond)
+	c.cluster.mu.Lock()
+	e, cut := c.cluster.entries[instance], c.cluster.cut
+	c.cluster.mu.Unlock()
+	if e == nil || cut(c.self, instance, method) {
+		return nil, peer.ErrUnreachable
+	}
+	data, err := e.Handlers()[method](ctx, peer.Identity{Role: wire.RoleEntry, Instance: c.self}, payload)
+	if err != nil {
+		return nil, &peer.RemoteError{Message: err.Error()}
+	}
+	if cut(instance, c.self, method) {
+		return nil, peer.ErrUnreachable
+	}
+	return data, nil
+}
+
+var attempts atomic.Int64
+
+func key(value string) Key { return Key{Workspace: "shop-1", Service: "order-svc", Value: value} }
+
+var body = BodyHash("POST", "/orders", []byte("{}"))
+
+// order is what an entry does for one request: claim, run once if granted, finish.
+func (c *cluster) order(e *entryProcess, value string) (State, error) {
+	attempt := fmt.Sprintf("attempt-%d", attempts.Add(1))
+	state, err := e.Claim(c.ctx, key(value), body, attempt)
+	if err == nil && state.Status == Granted && state.MayStart(time.Now()) {
+		c.run(value)
+		ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+		defer cancel()
+		_ = e.Finish(ctx, key(value), attempt, Result{Outcome: outcome.Completed, Status: 201, Body: []byte(value)})
+	}
+	return state, err
+}
+
+func inCluster(t *testing.T, names []string, test func(c *cluster, e []*entryProcess)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(ctx)
+		defer c.wg.Wait()
+		defer cancel()
+		var entries []*entryProcess
+		for _, name := range names {
+			entries = append(entries, c.start(t, name, nil))
+		}
+		test(c, entries)
+	})
+}
+
+func wantStatus(t *testing.T, state State, err error, want Status) {
+	t.Helper()
+	if err != nil || state.Status != want {
+		t.Fatalf("got %s, %v; want %s", state.Status, err, want)
+	}
+}
+
+// owners returns the entry that owns the key's shard and another one.
+func owners(entries []*entryProcess, value string) (owner, other *entryProcess) {
+	name := entries[0].owner(entries[0].shardOf(key(value).digest()))
+	for _, e := range entries {
+		if e.opt.Instance == name {
+			owner = e
+		} else {
+			other = e
+		}
+	}
+	return owner, other
+}
+
+var pair = []string{"entry-a", "entry-b"}
+
+// Guards against two executions, or none, when the same key arrives at two entries at once.
+func TestSameKeyThroughTwoEntries(t *testing.T) {
+	inCluster(t, pair, func(c *cluster, e []*entryProcess) {
+		for i := range 50 {
+			value := fmt.Sprintf("key-%d", i)
+			var wg sync.WaitGroup
+			for n := range 6 {
+				wg.Go(func() {
+					if _, err := c.order(e[n%2], value); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			wg.Wait()
+			if c.ran(value) != 1 {
+				t.Errorf("%s ran %d times", value, c.ran(value))
+			}
+			for _, entry := range e {
+				state, err := c.order(entry, value)
+				wantStatus(t, state, err, Finished)
+				if string(state.Result.Body) != value || state.Result.Status != 201 || state.Result.Outcome != outcome.Completed {
+					t.Errorf("kept result: %+v", state.Result)
+				}
+			}
+		}
+	})
+}
+
+// Guards against answering a key with the response of another call.
+func TestSameKeyOtherBodyIsRefused(t *testing.T) {
+	inCluster(t, pair, func(c *cluster, e []*entryProcess) {
+		_, err := c.order(e[0], "k")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, entry := range e {
+			state, err := entry.Claim(c.ctx, key("k"), BodyHash("POST", "/orders", []byte("{1}")), "other-body")
+			wantStatus(t, state, err, Mismatch)
+		}
+	})
+}
+
+// Guards against running a call again, or calling it active without end, when its entry is lost before the answer.
+func TestEntryLostAfterClaim(t *testing.T) {
+	inCluster(t, []string{"entry-a", "entry-b", "entry-c"}, func(c *cluster, e []*entryProcess) {
+		state, err := e[0].Claim(c.ctx, key("k"), body, "lost")
+		wantStatus(t, state, err, Granted)
+		state, err = c.order(e[1], "k")
+		wantStatus(t, state, err, Active)
+		c.kill("entry-a")
+		c.unlist("entry-a")
+		time.Sleep(2 * time.Second)
+		state, err = c.order(e[1], "k")
+		wantStatus(t, state, err, Unknown)
+		// A new process of the same name does not know whether the old one has run the call.
+		again := c.start(t, "entry-a", nil)
+		state, err = c.order(again, "k")
+		if err != nil || state.Status == Granted {
+			t.Errorf("new process of the same name: %s, %v", state.Status, err)
+		}
+		if c.ran("k") != 0 {
+			t.Errorf("ran %d times", c.ran("k"))
+		}
+	})
+}
+
+// Guards against a key that stays claimed after its call was proved not to have run.
+func TestNotRunGivesKeyBack(t *testing.T) {
+	inCluster(t, pair, func(c *cluster, e []*entryProcess) {
+		state, err := e[0].Claim(c.ctx, key("k"), body, "first")
+		wantStatus(t, state, err, Granted)
+		if err := e[0].Finish(c.ctx, key("k"), "first", Result{Outcome: outcome.NotRun}); err != nil {
+			t.Fatal(err)
+		}
+		state, err = c.order(e[1], "k")
+		wantStatus(t, state, err, Granted)
+		for _, entry := range e {
+			if _, err = entry.Claim(c.ctx, key("k"), body, "first"); !errors.Is(err, ErrAbandoned) {
+				t.Errorf("an attempt that was given back claimed again: %v", err)
+			}
+		}
+	})
+}
+
+// Guards against running a call whose claim is not in the log, and against a key that is lost to an outage, with the
+// outage at each step of the claim.
+func TestOutageAtEachStep(t *testing.T) {
+	steps := map[string]func(c *cluster){
+		"before":       func(c *cluster) { c.store.SetFaults(storetest.Faults{Outage: true}) },
+		"answer lost":  func(c *cluster) { c.store.SetFaults(storetest.Faults{LoseAnswers: true}) },
+		"request lost": func(c *cluster) { c.store.SetFaults(storetest.Faults{LoseRequests: true}) },
+		"throttled": func(c *cluster) {
+			c.store.SetHook(func(store.Op, string, string) error { return store.ErrThrottled })
+		},
+		"slow":              func(c *cluster) { c.store.SetFaults(storetest.Faults{Delay: 5 * time.Second}) },
+		"applied, then out": func(c *cluster) { outAfter(c, store.OpCreate, store.ErrUnknown, true) },
+		"lost, then out":    func(c *cluster) { outAfter(c, store.OpCreate, store.ErrUnknown, false) },
+		"conflict, no read": func(c *cluster) { outAfter(c, store.OpCreate, store.ErrConflict, false) },
+	}
+	for name, fail := range steps {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, pair, func(c *cluster, e []*entryProcess) {
+				for _, value := range []string{"k1", "k2", "k3", "k4"} {
+					for _, entry := range e {
+						fail(c)
+						state, err := c.order(entry, value)
+						granted := err == nil && state.Status == Granted
+						if granted && c.ran(value) != 1 || !granted && err == nil && c.ran(value) == 0 {
+							t.Errorf("%s: %s, %v, ran %d times", value, state.Status, err, c.ran(value))
+						}
+						c.store.SetHook(nil)
+						c.store.SetFaults(storetest.Faults{})
+						time.Sleep(10 * time.Second)
+						state, err = c.order(entry, value)
+						if err != nil || state.Status != Granted && state.Status != Finished {
+							t.Errorf("%s after the outage: %s, %v; want granted or finished", value, state.Status, err)
+						}
+						if c.ran(value) != 1 {
+							t.Errorf("%s ran %d times", value, c.ran(value))
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// outAfter makes the next write fail with an error, after taking effect or not, and everything after it unavailable.
+func outAfter(c *cluster, op store.Op, class error, applied bool) {
+	var done atomic.Bool
+	c.store.SetHook(func(o store.Op, _, _ string) error {
+		if done.Load() {
+			return store.ErrUnavailable
+		}
+		if o != op {
+			return nil
+		}
+		done.Store(true)
+		if applied {
+			c.store.SetFaults(storetest.Faults{LoseAnswers: true})
+			return nil
+		}
+		return class
+	})
+}
+
+// Guards against two executions when the owner entry does not answer, or its answer is lost after it has written.
+func TestOwnerUnreachable(t *testing.T) {
+	for name, lost := range map[string]func(owner string) func(from, to, method string) bool{
+		"request lost": func(owner string) func(string, string, string) bool {
+			return func(_, to, _ string) bool { return to == owner }
+		},
+		"answer lost": func(owner string) func(string, string, string) bool {
+			return func(from, _, _ string) bool { return from == owner }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, pair, func(c *cluster, e []*entryProcess) {
+				owner, other := owners(e, "k")
+				c.setCut(lost(owner.opt.Instance))
+				state, err := c.order(other, "k")
+				wantStatus(t, state, err, Granted)
+				state, err = c.order(owner, "k")
+				wantStatus(t, state, err, Finished)
+				if c.ran("k") != 1 {
+					t.Errorf("ran %d times", c.ran("k"))
+				}
+			})
+		})
+	}
+}
+
+// Guards against keeping a response without bound and against refusing the outcome of a long one.
+func TestLongResultKeepsOutcome(t *testing.T) {
+	inCluster(t, pair, func(c *cluster, e []*entryProcess) {
+		state, err := e[0].Claim(c.ctx, key("k"), body, "a")
+		wantStatus(t, state, err, Granted)
+		long := Result{Outcome: outcome.Completed, Status: 201, Body: make([]byte, MaxResultBody+1)}
+		if err := e[0].Finish(c.ctx, key("k"), "a", long); err != nil {
+			t.Fatal(err)
+		}
+		state, err = c.order(e[1], "k")
+		wantStatus(t, state, err, Finished)
+		if !state.Result.Dropped || state.Result.Body != nil || state.Result.Outcome != outcome.Completed || state.Result.Status != 201 {
+			t.Errorf("kept result: %+v", state.Result)
+		}
+	})
+}
+
+// retained starts an entry that forgets keys after 5 minutes.
+func retained(c *cluster, t *testing.T, name string) *entryProcess {
+	return c.start(t, name, func(o *Options) {
+		o.Retention, o.RunTimeout, o.Shards = 5*time.Minute, time.Minute, 1
+	})
+}
+
+// Guards against a log that grows without end, keys that are forgotten too early, and a log without its last number.
+func TestRetention(t *testing.T) {
+	inCluster(t, nil, func(c *cluster, _ []*entryProcess) {
+		e := retained(c, t, "entry-a")
+		for i := range 60 { // an hour
+			if _, err := c.order(e, fmt.Sprintf("k-%d", i)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Minute)
+			if i >= 4 {
+				state, err := c.order(e, fmt.Sprintf("k-%d", i-3)) // 4 minutes old
+				wantStatus(t, state, err, Finished)
+			}
+		}
+		objs, err := c.store.List(c.ctx, Kind, "", "", 0)
+		if err != nil || len(objs) == 0 || len(objs) > 30 {
+			t.Errorf("%d batches remain, %v; want at most 30 of 120", len(objs), err)
+		}
+		if n := len(e.shards[0].state.keys); n > 10 {
+			t.Errorf("%d keys are remembered, want at most 10 of 60", n)
+		}
+		state, err := c.order(e, "k-0")
+		wantStatus(t, state, err, Granted)
+		// A new process continues the same numbers and knows the same keys.
+		c.kill("entry-a")
+		c.unlist("entry-a")
+		other := retained(c, t, "entry-b")
+		state, err = c.order(other, "k-0")
+		wantStatus(t, state, err, Finished)
+		time.Sleep(time.Hour)
+		if _, err = c.order(other, "k-1"); err != nil {
+			t.Fatal(err)
+		}
+		last, err := c.store.List(c.ctx, Kind, "", objs[len(objs)-1].Name, 0)
+		if err != nil || len(last) == 0 {
+			t.Errorf("no number follows %s: %v", objs[len(objs)-1].Name, err)
+		}
+	})
+}
+
+// Guards against a second execution through a process that was paused for longer than the retention: its next number
+// was used by others and deleted in the meantime, so that the store lets it create the number again.
+func TestPausedWriterCannotGrant(t *testing.T) {
+	inCluster(t, nil, func(c *cluster, _ []*entryProcess) {
+		paused := retained(c, t, "entry-a")
+		if _, err := c.order(paused, "before"); err != nil {
+			t.Fatal(err)
+		}
+		c.unlist("entry-a")
+		var release atomic.Bool
+		gate := make(chan struct{})
+		paused.shards[0].log.opt.Client = &pausedClient{Client: c.store, gate: gate, armed: &release}
+		release.Store(true)
+		type result struct {
+			state State
+			err   error
+		}
+		woken := make(chan result, 1)
+		go func() {
+			// The claim's caller waits as long as the process is paused.
+			s, _, err := paused.shards[0].claim(c.ctx, entry{
+				Op: opClaim, Key: key("contested").digest(), Attempt: "paused", Body: body, Claimant: paused.claimant,
+				DeadlineMs: time.Now().Add(time.Hour).UnixMilli(),
+			})
+			woken <- result{s, err}
+		}()
+		other := retained(c, t, "entry-b")
+		time.Sleep(time.Second)
+		if _, err := c.order(other, "contested"); err != nil {
+			t.Fatal(err)
+		}
+		for i := range 20 { // the batches at the paused process's number are deleted
+			if _, err := c.order(other, fmt.Sprintf("k-%d", i)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Minute)
+		}
+		if _, err := c.order(other, "contested"); err != nil { // forgotten and granted again, which starts its retention
+			t.Fatal(err)
+		}
+		ran := c.ran("contested")
+		close(gate)
+		r := <-woken
+		if r.err == nil && r.state.Status == Granted {
+			t.Errorf("the paused process was granted a key that others hold")
+		}
+		// The batch that the paused process created below the log's begin must not change what others know.
+		fresh := retained(c, t, "entry-c")
+		state, err := c.order(fresh, "contested")
+		wantStatus(t, state, err, Finished)
+		if c.ran("contested") != ran {
+			t.Errorf("ran %d times more", c.ran("contested")-ran)
+		}
+	})
+}
+
+// pausedClient holds the next creation until the gate opens, as a process that is paused before its send.
+type pausedClient struct {
+	store.Client
+	gate  chan struct{}
+	armed *atomic.Bool
+}
+
+func (p *pausedClient) Create(ctx context.Context, kind, name string, value []byte) (store.Object, error) {
+	if p.armed.CompareAndSwap(true, false) {
+		<-p.gate
+		// The paused process's own deadline has not passed by its clock.
+		ctx = context.WithoutCancel(ctx)
+	}
+	return p.Client.Create(ctx, kind, name, value)
+}
+
+// Guards against a caller that starts a call long after the grant because the process was paused in between.
+func TestGrantExpires(t *testing.T) {
+	inCluster(t, pair, func(c *cluster, e []*entryProcess) {
+		state, err := e[0].Claim(c.ctx, key("k"), body, "a")
+		wantStatus(t, state, err, Granted)
+		if !state.MayStart(time.Now()) {
+			t.Error("a fresh grant may not be started")
+		}
+		time.Sleep(DefaultRunTimeout)
+		if state.MayStart(time.Now()) {
+			t.Error("an old grant may be started")
+		}
+	})
+}
+
+// Guards against claims of another entry's name, and against unbounded or empty keys.
+func TestForeignClaimantAndKeysAreRefused(t *testing.T) {
+	inCluster(t, pair, func(c *cluster, e []*entryProcess) {
+		payload, err := wire.Marshal(claimRequest{Entry: entry{Op: opClaim, Claimant: "entry-b/1", Attempt: "x"}, RemainingMs: 1000})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := e[0].handleClaim(c.ctx, peer.Identity{Instance: "entry-c"}, payload); err == nil {
+			t.Error("a claim in the name of another entry was accepted")
+		}
+		for _, value := range []string{"", string(make([]byte, MaxKey+1))} {
+			if _, err := e[0].Claim(c.ctx, key(value), body, "a"); err == nil {
+				t.Errorf("a key of %d bytes was accepted", len(value))
+			}
+		}
+	})
+}
+
+// Guards against readers that give a key to another attempt than the first when a batch holds claims that its writer
+// should not have written, and against given-up attempts that come back.
+func TestReplayGrantsOnce(t *testing.T) {
+	k := key("k").digest()
+	r := newReplay()
+	r.apply(1, &batch{Entries: []entry{{Op: opRelease, Key: k, Attempt: "late"}, {Op: opClaim, Key: k, Attempt: "late"}}})
+	if r.keys[k] != nil {
+		t.Error("an attempt was granted after it had been given up")
+	}
+	r.apply(2, &batch{Entries: []entry{{Op: opClaim, Key: k, Attempt: "first"}, {Op: opClaim, Key: k, Attempt: "second"}}})
+	r.apply(3, &batch{Entries: []entry{
+		{Op: opClaim, Key: k, Attempt: "third"},
+		{Op: opRelease, Key: k, Attempt: "second"},
+		{Op: opFinish, Key: k, Attempt: "third", Result: &Result{Outcome: outcome.Completed}},
+	}})
+	if rec := r.keys[k]; rec == nil || rec.attempt != "first" || rec.finished {
+		t.Errorf("record after two claims, a release and a finish of others: %+v", rec)
+	}
+	r.apply(4, &batch{Horizon: 3})
+	if r.keys[k] != nil || len(r.given) != 1 {
+		t.Errorf("after the horizon: %+v, given up %v", r.keys[k], r.given)
+	}
+}
