claim: outage tests cover both the owner of a shard and other entries

Cause: without the release of a refused claim at its own entry the tests still passed, as all keys belonged to one owner. Change: each key is tried at the owner and at another entry. Conclusion: both paths are covered.

--- a/internal/request/claim/claim_test.go
+++ b/internal/request/claim/claim_test.go
@@ -290,8 +290,9 @@
 	for name, fail := range steps {
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, pair, func(c *cluster, e []*entryProcess) {
-				for _, value := range []string{"k1", "k2", "k3", "k4"} {
-					for _, entry := range e {
+				for _, prefix := range []string{"k1", "k2", "k3", "k4"} {
+					for _, entry := range e { // one of them owns the key's shard
+						value := prefix + entry.opt.Instance
 						fail(c)
 						state, err := c.order(entry, value)
 						granted := err == nil && state.Status == Granted
