Entry: operator API, fleet status, directory follower; tests of claims, limits and usage

Change: the entry serves the operator API by default, asks the other entries for status and explain, uses the shared directory follower, counts first attempts in the retry budget; readiness needs a table and a directory.

--- a/internal/app/entry/control.go
+++ b/internal/app/entry/control.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/peer"
@@ -16,16 +14,12 @@
 	"github.com/dragonflypin/dragonflypin/internal/process/membership"
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
 	"github.com/dragonflypin/dragonflypin/internal/process/usage"
-	"github.com/dragonflypin/dragonflypin/internal/request/admit"
 	"github.com/dragonflypin/dragonflypin/internal/request/claim"
 	"github.com/dragonflypin/dragonflypin/internal/version/directory"
 	"github.com/dragonflypin/dragonflypin/internal/version/table"
 )
 
 const (
-	// directoryKind and directoryName are the store object of the directory.
-	directoryKind = "directory"
-	directoryName = "current"
 	// flushTimeout bounds the shipping of the last usage records of a graceful shutdown.
 	flushTimeout = 10 * time.Second
 )
@@ -33,8 +27,7 @@
 // control is what the entry knows and keeps beside the requests: table, directory, limits, claims and usage.
 type control struct {
 	follower  *table.Follower
-	keys      atomic.Pointer[admit.Keys]
-	dirSeen   atomic.Uint64
+	directory *directory.Follower
 	owner     *limit.Owner
 	local     *limit.Local
 	claims    *claim.Log
@@ -47,7 +40,7 @@
 func (t *T) newControl() {
 	codec := limit.Codec{Marshal: wire.Marshal, Unmarshal: wire.Unmarshal}
 	c := &t.control
-	c.keys.Store(admit.NewKeys(&directory.Directory{}))
+	c.directory = directory.NewFollower(t.deps.Store, t.storeError)
 	c.follower = table.NewFollower(table.FollowerOptions{
 		Instance: t.cfg.Instance, Zone: t.cfg.Zone, Client: t.deps.Store, Peers: entryPeers{t}, Events: tableEvents{t},
 	})
@@ -99,8 +92,7 @@
 // background returns what runs beside the servers until the end of the drain.
 func (t *T) background() []func(context.Context) {
 	c := &t.control
-	feed := store.Feed{Client: t.deps.Store, Kind: directoryKind, OnObjects: t.onDirectory, OnGap: t.readDirectory, OnError: t.storeError}
-	return []func(context.Context){t.tracker.Run, t.followMembers, c.follower.Run, feed.Run, c.local.Run, c.claims.Run, c.shipper.Run}
+	return []func(context.Context){t.tracker.Run, t.followMembers, c.follower.Run, c.directory.Run, c.local.Run, c.claims.Run, c.shipper.Run}
 }
 
 // flush ships the usage records of a graceful shutdown.
@@ -123,36 +115,6 @@
 	}
 }
 
-// readDirectory reads the current directory; a missing one leaves the known one.
-func (t *T) readDirectory(ctx context.Context) error {
-	obj, err := t.deps.Store.Get(ctx, directoryKind, directoryName)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	t.onDirectory([]store.Object{obj})
-	return nil
-}
-
-// onDirectory puts a newer directory in force. An invalid one leaves the known one.
-func (t *T) onDirectory(objs []store.Object) {
-	for _, obj := range objs {
-		if obj.Name != directoryName || obj.Deleted || obj.Version <= t.control.dirSeen.Load() {
-			continue
-		}
-		var d directory.Directory
-		if err := json.Unmarshal(obj.Value, &d); err != nil {
-			t.log.Emit(eventlog.TableInvalid, eventlog.Name(directoryKind), eventlog.Err(err))
-			continue
-		}
-		t.control.dirSeen.Store(obj.Version)
-		t.control.keys.Store(admit.NewKeys(&d))
-		t.log.Emit(eventlog.DirectoryInForce, eventlog.Version(obj.Version))
-	}
-}
-
 // row returns the row of a class in the version in force.
 func (t *T) row(class string) (table.Row, bool) {
 	current := t.control.follower.Current()
@@ -249,6 +211,3 @@
 func (e tableEvents) TableForked(instance string, number uint64) {
 	e.t.log.Emit(eventlog.TableInvalid, eventlog.Peer(instance), eventlog.Version(number), eventlog.Reason("fork"))
 }
-
-// Follower holds the table in force, for the operator API.
-func (t *T) Follower() *table.Follower { return t.control.follower }
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -41,7 +41,7 @@
 	Credentials *peer.Credentials
 	SigningKey  ed25519.PrivateKey
 	Log         *eventlog.Log
-	// Operator serves the operator API apart from /healthz and /readyz; nil answers 404.
+	// Operator replaces the operator API apart from /healthz and /readyz; nil selects the entry's own.
 	Operator http.Handler
 	// Metrics records figures and is served at /metrics; nil records nothing.
 	Metrics *metrics.Metrics
@@ -77,13 +77,13 @@
 		cfg: cfg, deps: deps, log: deps.Log, ring: newRing(), queue: admit.NewQueue(cfg.Limits.Queue),
 		fleet: newFleet(cfg.Zone, cfg.Instance), kick: make(chan struct{}, 1),
 	}
-	t.SetOperator(deps.Operator)
 	t.runner = &attempt.Runner{Chooser: t.fleet, Budget: retry.NewBudget(retry.Settings{}), Changed: t.fleet.Changed}
 	t.tracker = membership.New(membership.Options{
 		URL: cfg.InstancesURL, OnChange: t.kickMembers,
 		OnError: func(err error) { t.log.Emit(eventlog.MembershipFailed, eventlog.Err(err)) },
 	})
 	t.newControl()
+	t.SetOperator(deps.Operator)
 	if err := t.listen(); err != nil {
 		t.release()
 		return nil, err
@@ -138,10 +138,10 @@
 // Peers makes calls to other processes and registers handlers of calls.
 func (t *T) Peers() *peer.Node { return t.node }
 
-// SetOperator replaces the handler of the operator API.
+// SetOperator replaces the handler of the operator API; nil selects the entry's own.
 func (t *T) SetOperator(h http.Handler) {
 	if h == nil {
-		h = http.NotFoundHandler()
+		h = t.operatorAPI()
 	}
 	t.operator.Store(&h)
 }
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/process/usage"
 	"github.com/dragonflypin/dragonflypin/internal/request/outcome"
 	"github.com/dragonflypin/dragonflypin/internal/standin/engine"
 )
@@ -196,3 +198,89 @@
 		t.Errorf("missing: %+v", missing)
 	}
 }
+
+// Guards against a key whose call runs twice, whose answer is not repeated, or that runs another body.
+func TestIdempotencyKeyRepeatsTheFirstAnswer(t *testing.T) {
+	w := newWorld(t)
+	plain, server := w.service()
+	w.sidecar("order-svc-1", "order-svc", "plain", server.URL, nil)
+	r := w.entry("entry-1", nil)
+	other := w.entry("entry-2", nil)
+	r.ready(t, 1)
+	other.ready(t, 1)
+	order := func(r *runningEntry, body string) answer {
+		return send(newRequest(context.Background(), "POST", r.url+"/services/order-svc/orders", body, "Idempotency-Key", "k1"))
+	}
+	first := order(r, `{"item":"Q"}`)
+	var again answer
+	for _, entry := range []*runningEntry{r, other} {
+		eventually(t, 5*time.Second, "the result is recorded", func() bool {
+			again = order(entry, `{"item":"Q"}`)
+			return again.status != http.StatusConflict
+		})
+		if again.status != first.status || again.body != first.body || again.outcome() != "completed" {
+			t.Errorf("first %+v, again %+v", first, again)
+		}
+	}
+	if changed := order(other, `{"item":"Z"}`); changed.status != http.StatusUnprocessableEntity || changed.code() != string(outcome.CodeIdempotencyReuse) {
+		t.Errorf("another body: %+v", changed)
+	}
+	if n := len(plain.Orders()); n != 1 {
+		t.Errorf("the order ran %d times", n)
+	}
+}
+
+// Guards against a limit that is not enforced, or that is answered without code and Retry-After.
+func TestLimitGives429(t *testing.T) {
+	_, _, _, r := simple(t, engine.Options{})
+	refused := 0
+	for i := range 10 {
+		a := r.chat(fmt.Sprint("rated ", i), 2, false, "Dragonflypin-Class", "rated")
+		if a.status == http.StatusTooManyRequests {
+			refused++
+			if a.code() != string(outcome.CodeRateLimited) || a.outcome() != "not_run" || a.header.Get("Retry-After") == "" {
+				t.Errorf("refusal %+v", a)
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("10 requests at once passed a limit of 1 request/s")
+	}
+}
+
+// Guards against an operator API that does not know the other entries or their requests.
+func TestOperatorsSeeTheWholeFleet(t *testing.T) {
+	w, _, _, r := simple(t, engine.Options{})
+	other := w.entry("entry-2", nil)
+	other.ready(t, 1)
+	id := r.chat("explain me", 3, false).header.Get(outcome.HeaderRequestID)
+	get := func(path string) answer {
+		return send(newRequest(context.Background(), "GET", "http://"+other.entry.AddrOperator()+path, "", "Authorization", "Bearer "+operatorKey))
+	}
+	eventually(t, 5*time.Second, "a session between the entries", func() bool { return get("/explain/"+id).status == http.StatusOK })
+	if a := get("/explain/" + id); !strings.Contains(a.body, `"upstream":"lm-pool-1"`) || strings.Contains(a.body, "explain me") {
+		t.Errorf("explain: %s", a.body)
+	}
+	if a := get("/status"); !strings.Contains(a.body, `"entry-1"`) || !strings.Contains(a.body, `"entry-2"`) || !strings.Contains(a.body, `"lm-pool-1"`) {
+		t.Errorf("status: %s", a.body)
+	}
+	if a := get("/explain/entry-1.none"); a.status != http.StatusNotFound {
+		t.Errorf("unknown request: %d", a.status)
+	}
+}
+
+// Guards against entry and sidecar that count the use of a request differently, or lose their last records at a stop.
+func TestBothCountsOfUsageAgree(t *testing.T) {
+	w, _, s, r := simple(t, engine.Options{})
+	for i := range 20 {
+		r.chat(fmt.Sprint("count ", i), 10, i%2 == 0)
+	}
+	s.end(t) // its last records travel over the entry's session
+	r.end(t)
+	service := usage.NewService(w.store)
+	report, err := service.Verify(context.Background())
+	must(t, err)
+	if len(report.Problems) > 0 || report.Compared != 20 || report.EntryOnly != 0 || report.SidecarOnly != 0 {
+		t.Errorf("report %+v", report)
+	}
+}
--- a/internal/app/entry/fixture_test.go
+++ b/internal/app/entry/fixture_test.go
@@ -27,7 +27,10 @@
 	"github.com/dragonflypin/dragonflypin/internal/version/table"
 )
 
-const testKey = "key-tilemend"
+const (
+	testKey     = "key-tilemend"
+	operatorKey = "key-jadestone"
+)
 
 // testRows belong to both owners, so that publishing them takes two edits.
 var testRows = []table.Row{
@@ -46,7 +49,7 @@
 	must(tb, err)
 	_, err = publisher.Apply(context.Background(), table.Edit{Author: "furano", Reason: "test", Base: 1, Rows: testRows})
 	must(tb, err)
-	value, err := json.Marshal(directory.Directory{Workspaces: []directory.Workspace{{
+	value, err := json.Marshal(directory.Directory{Operators: []directory.Operator{{Owner: "jadestone", KeySHA256: directory.HashKey(operatorKey)}}, Workspaces: []directory.Workspace{{
 		Name: "tilemend", Owner: "jadestone", KeySHA256: directory.HashKey(testKey),
 		Classes: []string{"chat", "draft", "hurried", "rated", "absent"}, DefaultClass: "chat",
 	}}})
@@ -187,7 +190,10 @@
 	must(w.tb, err)
 	r := &runningEntry{process: start(w.tb, e.Run), entry: e, url: "http://" + e.Addr()}
 	w.list.Put(instances.Instance{Instance: name, Role: "entry", Zone: cfg.Zone, Address: e.AddrPeer(), State: "live"})
-	eventually(w.tb, 10*time.Second, "table in force", func() bool { return e.Status().TableVersion == 2 })
+	eventually(w.tb, 10*time.Second, "readiness", func() bool {
+		ready := send(newRequest(context.Background(), "GET", "http://"+e.AddrOperator()+"/readyz", ""))
+		return ready.status == http.StatusOK && e.Status().TableVersion == 2
+	})
 	return r
 }
 
--- a/internal/app/entry/serve.go
+++ b/internal/app/entry/serve.go
@@ -83,7 +83,7 @@
 
 // identify sets the workspace and the row.
 func (e *exchange) identify() *outcome.Error {
-	ws, oerr := e.t.control.keys.Load().Authenticate(e.r.Header)
+	ws, oerr := admit.Authenticate(e.t.control.directory.Current(), e.r.Header)
 	if oerr != nil {
 		return oerr
 	}
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -2,8 +2,6 @@
 package admit
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"net/http"
 	"strings"
@@ -14,33 +12,19 @@
 	"github.com/dragonflypin/dragonflypin/internal/version/table"
 )
 
-// Keys finds workspaces by key. The index is by hash, so a lookup reveals nothing about other keys.
-type Keys struct {
-	source *directory.Directory
-	byHash map[string]*directory.Workspace
-}
-
-// NewKeys indexes a directory.
-func NewKeys(d *directory.Directory) *Keys {
-	k := &Keys{source: d, byHash: make(map[string]*directory.Workspace, len(d.Workspaces))}
-	for i := range d.Workspaces {
-		k.byHash[strings.ToLower(d.Workspaces[i].KeySHA256)] = &d.Workspaces[i]
-	}
-	return k
-}
-
-// Source is the directory that was indexed.
-func (k *Keys) Source() *directory.Directory { return k.source }
-
-// Authenticate returns the workspace of the request's bearer key.
-func (k *Keys) Authenticate(h http.Header) (*directory.Workspace, *outcome.Error) {
+// Authenticate returns the workspace of the request's bearer key. The index is nil while no directory is known.
+func Authenticate(index *directory.Index, h http.Header) (*directory.Workspace, *outcome.Error) {
 	key, ok := bearer(h.Get("Authorization"))
 	if !ok {
 		return nil, refuse(http.StatusUnauthorized, outcome.CodeInvalidKey, "The Authorization header must be \"Bearer KEY\".")
 	}
-	sum := sha256.Sum256([]byte(key))
-	ws := k.byHash[hex.EncodeToString(sum[:])]
-	if ws == nil {
+	if index == nil {
+		oerr := refuse(http.StatusServiceUnavailable, outcome.CodeNoUpstream, "The directory of workspaces is not known yet.")
+		oerr.RetryAfter = time.Second
+		return nil, oerr
+	}
+	ws, ok := index.Workspace(key)
+	if !ok {
 		return nil, refuse(http.StatusUnauthorized, outcome.CodeInvalidKey, "The key is not known.")
 	}
 	return ws, nil
--- a/internal/request/attempt/runner.go
+++ b/internal/request/attempt/runner.go
@@ -49,6 +49,7 @@
 	var failed []string
 	wait := retryWait
 	started := 0
+	r.Budget.OnRequest(time.Now())
 	for {
 		changed := r.Changed()
 		choice := r.Chooser.Choose(time.Now(), req, failed)
