table: the lost-answer test sets both faults of the call

Cause: since the store fake applies faults that a hook sets to the same call, the call of this test was answered although its answer should be lost, and the test failed each time. Change: the hook sets the lost answer together with the outage that follows. Conclusion: as strict as before; the write takes effect, and neither its answer nor a read comes back.

--- a/internal/version/table/table_test.go
+++ b/internal/version/table/table_test.go
@@ -239,7 +239,7 @@
 	// The write takes effect, and then neither its answer nor a read comes back.
 	p.store.SetHook(func(op store.Op, _, _ string) error {
 		if op == store.OpCreate {
-			p.store.SetFaults(storetest.Faults{Outage: true})
+			p.store.SetFaults(storetest.Faults{Outage: true, LoseAnswers: true})
 			p.store.SetHook(nil)
 		}
 		return nil
