demo, cli: whole system in one process, entry and sidecar commands

Change: package compose joins entry or sidecar with store client, metrics, operator API, fleet status and explain; the demo starts the stand-ins, 11 upstreams with sidecars and two entries, seeds 20 workspaces and the sample table as one edit by each owner, and prints its lines once every upstream is healthy at both entries. Conclusion: sidecars that stop after the entries cannot ship their last usage records and log so.

--- a/internal/app/cli/commands.go
+++ b/internal/app/cli/commands.go
@@ -43,6 +43,14 @@
 
 func commands(env environment) []command {
 	return []command{
+		{name: "demo", short: "Run the whole system on loopback", long: "Runs the whole system in one process on loopback: the platform's " +
+			"stand-ins, two services of each owner, sidecars, two entries and a sample table. It prints keys and addresses on stdout, " +
+			"last \"ready http://HOST:PORT\", and logs to stderr. SIGINT or SIGTERM finishes what is in flight and ends it with status 0.",
+			data: &demoCommand{env: env}},
+		{name: "entry", short: "Run an entry", long: "Runs an entry: caller API, operator API and sessions. SIGTERM finishes what is in " +
+			"flight, for at most drain_timeout.\n\n" + settings.Help[settings.Entry](), data: &entryCommand{roleOptions{env: env}}},
+		{name: "sidecar", short: "Run a sidecar", long: "Runs the sidecar of one upstream. SIGTERM finishes what is in flight, for at most " +
+			"drain_timeout.\n\n" + settings.Help[settings.Sidecar](), data: &sidecarCommand{roleOptions{env: env}}},
 		{name: "standin", short: "Run one of the platform's stand-ins", long: "Runs a stand-in for a part of the platform. " +
 			"PUT /faults sets its faults as JSON: delay_ms and stale_ms in milliseconds, slow_factor as a factor, and outage, " +
 			"lose_answers and crash as true or a number of calls.", commands: standinCommands(env)},
--- /dev/null
+++ b/internal/app/cli/roles.go
@@ -0,0 +1,85 @@
+package cli
+
+import (
+	"errors"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/app/compose"
+	"github.com/dragonflypin/dragonflypin/internal/app/demo"
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+)
+
+type demoCommand struct {
+	env    environment
+	Listen string        `long:"listen" value-name:"HOST:PORT" default:"127.0.0.1:8080" description:"address of the first entry"`
+	For    time.Duration `long:"for" value-name:"DURATION" description:"end after this time, such as 90s; without it at SIGINT or SIGTERM"`
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	if c.For < 0 {
+		return &usageError{"--for must not be negative"}
+	}
+	return demo.Run(c.env.ctx, demo.Options{Listen: c.Listen, For: c.For, Out: c.env.out, Log: c.env.err})
+}
+
+type roleOptions struct {
+	env    environment
+	Config string `long:"config" value-name:"FILE" required:"yes" description:"settings file (JSON)"`
+}
+
+// inFile names the settings file in an error about a file that the settings refer to.
+func inFile(err error, file string) error {
+	var bad *settings.Error
+	if errors.As(err, &bad) {
+		bad.File = file
+	}
+	return err
+}
+
+type entryCommand struct{ roleOptions }
+
+// Execute implements flags.Commander.
+func (c *entryCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	cfg, err := settings.Load[settings.Entry](c.Config)
+	if err != nil {
+		return err
+	}
+	keys, err := compose.LoadKeys(cfg.TLS, cfg.SigningKeyFile)
+	if err != nil {
+		return inFile(err, c.Config)
+	}
+	e, err := compose.NewEntry(cfg, keys, c.env.err)
+	if err != nil {
+		return err
+	}
+	return e.Run(c.env.ctx)
+}
+
+type sidecarCommand struct{ roleOptions }
+
+// Execute implements flags.Commander.
+func (c *sidecarCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	cfg, err := settings.Load[settings.Sidecar](c.Config)
+	if err != nil {
+		return err
+	}
+	keys, err := compose.LoadKeys(cfg.TLS, cfg.SigningKeyFile)
+	if err != nil {
+		return inFile(err, c.Config)
+	}
+	s, err := compose.NewSidecar(cfg, keys, c.env.err)
+	if err != nil {
+		return err
+	}
+	return s.Run(c.env.ctx)
+}
--- /dev/null
+++ b/internal/app/compose/compose.go
@@ -0,0 +1,126 @@
+// Package compose builds an entry or a sidecar with what it needs from its surroundings: store client, metrics, event
+// log and operator API. The commands entry and sidecar and the demo use the same composition.
+package compose
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/app/entry"
+	"github.com/dragonflypin/dragonflypin/internal/app/operator"
+	"github.com/dragonflypin/dragonflypin/internal/app/sidecar"
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
+	"github.com/dragonflypin/dragonflypin/internal/process/metrics"
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/internal/process/usage"
+	"github.com/dragonflypin/dragonflypin/internal/version/directory"
+	"github.com/dragonflypin/dragonflypin/internal/version/table"
+)
+
+// Roles in logs and metrics.
+const (
+	roleEntry   = "entry"
+	roleSidecar = "sidecar"
+)
+
+// sidecarCallsPerSecond is a sidecar's budget of store calls; it reads only fencing numbers.
+const sidecarCallsPerSecond = 1
+
+// Entry is an entry with its operator API.
+type Entry struct {
+	*entry.T
+	follower *directory.Follower
+	metrics  *metrics.Metrics
+}
+
+// NewEntry binds the listeners of an entry. Absent settings get their defaults; events go to log.
+func NewEntry(cfg settings.Entry, keys Keys, log io.Writer) (*Entry, error) {
+	settings.ApplyDefaults(&cfg)
+	events := eventlog.New(log, cfg.Log.Level, roleEntry, cfg.Instance)
+	m, err := metrics.New(roleEntry, cfg.Instance, cfg.Zone)
+	if err != nil {
+		return nil, err
+	}
+	client, err := store.NewHTTP(store.Options{BaseURL: cfg.StoreURL, CallsPerSecond: cfg.StoreCallsPerSecond, Observer: observer{m}})
+	if err != nil {
+		return nil, err
+	}
+	e, err := entry.New(cfg, entry.Deps{
+		Store: client, Credentials: keys.Credentials, SigningKey: keys.Signing, Log: events, Metrics: m,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c := &Entry{T: e, metrics: m, follower: directory.NewFollower(client, func(err error) {
+		events.Emit(eventlog.StoreUnavailable, eventlog.Reason("directory"), eventlog.Err(err))
+	})}
+	follower := e.Follower()
+	e.SetOperator(operator.New(operator.Options{
+		Directory: c.follower.Current,
+		Current:   follower.Current,
+		Publisher: table.NewPublisher(client, follower.Current, follower.Offer),
+		Log:       table.Log{Client: client},
+		Usage:     usage.NewService(client),
+		Status:    fleetStatus{e},
+		Explain:   explainer{e},
+		Metrics:   m.Handler(),
+	}))
+	return c, nil
+}
+
+// Run serves until ctx ends and everything in flight has ended.
+func (c *Entry) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() { c.follower.Run(background) })
+	err := c.T.Run(ctx)
+	stop()
+	wg.Wait()
+	return errors.Join(err, c.metrics.Shutdown(context.WithoutCancel(ctx)))
+}
+
+// NewSidecar binds the sessions' address of a sidecar. Absent settings get their defaults; events go to log.
+func NewSidecar(cfg settings.Sidecar, keys Keys, log io.Writer) (*sidecar.T, error) {
+	settings.ApplyDefaults(&cfg)
+	client, err := store.NewHTTP(store.Options{BaseURL: cfg.StoreURL, CallsPerSecond: sidecarCallsPerSecond})
+	if err != nil {
+		return nil, err
+	}
+	return sidecar.New(cfg, sidecar.Deps{
+		Store: client, Credentials: keys.Credentials, SigningKey: keys.Signing,
+		Log: eventlog.New(log, cfg.Log.Level, roleSidecar, cfg.Instance),
+	})
+}
+
+// observer counts store calls.
+type observer struct{ metrics *metrics.Metrics }
+
+// StoreCall implements store.Observer.
+func (o observer) StoreCall(op store.Op, took time.Duration, err error) {
+	o.metrics.StoreCall(string(op), callResult(err), took)
+}
+
+// StoreRefused implements store.Observer.
+func (o observer) StoreRefused(op store.Op) { o.metrics.StoreCall(string(op), "budget", 0) }
+
+func callResult(err error) string {
+	for _, kind := range []struct {
+		err  error
+		name string
+	}{
+		{store.ErrNotFound, "not_found"}, {store.ErrConflict, "conflict"}, {store.ErrUnavailable, "unavailable"},
+		{store.ErrUnknown, "unknown"}, {store.ErrThrottled, "throttled"},
+	} {
+		if errors.Is(err, kind.err) {
+			return kind.name
+		}
+	}
+	if err != nil {
+		return "failed"
+	}
+	return "ok"
+}
--- /dev/null
+++ b/internal/app/demo/demo_test.go
@@ -0,0 +1,123 @@
+package demo_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/app/demo"
+	"github.com/dragonflypin/dragonflypin/internal/standin/engine"
+)
+
+// started is a running demo.
+type started struct {
+	lines map[string]string
+	last  string
+	stop  context.CancelFunc
+	done  chan error
+}
+
+// start returns once the demo has printed its ready line.
+func start(t *testing.T, o demo.Options) *started {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	s := &started{lines: make(map[string]string), stop: stop, done: make(chan error, 1)}
+	r, w := io.Pipe()
+	o.Listen, o.Out, o.Log = "127.0.0.1:0", w, io.Discard
+	go func() {
+		err := demo.Run(ctx, o)
+		_ = w.Close()
+		s.done <- err
+	}()
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		s.last = lines.Text()
+		name, value, _ := strings.Cut(s.last, " ")
+		if key, secret, ok := strings.Cut(value, " "); ok {
+			name, value = name+" "+key, secret
+		}
+		s.lines[name] = value
+		if name == "ready" {
+			return s
+		}
+	}
+	t.Fatalf("the demo ended before it was ready: %v", <-s.done)
+	return nil
+}
+
+func (s *started) wait(t *testing.T) {
+	t.Helper()
+	select {
+	case err := <-s.done:
+		if err != nil {
+			t.Fatalf("the demo ended with %v", err)
+		}
+	case <-time.After(60 * time.Second):
+		t.Fatal("the demo did not end")
+	}
+}
+
+func (s *started) chat(t *testing.T, key, body string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.lines["ready"]+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
+
+// Guards against a demo that prints keys or addresses that do not work, and against a stop that cuts a stream.
+func TestStopInMidStreamFinishesTheStream(t *testing.T) {
+	s := start(t, demo.Options{})
+	keys := 0
+	for name := range s.lines {
+		if strings.HasPrefix(name, "key ") {
+			keys++
+		}
+	}
+	if keys != 20 || s.lines["operator furano"] == "" || s.lines["operator-api"] == "" || s.lines["entry"] == "" {
+		t.Fatalf("lines %v", s.lines)
+	}
+	resp := s.chat(t, s.lines["key shop-taipei"], `{"model":"tile-lm","stream":true,"max_tokens":90,"messages":[{"role":"user","content":"letter Q"}]}`)
+	defer func() { _ = resp.Body.Close() }()
+	body := bufio.NewReader(resp.Body)
+	first, err := body.ReadString('\n')
+	if err != nil || !strings.Contains(first, engine.AnswerPrefix("letter Q")) {
+		t.Fatalf("first event %q: %v", first, err)
+	}
+	s.stop()
+	rest, err := io.ReadAll(body)
+	if err != nil || !strings.HasSuffix(string(rest), "data: [DONE]\n\n") || strings.Count(string(rest), `"content":" `) != 89 {
+		t.Fatalf("rest of the stream: %v: %s", err, rest)
+	}
+	if got := resp.Trailer.Get("Dragonflypin-Outcome"); got != "completed" {
+		t.Fatalf("outcome %q", got)
+	}
+	s.wait(t)
+}
+
+// Guards against a demo that ignores its end or reports it as a failure.
+func TestEndsAfterTime(t *testing.T) {
+	s := start(t, demo.Options{For: 3 * time.Second})
+	s.wait(t)
+}
+
+// Guards against an address in use that is reported as something else.
+func TestAddressInUse(t *testing.T) {
+	s := start(t, demo.Options{})
+	err := demo.Run(t.Context(), demo.Options{Listen: strings.TrimPrefix(s.lines["ready"], "http://"), Out: io.Discard, Log: io.Discard})
+	if err == nil || !strings.Contains(err.Error(), "address already in use") {
+		t.Fatalf("error %v", err)
+	}
+	s.stop()
+	s.wait(t)
+}
--- /dev/null
+++ b/internal/app/demo/platform.go
@@ -0,0 +1,136 @@
+package demo
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/internal/standin/engine"
+	"github.com/dragonflypin/dragonflypin/internal/standin/instances"
+	"github.com/dragonflypin/dragonflypin/internal/standin/service"
+	standinstore "github.com/dragonflypin/dragonflypin/internal/standin/store"
+	"github.com/dragonflypin/dragonflypin/internal/version/directory"
+	"github.com/dragonflypin/dragonflypin/internal/version/table"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	// seedCallsPerSecond admits the few writes that prepare the store.
+	seedCallsPerSecond = 100
+	loopback           = "127.0.0.1:0"
+)
+
+// platform is the stand-ins' side of the demo.
+type platform struct {
+	list         *instances.List
+	storeURL     string
+	instancesURL string
+	servers      []*http.Server
+}
+
+func newPlatform() (*platform, error) {
+	p := &platform{list: instances.New(instances.Options{})}
+	var err error
+	if p.storeURL, err = p.serve(standinstore.New(standinstore.Options{})); err != nil {
+		return nil, err
+	}
+	if p.instancesURL, err = p.serve(p.list); err != nil {
+		p.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// serve starts a stand-in on a free loopback port and returns its base URL.
+func (p *platform) serve(h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", fmt.Errorf("listen for a stand-in: %w", err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	p.servers = append(p.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return "http://" + listener.Addr().String(), nil
+}
+
+func (p *platform) close() {
+	for _, server := range p.servers {
+		_ = server.Close()
+	}
+}
+
+// upstream starts one replica of a service.
+func (p *platform) upstream(s upstreamService, name string) (string, error) {
+	if s.kind == settings.KindEngine {
+		return p.serve(engine.New(engine.Options{Name: name, Models: []string{s.model}, Slots: engineSlots}))
+	}
+	return p.serve(service.New(service.Options{Name: name}))
+}
+
+// accessKeys are the plain keys of the demo, which only its output shows.
+type accessKeys struct {
+	workspaces, operators []namedKey
+}
+
+type namedKey struct{ name, key string }
+
+// seed writes the directory and the sample table, the latter as one edit by each owner.
+func (p *platform) seed(ctx context.Context) (accessKeys, error) {
+	client, err := store.NewHTTP(store.Options{BaseURL: p.storeURL, CallsPerSecond: seedCallsPerSecond})
+	if err != nil {
+		return accessKeys{}, err
+	}
+	dir, keys := newDirectory()
+	value, err := json.Marshal(dir)
+	if err != nil {
+		return accessKeys{}, err
+	}
+	if _, err := client.Create(ctx, directory.Kind, directory.Name, value); err != nil {
+		return accessKeys{}, fmt.Errorf("write the directory: %w", err)
+	}
+	return keys, seedTable(ctx, client)
+}
+
+func seedTable(ctx context.Context, client store.Client) error {
+	var latest *table.Compiled
+	publisher := table.NewPublisher(client, func() *table.Compiled { return latest }, func(v *table.Version) { latest = table.Compile(v) })
+	var list []table.Row
+	for base, owner := range []string{ownerJadestone, ownerFurano} {
+		for _, row := range rows {
+			if row.Owner == owner {
+				list = append(list, row)
+			}
+		}
+		edit := table.Edit{Author: owner, Reason: "sample table", Base: uint64(base), Rows: slices.Clone(list)}
+		if _, err := publisher.Apply(ctx, edit); err != nil {
+			return fmt.Errorf("write the sample table: %w", err)
+		}
+	}
+	return nil
+}
+
+func newDirectory() (directory.Directory, accessKeys) {
+	var dir directory.Directory
+	var keys accessKeys
+	for _, owner := range []string{ownerJadestone, ownerFurano} {
+		operator := namedKey{owner, "op-" + rand.Text()}
+		keys.operators = append(keys.operators, operator)
+		dir.Operators = append(dir.Operators, directory.Operator{Owner: owner, KeySHA256: directory.HashKey(operator.key)})
+		for _, name := range workspaceNames[owner] {
+			workspace := namedKey{name, "ws-" + rand.Text()}
+			keys.workspaces = append(keys.workspaces, workspace)
+			dir.Workspaces = append(dir.Workspaces, directory.Workspace{
+				Name: name, Owner: owner, KeySHA256: directory.HashKey(workspace.key),
+				Classes: classNames[owner], DefaultClass: classNames[owner][0],
+			})
+		}
+	}
+	return dir, keys
+}
