--- a/internal/request/admit/crest/crest.go
+++ b/internal/request/admit/crest/crest.go
@@ -14,6 +14,9 @@
 const (
 	// rateTime is the time constant of the drain rate; load changes within seconds.
 	rateTime = 2 * time.Second
+	// minRate is the drain rate assumed after a backlog without any start, in requests/s: one within rateTime. Without it
+	// one blocked request would make the expected wait of all others infinite.
+	minRate = 0.5
 	// maxRetryAfter bounds the hint, because the load may have changed by then.
 	maxRetryAfter = time.Minute
 	// minRetryAfter is the resolution of the Retry-After header.
@@ -241,10 +244,8 @@
 			weights += o.weight
 		}
 	}
+	total = max(total, minRate)
 	rate := max(total-above, c.cfg.FloorShare*total)
-	if rate <= 0 {
-		return time.Duration(math.MaxInt64)
-	}
 	own := float64(l.count+extra) / (rate * l.weight / weights)
 	// The queue of higher tiers is served at the full rate before this tier's turn, except for the floor.
 	seconds := min(own+float64(ahead)/total, float64(l.count+extra)/(c.cfg.FloorShare*total))
--- a/internal/request/admit/crest/crest_test.go
+++ b/internal/request/admit/crest/crest_test.go
@@ -170,6 +170,18 @@
 	}
 }
 
+// Guards against refusing protected work for its deadline because one request of a lower tier is blocked.
+func TestBlockedRequestDoesNotRefuseProtected(t *testing.T) {
+	s := newStation(Config{})
+	s.offer("low", 8, true)
+	s.run(time.Second, 0, 0, nil)
+	r := request(1000, "p", 1)
+	r.Protected, r.Deadline = true, s.now.Add(10*time.Second)
+	if v := s.c.Offer(s.now, r); !v.Admitted() {
+		t.Fatalf("verdict %+v, want admitted", v)
+	}
+}
+
 // Guards against queueing work whose caller will be gone before its turn.
 func TestUnreachableDeadlineIsRefused(t *testing.T) {
 	s := newStation(Config{TargetShare: 10})
