--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -41,9 +41,9 @@
 	Credentials *peer.Credentials
 	SigningKey  ed25519.PrivateKey
 	Log         *eventlog.Log
-	// Operator replaces the operator API apart from /healthz and /readyz; nil selects the entry's own.
+	// Operator serves the operator API apart from /healthz and /readyz; nil answers 404.
 	Operator http.Handler
-	// Metrics records figures and is served at /metrics; nil records nothing.
+	// Metrics records figures; nil records nothing.
 	Metrics *metrics.Metrics
 }
 
@@ -138,10 +138,10 @@
 // Peers makes calls to other processes and registers handlers of calls.
 func (t *T) Peers() *peer.Node { return t.node }
 
-// SetOperator replaces the handler of the operator API; nil selects the entry's own.
+// SetOperator replaces the handler of the operator API; nil answers 404.
 func (t *T) SetOperator(h http.Handler) {
 	if h == nil {
-		h = t.operatorAPI()
+		h = http.NotFoundHandler()
 	}
 	t.operator.Store(&h)
 }
--- a/internal/app/entry/fixture_test.go
+++ b/internal/app/entry/fixture_test.go
@@ -27,10 +27,7 @@
 	"github.com/dragonflypin/dragonflypin/internal/version/table"
 )
 
-const (
-	testKey     = "key-tilemend"
-	operatorKey = "key-jadestone"
-)
+const testKey = "key-tilemend"
 
 // testRows belong to both owners, so that publishing them takes two edits.
 var testRows = []table.Row{
@@ -49,7 +46,7 @@
 	must(tb, err)
 	_, err = publisher.Apply(context.Background(), table.Edit{Author: "furano", Reason: "test", Base: 1, Rows: testRows})
 	must(tb, err)
-	value, err := json.Marshal(directory.Directory{Operators: []directory.Operator{{Owner: "jadestone", KeySHA256: directory.HashKey(operatorKey)}}, Workspaces: []directory.Workspace{{
+	value, err := json.Marshal(directory.Directory{Operators: []directory.Operator{{Owner: "jadestone", KeySHA256: directory.HashKey("key-jadestone")}}, Workspaces: []directory.Workspace{{
 		Name: "tilemend", Owner: "jadestone", KeySHA256: directory.HashKey(testKey),
 		Classes: []string{"chat", "draft", "hurried", "rated", "absent"}, DefaultClass: "chat",
 	}}})
