Entry queue on the crest admission

Cause: the entry's queue was bounded by count only, so that at a crest lower work waited until its deadline.

--- a/internal/app/entry/control.go
+++ b/internal/app/entry/control.go
@@ -92,7 +92,7 @@
 // background returns what runs beside the servers until the end of the drain.
 func (t *T) background() []func(context.Context) {
 	c := &t.control
-	return []func(context.Context){t.tracker.Run, t.followMembers, c.follower.Run, c.directory.Run, c.local.Run, c.claims.Run, c.shipper.Run}
+	return []func(context.Context){t.tracker.Run, t.followMembers, c.follower.Run, c.directory.Run, c.local.Run, c.claims.Run, c.shipper.Run, t.queue.Run}
 }
 
 // flush ships the usage records of a graceful shutdown.
--- a/internal/app/entry/failure_test.go
+++ b/internal/app/entry/failure_test.go
@@ -270,3 +270,36 @@
 		t.Errorf("waiting request: status %d code %q outcome %q", waiting.status, waiting.code(), waiting.outcome())
 	}
 }
+
+// Guards against protected work that is shed at a crest, and against lower work that waits for long instead of being
+// refused with the time to come back.
+func TestCrestRefusesLowerWorkOnly(t *testing.T) {
+	w := newWorld(t)
+	_, server := w.engine(engine.Options{TokenMs: 4})
+	w.sidecar("lm-pool-1", "lm-pool", settings.KindEngine, server.URL, func(c *settings.Sidecar) { c.Slots = 2 })
+	r := w.entry("entry-1", nil)
+	r.ready(t, 1)
+	var refused atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			if i%3 == 0 {
+				content := fmt.Sprint("protected ", i)
+				checkWhole(t, r.chat(content, 30, true), content)
+				return
+			}
+			a := r.chat(fmt.Sprint("eager ", i), 30, true, "Dragonflypin-Class", "eager")
+			if a.outcome() == "completed" {
+				return
+			}
+			refused.Add(1)
+			if a.status != http.StatusServiceUnavailable || a.code() != string(outcome.CodeSaturated) || a.outcome() != "not_run" || a.header.Get("Retry-After") == "" {
+				t.Errorf("refusal: status %d code %q outcome %q header %v", a.status, a.code(), a.outcome(), a.header)
+			}
+		})
+	}
+	wg.Wait()
+	if refused.Load() == 0 {
+		t.Error("60 requests for 2 slots were all admitted")
+	}
+}
--- a/internal/app/entry/serve.go
+++ b/internal/app/entry/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
 	"github.com/dragonflypin/dragonflypin/internal/request/admit"
+	"github.com/dragonflypin/dragonflypin/internal/request/admit/crest"
 	"github.com/dragonflypin/dragonflypin/internal/request/attempt"
 	"github.com/dragonflypin/dragonflypin/internal/request/outcome"
 	"github.com/dragonflypin/dragonflypin/internal/version/directory"
@@ -29,6 +30,8 @@
 )
 
 const (
+	// modelQueue begins the name of a model's queue; plain services have names without a slash.
+	modelQueue = "model/"
 	// retryAfter is suggested with refusals that pass within seconds.
 	retryAfter = time.Second
 	// maxDeadline keeps the remaining milliseconds within 32 bits.
@@ -206,11 +209,15 @@
 func (e *exchange) run(req *attempt.Request) *outcome.Error {
 	ctx, cancel := context.WithCancelCause(e.r.Context())
 	defer cancel(nil)
-	ticket, ok := e.t.queue.Enter(&e.row, cancel)
-	if !ok {
-		return unavailable(outcome.CodeSaturated, "Too many requests of this and higher tiers are waiting.")
+	service := req.Service
+	if service == "" {
+		service = modelQueue + req.Ask.Model
 	}
-	defer ticket.Leave()
+	ticket, verdict := e.t.queue.Enter(time.Now(), service, &e.row, req.Deadline, cancel)
+	if !verdict.Admitted() {
+		return saturated(&verdict)
+	}
+	defer func() { ticket.Leave(time.Now()) }()
 	ctx, stop := context.WithDeadline(ctx, req.Deadline)
 	defer stop()
 	settle, oerr := e.enforce(ctx, req)
@@ -244,9 +251,12 @@
 	case attempt.EndNotRun:
 		return unavailable(outcome.CodeNoUpstream, "No upstream could be reached.")
 	}
+	var shed *admit.ShedError
 	switch {
-	case errors.Is(context.Cause(ctx), admit.ErrShed):
-		return unavailable(outcome.CodeSaturated, "The request made room for a higher tier.")
+	case errors.As(context.Cause(ctx), &shed):
+		oerr := unavailable(outcome.CodeSaturated, "The expected wait has grown beyond what the class allows.")
+		oerr.RetryAfter = max(oerr.RetryAfter, shed.RetryAfter)
+		return oerr
 	case result.End == 0:
 		return unavailable(outcome.CodeNoUpstream, "No upstream of the service is available.")
 	default:
@@ -287,6 +297,16 @@
 	}
 }
 
+// saturated is the error of a request that was not admitted to the queue.
+func saturated(v *crest.Verdict) *outcome.Error {
+	oerr := unavailable(outcome.CodeSaturated, "The expected wait exceeds what the class allows.")
+	if v.Reason == crest.ReasonDeadline {
+		oerr = unavailable(outcome.CodeDeadline, "No slot is expected to become free before the deadline.")
+	}
+	oerr.RetryAfter = max(oerr.RetryAfter, v.RetryAfter)
+	return oerr
+}
+
 func notFound(code outcome.Code, message string) *outcome.Error {
 	return &outcome.Error{Status: http.StatusNotFound, Code: code, Message: message, Outcome: outcome.NotRun}
 }
--- a/internal/app/entry/sink.go
+++ b/internal/app/entry/sink.go
@@ -42,7 +42,7 @@
 
 // Started implements attempt.Sink: the request no longer waits.
 func (s *sink) Started(string) {
-	s.ticket.Leave()
+	s.ticket.Started(time.Now())
 	s.dequeued()
 }
 
--- a/internal/request/admit/queue.go
+++ b/internal/request/admit/queue.go
@@ -1,97 +1,134 @@
 package admit
 
 import (
-	"container/list"
-	"errors"
+	"context"
+	"maps"
 	"sync"
+	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/request/admit/crest"
 	"github.com/dragonflypin/dragonflypin/internal/version/table"
 )
 
-// ErrShed is the cancellation cause of a waiting request that made room for a higher tier.
-var ErrShed = errors.New("shed for a higher tier")
+// shedInterval is how often waiting requests are compared with the expected wait.
+const shedInterval = 100 * time.Millisecond
 
-// Queue bounds the requests that wait for a start in one entry. When it is full, a newcomer takes the place of the newest
-// unprotected request of the lowest tier below its own; without one, it is refused.
+// ShedError is the cancellation cause of a waiting request that was shed.
+type ShedError struct {
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *ShedError) Error() string { return "request shed while waiting" }
+
+// Queue holds the requests of one entry that wait for a start. Each service, or model, has its own crest controller.
+// It is safe for concurrent use.
 type Queue struct {
-	mu      sync.Mutex
-	limit   int
-	waiting int
-	byClass map[string]int
-	// sheddable holds the unprotected tickets by tier, oldest first.
-	sheddable [table.LowestPriority + 1]list.List
+	mu       sync.Mutex
+	limit    int
+	last     uint64
+	services map[string]*crest.Controller
+	tickets  map[uint64]*Ticket
+	byClass  map[string]int
 }
 
 // Ticket is one place in the queue.
 type Ticket struct {
 	queue   *Queue
+	service *crest.Controller
+	id      uint64
 	class   string
-	tier    int
-	element *list.Element
 	cancel  func(error)
-	left    bool
 }
 
-// NewQueue returns a Queue with a bound.
-func NewQueue(limit int) *Queue { return &Queue{limit: limit, byClass: map[string]int{}} }
+// NewQueue returns a Queue that bounds the waiting requests of each service.
+func NewQueue(limit int) *Queue {
+	return &Queue{limit: limit, services: map[string]*crest.Controller{}, tickets: map[uint64]*Ticket{}, byClass: map[string]int{}}
+}
 
-// Enter takes a place. cancel is called with ErrShed if the place is taken away; ok is false when the queue is full.
-func (q *Queue) Enter(row *table.Row, cancel func(error)) (*Ticket, bool) {
+// Enter takes a place unless the verdict refuses it. cancel is called with a *ShedError if the place is taken away.
+func (q *Queue) Enter(now time.Time, service string, row *table.Row, deadline time.Time, cancel func(error)) (*Ticket, crest.Verdict) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	tier := min(max(row.Priority, table.HighestPriority), table.LowestPriority)
-	if q.waiting >= q.limit && !q.shed(tier) {
-		return nil, false
+	c := q.services[service]
+	if c == nil {
+		c = crest.New(crest.Config{MaxQueue: q.limit})
+		q.services[service] = c
 	}
-	t := &Ticket{queue: q, class: row.Class, tier: tier, cancel: cancel}
-	if !row.Protected {
-		t.element = q.sheddable[tier].PushBack(t)
+	q.last++
+	verdict := c.Offer(now, &crest.Request{
+		ID: q.last, Class: row.Class, Priority: uint8(row.Priority), Weight: uint16(row.Weight), Protected: row.Protected,
+		TTFTTarget: row.TTFTTarget, MaxWait: row.MaxWait, Deadline: deadline,
+	})
+	if !verdict.Admitted() {
+		return nil, verdict
 	}
-	q.waiting++
-	q.byClass[row.Class]++
-	return t, true
+	t := &Ticket{queue: q, service: c, id: q.last, class: row.Class, cancel: cancel}
+	q.tickets[t.id] = t
+	q.byClass[t.class]++
+	q.shed(now, c)
+	return t, verdict
 }
 
-func (q *Queue) shed(tier int) bool {
-	for lower := table.LowestPriority; lower > tier; lower-- {
-		if last := q.sheddable[lower].Back(); last != nil {
-			victim := last.Value.(*Ticket)
-			q.leave(victim)
-			victim.cancel(ErrShed)
-			return true
+// Run sheds until ctx ends.
+func (q *Queue) Run(ctx context.Context) {
+	ticker := time.NewTicker(shedInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			q.mu.Lock()
+			for _, c := range q.services {
+				if c.Queued() > 0 {
+					q.shed(now, c)
+				}
+			}
+			q.mu.Unlock()
 		}
 	}
-	return false
 }
 
-// Leave gives the place up; it may be called more than once.
-func (t *Ticket) Leave() {
-	t.queue.mu.Lock()
-	defer t.queue.mu.Unlock()
-	t.queue.leave(t)
+func (q *Queue) shed(now time.Time, c *crest.Controller) {
+	for {
+		shed, ok := c.Next(now)
+		if !ok {
+			return
+		}
+		if t := q.tickets[shed.ID]; t != nil {
+			q.forget(t)
+			t.cancel(&ShedError{RetryAfter: shed.RetryAfter})
+		}
+	}
 }
 
-func (q *Queue) leave(t *Ticket) {
-	if t.left {
-		return
-	}
-	t.left = true
-	q.waiting--
+func (q *Queue) forget(t *Ticket) {
+	delete(q.tickets, t.id)
 	if q.byClass[t.class]--; q.byClass[t.class] == 0 {
 		delete(q.byClass, t.class)
 	}
-	if t.element != nil {
-		q.sheddable[t.tier].Remove(t.element)
+}
+
+// Started gives the place up because the request received a slot.
+func (t *Ticket) Started(now time.Time) { t.end(now, (*crest.Controller).Started) }
+
+// Leave gives the place up without a slot. Of Started and Leave, the first call counts.
+func (t *Ticket) Leave(now time.Time) { t.end(now, (*crest.Controller).Left) }
+
+func (t *Ticket) end(now time.Time, tell func(*crest.Controller, time.Time, uint64)) {
+	t.queue.mu.Lock()
+	defer t.queue.mu.Unlock()
+	if t.queue.tickets[t.id] == nil {
+		return
 	}
+	t.queue.forget(t)
+	tell(t.service, now, t.id)
 }
 
 // Waiting returns the number of waiting requests by class.
 func (q *Queue) Waiting() map[string]int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	counts := make(map[string]int, len(q.byClass))
-	for class, n := range q.byClass {
-		counts[class] = n
-	}
-	return counts
+	return maps.Clone(q.byClass)
 }
