cli: first hour of an operator as a testscript

Cause: the parts around the request path were tested one by one only. Change: a script starts the demo, sends traffic of two classes, explains a request, edits the table as both owners with merge, conflict and refusal, checks the fleet's version, verifies and exports the usage record, and stops the demo. Changed rows print one line per value. Conclusion: none of the steps needed a change of the other packages.

--- a/internal/app/cli/render.go
+++ b/internal/app/cli/render.go
@@ -63,9 +63,67 @@
 	if path != "" {
 		b.WriteString(path + ":\n")
 	}
+	if changes, ok := changedValues(items); ok {
+		items = changes
+	}
 	renderTable(b, items)
 }
 
+// tableChange is one changed row of a table.
+type tableChange struct {
+	Class   string                     `json:"class"`
+	Kind    string                     `json:"kind"`
+	Columns []string                   `json:"columns"`
+	Before  map[string]json.RawMessage `json:"before"`
+	After   map[string]json.RawMessage `json:"after"`
+}
+
+// changedValue is one changed value; for an added or removed row the column is empty.
+type changedValue struct {
+	Class  string          `json:"class"`
+	Kind   string          `json:"kind"`
+	Column string          `json:"column"`
+	Before json.RawMessage `json:"before"`
+	After  json.RawMessage `json:"after"`
+}
+
+// changedValues turns changes of table rows, which hold whole rows, into one item for each changed value.
+func changedValues(items []json.RawMessage) ([]json.RawMessage, bool) {
+	var out []json.RawMessage
+	for _, item := range items {
+		var c tableChange
+		if json.Unmarshal(item, &c) != nil || c.Kind == "" || c.Before == nil && c.After == nil {
+			return nil, false
+		}
+		values := []changedValue{{Class: c.Class, Kind: c.Kind, Before: rowText(c.Before), After: rowText(c.After)}}
+		if c.Before != nil && c.After != nil {
+			values = nil
+			for _, column := range c.Columns {
+				values = append(values, changedValue{Class: c.Class, Kind: c.Kind, Column: column, Before: c.Before[column], After: c.After[column]})
+			}
+		}
+		for _, v := range values {
+			data, err := json.Marshal(v)
+			if err != nil {
+				return nil, false
+			}
+			out = append(out, data)
+		}
+	}
+	return out, true
+}
+
+func rowText(row map[string]json.RawMessage) json.RawMessage {
+	if row == nil {
+		return nil
+	}
+	data, err := json.Marshal(row)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
 func renderTable(b *strings.Builder, items []json.RawMessage) {
 	var columns []string
 	rows := make([]map[string]string, len(items))
--- a/internal/app/cli/script_test.go
+++ b/internal/app/cli/script_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -31,6 +32,9 @@
 			"start":    start,
 			"stop":     stop,
 			"exits":    exits,
+			"replace":  replace,
+			"variable": variable,
+			"until":    until,
 		},
 		Setup: func(env *testscript.Env) error {
 			env.Values[processKey{}] = make(map[string]*exec.Cmd)
@@ -138,3 +142,54 @@
 		ts.Fatalf("exit status %d, want %d: %s", status, want, errOut.String())
 	}
 }
+
+// replace changes one part of a file, which must be there: replace FILE OLD NEW.
+func replace(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: replace FILE OLD NEW")
+	}
+	text := ts.ReadFile(args[0])
+	if !strings.Contains(text, args[1]) {
+		ts.Fatalf("%s does not contain %q", args[0], args[1])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.Replace(text, args[1], args[2], 1)), 0o600))
+}
+
+// untilTimeout is twice the time within which usage records are sealed and a table is in force everywhere.
+const untilTimeout = 20 * time.Second
+
+// until runs the command line until it succeeds with an output that matches: until PATTERN ARG...
+// Its last output goes to the file out.
+func until(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: until PATTERN ARG...")
+	}
+	pattern := regexp.MustCompile(args[0])
+	for deadline := time.Now().Add(untilTimeout); ; time.Sleep(200 * time.Millisecond) {
+		c := exec.Command("dragonflypin", args[1:]...)
+		c.Dir = ts.MkAbs(".")
+		for _, name := range []string{"DRAGONFLYPIN_SERVER", "DRAGONFLYPIN_KEY"} {
+			c.Env = append(c.Env, name+"="+ts.Getenv(name))
+		}
+		out, err := c.CombinedOutput()
+		if err == nil && pattern.Match(out) {
+			ts.Check(os.WriteFile(ts.MkAbs("out"), out, 0o600))
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("no output that matches %q: %v: %s", args[0], err, out)
+		}
+	}
+}
+
+// variable sets a variable to the first group of a pattern's match in a file: variable NAME PATTERN FILE.
+func variable(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: variable NAME PATTERN FILE")
+	}
+	match := regexp.MustCompile(args[1]).FindStringSubmatch(ts.ReadFile(args[2]))
+	if len(match) != 2 {
+		ts.Fatalf("%s has no match of %q", args[2], args[1])
+	}
+	ts.Setenv(args[0], match[1])
+}
