cli: roles as processes of their own as a testscript

Cause: entry and sidecar commands were run by the demo's composition only, never from settings files. Change: a script runs store, instance list, engine, sidecar and entry as five processes with mutual TLS from PEM files, writes the directory, applies a first table and sends a request.

--- a/internal/app/cli/script_test.go
+++ b/internal/app/cli/script_test.go
@@ -35,9 +35,14 @@
 			"replace":  replace,
 			"variable": variable,
 			"until":    until,
+			"keyfiles": keyFiles,
+			"ports":    ports,
+			"expand":   expand,
+			"serving":  serving,
 		},
 		Setup: func(env *testscript.Env) error {
 			env.Values[processKey{}] = make(map[string]*exec.Cmd)
+			env.Values[authorityKey{}] = &authority{}
 			return nil
 		},
 	})
