--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -47,17 +47,31 @@
 	return strings.Split(list, ",")
 }
 
-// measureAll runs scenarios times policies, each in its own bubble, and returns the lines in a fixed order.
-func measureAll(t *testing.T, scenarios, policies []string, seeds []uint64) []Line {
-	parts := make([][]Line, len(scenarios)*len(policies))
+// runSpec is one Measure call.
+type runSpec struct {
+	scenario, policy string
+	seeds            []uint64
+}
+
+func specs(scenarios, policies []string, seeds []uint64) []runSpec {
+	var out []runSpec
+	for _, s := range scenarios {
+		for _, p := range policies {
+			out = append(out, runSpec{s, p, seeds})
+		}
+	}
+	return out
+}
+
+// measureAll makes the runs in parallel, each in its own bubble, and returns the lines in a fixed order.
+func measureAll(t *testing.T, runs []runSpec) []Line {
+	parts := make([][]Line, len(runs))
 	t.Run("runs", func(t *testing.T) {
-		for i, s := range scenarios {
-			for k, p := range policies {
-				t.Run(s+"/"+p, func(t *testing.T) {
-					t.Parallel()
-					synctest.Test(t, func(*testing.T) { parts[i*len(policies)+k] = Measure(s, p, seeds) })
-				})
-			}
+		for i, r := range runs {
+			t.Run(r.scenario+"/"+r.policy, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(*testing.T) { parts[i] = Measure(r.scenario, r.policy, r.seeds) })
+			})
 		}
 	})
 	var lines []Line
@@ -72,7 +86,7 @@
 	if *reportFile == "" {
 		t.Skip("no -report")
 	}
-	lines := measureAll(t, chosen(*onlyScenarios, Scenarios()), chosen(*onlyPolicies, Policies()), readSeeds(t, *seedFile))
+	lines := measureAll(t, specs(chosen(*onlyScenarios, Scenarios()), chosen(*onlyPolicies, Policies()), readSeeds(t, *seedFile)))
 	f, err := os.Create(*reportFile)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/measure/targets_test.go
+++ b/internal/measure/targets_test.go
@@ -44,18 +44,16 @@
 		seeds := readSeeds(t, file)[:1]
 		t.Run(file, func(t *testing.T) {
 			t.Parallel()
-			var others []string
+			// All seeds for long_jobs: a p99 of one run rests on about 45 requests.
+			runs := specs([]string{"long_jobs"}, []string{Dragonflypin}, readSeeds(t, file))
 			for _, s := range Scenarios() {
 				if s != "long_jobs" {
-					others = append(others, s)
+					runs = append(runs, runSpec{s, Dragonflypin, seeds})
 				}
 			}
-			lines := measureAll(t, others, []string{Dragonflypin}, seeds)
-			// All seeds: a p99 of one run rests on about 45 requests.
-			lines = append(lines, measureAll(t, []string{"long_jobs"}, []string{Dragonflypin}, readSeeds(t, file))...)
-			lines = append(lines, measureAll(t, []string{"crest", "long_jobs", "mixed"}, []string{Oracle}, seeds)...)
-			lines = append(lines, measureAll(t, []string{"long_jobs"}, []string{FIFORoundRobin}, seeds)...)
-			x := &targets{t, lines}
+			runs = append(runs, specs([]string{"crest", "long_jobs", "mixed"}, []string{Oracle}, seeds)...)
+			runs = append(runs, runSpec{"long_jobs", FIFORoundRobin, seeds})
+			x := &targets{t, measureAll(t, runs)}
 			for _, s := range scenarios() {
 				if s.classes == nil {
 					x.everyScenario(s.name)
@@ -116,8 +114,8 @@
 func TestReportIsDeterministic(t *testing.T) {
 	t.Parallel()
 	seeds := readSeeds(t, "tuning")[:1]
-	a := measureAll(t, []string{"upstream_lost", Limits}, []string{Dragonflypin}, seeds)
-	b := measureAll(t, []string{"upstream_lost", Limits}, []string{Dragonflypin}, seeds)
+	runs := specs([]string{"upstream_lost", Limits}, []string{Dragonflypin}, seeds)
+	a, b := measureAll(t, runs), measureAll(t, runs)
 	for i := range a {
 		if a[i] != b[i] {
 			t.Fatalf("first run %+v, second run %+v", a[i], b[i])
