--- a/internal/request/schedule/item.go
+++ b/internal/request/schedule/item.go
@@ -100,7 +100,7 @@
 	MaxPaused int
 	// LongTokens is the output length from which a running item counts as long. Default 512 tokens.
 	LongTokens int
-	// LongShare bounds the share of the slots that long items hold while other work waits. Default 0.25.
+	// LongShare bounds the share of the slots that long items hold while other work waits. Default 0.125.
 	LongShare float64
 	// FloorShare bounds the share of the slots that MaxWait gives to lower tiers ahead of higher ones; at least one
 	// slot is always available to them. Default 1/16.
@@ -123,7 +123,7 @@
 		c.LongTokens = 512
 	}
 	if c.LongShare <= 0 {
-		c.LongShare = 0.25
+		c.LongShare = 0.125
 	}
 	if c.FloorShare <= 0 {
 		c.FloorShare = 1.0 / 16
