--- a/internal/request/admit/crest/crest.go
+++ b/internal/request/admit/crest/crest.go
@@ -114,6 +114,7 @@
 	busy   time.Duration
 	last   time.Time
 	queued int
+	free   []*waiter
 }
 
 // New returns a Controller with an empty queue.
@@ -140,7 +141,8 @@
 	if c.queued >= c.cfg.MaxQueue && c.lowest(r.Priority) == nil {
 		return Verdict{ReasonFull, retryAfter(wait, budget)}
 	}
-	w := &waiter{id: r.ID, lane: l, since: now, budget: budget, limit: max(budget, r.MaxWait), protected: r.Protected}
+	w := c.newWaiter()
+	*w = waiter{id: r.ID, lane: l, since: now, budget: budget, limit: max(budget, r.MaxWait), protected: r.Protected}
 	c.queue[r.ID] = w
 	l.push(w)
 	c.tiers[l.key.priority].queued++
@@ -208,7 +210,7 @@
 	c.tiers[w.lane.key.priority].queued--
 	c.queued--
 	delete(c.queue, w.id)
-	w.lane.trim()
+	c.trim(w.lane)
 }
 
 // budget is the expected wait up to which a request is admitted.
--- a/internal/request/admit/crest/lane.go
+++ b/internal/request/admit/crest/lane.go
@@ -22,8 +22,9 @@
 type lane struct {
 	key    laneKey
 	weight float64
-	// queue holds removed waiters until they reach an end of it.
+	// queue, from head on, holds removed waiters until they reach an end of it.
 	queue []*waiter
+	head  int
 	count int
 }
 
@@ -61,27 +62,44 @@
 	l.count++
 }
 
-// trim drops removed waiters from both ends.
-func (l *lane) trim() {
-	for len(l.queue) > 0 && l.queue[0].gone {
-		l.queue[0] = nil
-		l.queue = l.queue[1:]
+// trim drops removed waiters from both ends and returns them for use by later requests.
+func (c *Controller) trim(l *lane) {
+	for l.head < len(l.queue) && l.queue[l.head].gone {
+		c.free = append(c.free, l.queue[l.head])
+		l.queue[l.head] = nil
+		l.head++
 	}
-	for n := len(l.queue); n > 0 && l.queue[n-1].gone; n-- {
+	for n := len(l.queue); n > l.head && l.queue[n-1].gone; n-- {
+		c.free = append(c.free, l.queue[n-1])
 		l.queue[n-1] = nil
 		l.queue = l.queue[:n-1]
 	}
+	// Moving the queue to the front at half its length keeps the cost of one removal constant on average.
+	if l.head > len(l.queue)/2 {
+		n := copy(l.queue, l.queue[l.head:])
+		clear(l.queue[n:])
+		l.queue, l.head = l.queue[:n], 0
+	}
+}
+
+func (c *Controller) newWaiter() *waiter {
+	if n := len(c.free); n > 0 {
+		w := c.free[n-1]
+		c.free = c.free[:n-1]
+		return w
+	}
+	return new(waiter)
 }
 
 func (l *lane) oldest() *waiter {
-	if len(l.queue) == 0 {
+	if l.head == len(l.queue) {
 		return nil
 	}
-	return l.queue[0]
+	return l.queue[l.head]
 }
 
 func (l *lane) newest() *waiter {
-	if len(l.queue) == 0 {
+	if l.head == len(l.queue) {
 		return nil
 	}
 	return l.queue[len(l.queue)-1]
