--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 var (
 	reportFile    = flag.String("report", "", "write the report to this file")
 	seedFile      = flag.String("seeds", "tuning", "seed file in testdata, without .seeds")
+	plotDir       = flag.String("plot", "", "write attainment.svg to this directory")
 	onlyScenarios = flag.String("scenarios", "", "comma-separated scenarios; empty means all")
 	onlyPolicies  = flag.String("policies", "", "comma-separated policies; empty means all")
 )
@@ -98,3 +100,34 @@
 		t.Fatal(err)
 	}
 }
+
+// TestPlot writes the plot of scripts/measure --plot.
+func TestPlot(t *testing.T) {
+	if *plotDir == "" {
+		t.Skip("no -plot")
+	}
+	seeds := readSeeds(t, *seedFile)
+	loads := PlotLoads()
+	lines, baseline := make([][]Line, len(loads)), make([][]Line, len(loads))
+	t.Run("runs", func(t *testing.T) {
+		for i, load := range loads {
+			t.Run(strconv.FormatFloat(load, 'f', 2, 64), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(*testing.T) {
+					lines[i] = AttainmentAt(load, Dragonflypin, seeds)
+					baseline[i] = AttainmentAt(load, FIFORoundRobin, seeds)
+				})
+			})
+		}
+	})
+	if err := PlotAttainment(*plotDir, loads, lines, baseline); err != nil {
+		t.Fatal(err)
+	}
+	for i, load := range loads {
+		for _, c := range append(slices.Clone(lines[i]), baseline[i]...) {
+			if c.Metric == "attainment" {
+				t.Logf("load %.2f %s %s %.3f", load, c.Policy, c.Class, c.Value)
+			}
+		}
+	}
+}
