claim: budget of store writes per shard, direct writes only when the owner is unreachable

Change: 4 shards with 8 writes/s each, deletions included; a slow or refusing owner makes the claim fail, an unreachable or stopped one makes the entry write itself; batches up to 512 KiB.

--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -116,12 +116,16 @@
 
 // bounded returns the result without the response if that is too long to keep.
 func (r Result) bounded() Result {
-	header := 0
-	for _, f := range r.Header {
-		header += len(f.Name) + len(f.Value)
-	}
-	if len(r.Body) <= MaxResultBody && header <= maxResultHeader {
+	if len(r.Body) <= MaxResultBody && r.headerSize() <= maxResultHeader {
 		return r
 	}
 	return Result{Outcome: r.Outcome, Status: r.Status, Dropped: true}
 }
+
+func (r Result) headerSize() int {
+	size := 0
+	for _, f := range r.Header {
+		size += len(f.Name) + len(f.Value)
+	}
+	return size
+}
--- a/internal/request/claim/claim_test.go
+++ b/internal/request/claim/claim_test.go
@@ -361,6 +361,19 @@
 	}
 }
 
+// Guards against refusing claims while the owner entry drains: its log has stopped, and it still answers calls.
+func TestStoppedOwner(t *testing.T) {
+	inCluster(t, pair, func(c *cluster, e []*entryProcess) {
+		owner, other := owners(e, "k")
+		owner.stop()
+		synctest.Wait()
+		state, err := c.order(other, "k")
+		wantStatus(t, state, err, Granted)
+		state, err = c.order(other, "k")
+		wantStatus(t, state, err, Finished)
+	})
+}
+
 // Guards against keeping a response without bound and against refusing the outcome of a long one.
 func TestLongResultKeepsOutcome(t *testing.T) {
 	inCluster(t, pair, func(c *cluster, e []*entryProcess) {
--- a/internal/request/claim/log.go
+++ b/internal/request/claim/log.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,11 +21,11 @@
 
 // Defaults of Options.
 const (
-	DefaultShards          = 8
+	DefaultShards          = 4
 	DefaultRetention       = time.Hour
 	DefaultRunTimeout      = 10 * time.Minute
 	DefaultClaimTimeout    = 2 * time.Second
-	DefaultWritesPerSecond = 4.0
+	DefaultWritesPerSecond = 8.0
 )
 
 // Methods of peer calls.
@@ -42,7 +43,7 @@
 	Caller peer.Caller
 	// Members returns the names of the live entries, this one included.
 	Members func() []string
-	// Shards is the number of logs. All entries must use the same number. Default 8.
+	// Shards is the number of logs. All entries must use the same number. Default 4.
 	Shards int
 	// Retention is the time for which a key is remembered at least. Default 1 h.
 	Retention time.Duration
@@ -50,7 +51,8 @@
 	RunTimeout time.Duration
 	// ClaimTimeout bounds one Claim, when its context has no earlier deadline. Default 2 s.
 	ClaimTimeout time.Duration
-	// WritesPerSecond bounds the store writes of this log in this process, deletions included. Default 4.
+	// WritesPerSecond bounds the store writes of one shard by one process, deletions included. As a shard's owner writes
+	// for all entries, Shards times this number is the cost to the store, whatever the number of entries. Default 8.
 	WritesPerSecond float64
 	// OnError is told of failed store calls; it may be nil.
 	OnError func(error)
@@ -61,8 +63,8 @@
 	opt      Options
 	claimant string
 	shards   []*shard
-	pace     *pace
 	owed     chan owedOp
+	stopped  atomic.Bool
 }
 
 // owedOp is a finish or release that has not reached the log yet.
@@ -75,8 +77,11 @@
 // uses return Unknown, which is safe.
 const maxOwed = 4096
 
-// deliverers is the number of operations that are delivered at once.
-const deliverers = 8
+// deliverers is the number of operations that are delivered at once, and deliverRetry the wait after a failure.
+const (
+	deliverers   = 8
+	deliverRetry = time.Second
+)
 
 // New returns a log; Run serves it.
 func New(o Options) (*Log, error) {
@@ -85,7 +90,7 @@
 		return nil, fmt.Errorf("claim run timeout %v must be below half of the retention %v", o.RunTimeout, o.Retention)
 	}
 	l := &Log{
-		opt: o, claimant: o.Instance + "/" + rand.Text(), pace: newPace(o.WritesPerSecond), owed: make(chan owedOp, maxOwed),
+		opt: o, claimant: o.Instance + "/" + rand.Text(), owed: make(chan owedOp, maxOwed),
 	}
 	for i := range o.Shards {
 		l.shards = append(l.shards, newShard(l, i))
@@ -123,6 +128,8 @@
 	for range deliverers {
 		wg.Go(func() { l.deliverOwed(ctx) })
 	}
+	<-ctx.Done()
+	l.stopped.Store(true)
 	wg.Wait()
 }
 
@@ -159,13 +166,13 @@
 	remote := false
 	if owner := l.owner(shard); owner != l.opt.Instance {
 		state, err := l.callClaim(ctx, owner, e)
-		if err == nil {
-			return state, nil
+		if err == nil || errors.Is(err, ErrAbandoned) {
+			return state, err
 		}
 		// An owner that answered with an error gives the key back itself.
 		var refused *peer.RemoteError
-		remote = !errors.As(err, &refused)
-		if ctx.Err() != nil {
+		remote = !errors.As(err, &refused) && !errors.Is(err, errStopped)
+		if !direct(err) || ctx.Err() != nil {
 			if remote {
 				l.owe(shard, release(e))
 			}
@@ -180,6 +187,13 @@
 	return state, err
 }
 
+// errStopped reports that the owner's log has stopped because the process ends.
+var errStopped = errors.New("claim log of the owner has stopped")
+
+// direct tells whether to write without the owner. A slow owner is no reason: if every entry wrote when the owner's
+// budget is used up, the store's cost would grow with the number of entries.
+func direct(err error) bool { return errors.Is(err, peer.ErrUnreachable) || errors.Is(err, errStopped) }
+
 func release(e entry) entry { return entry{Op: opRelease, Key: e.Key, Attempt: e.Attempt} }
 
 // Finish records the result of a granted call and waits until the log holds it or the context ends; in the latter case
@@ -193,8 +207,17 @@
 	}
 	shard := l.shardOf(e.Key)
 	if owner := l.owner(shard); owner != l.opt.Instance {
-		if err := l.callFinish(ctx, owner, e); err == nil {
+		err := l.callFinish(ctx, owner, e)
+		var refused *peer.RemoteError
+		switch {
+		case err == nil:
 			return nil
+		case direct(err):
+		case errors.As(err, &refused):
+			return err // an operation that waits at the owner is still written there
+		default:
+			l.owe(shard, e)
+			return err
 		}
 	}
 	return l.shards[shard].settle(ctx, e)
@@ -257,9 +280,29 @@
 		case <-ctx.Done():
 			return
 		case op := <-l.owed:
-			if owner := l.owner(op.shard); owner == l.opt.Instance || l.callFinish(ctx, owner, op.entry) != nil {
-				l.shards[op.shard].enqueue(newOp(op.entry, nil))
-			}
+			l.deliver(ctx, op)
+		}
+	}
+}
+
+func (l *Log) deliver(ctx context.Context, op owedOp) {
+	owner := l.owner(op.shard)
+	if owner == l.opt.Instance {
+		l.shards[op.shard].enqueue(newOp(op.entry, nil))
+		return
+	}
+	err := l.callFinish(ctx, owner, op.entry)
+	var refused *peer.RemoteError
+	switch {
+	case err == nil || errors.As(err, &refused):
+	case direct(err):
+		l.shards[op.shard].enqueue(newOp(op.entry, nil))
+	default:
+		// The call may have been lost. Repeating it is harmless.
+		select {
+		case <-time.After(deliverRetry):
+			l.owe(op.shard, op.entry)
+		case <-ctx.Done():
 		}
 	}
 }
@@ -282,17 +325,20 @@
 	Status  Status `cbor:"1,keyasint"`
 	Attempt string `cbor:"2,keyasint,omitempty"`
 	Result  Result `cbor:"3,keyasint,omitempty"`
+	// Stopped means that the owner does not write any more.
+	Stopped bool `cbor:"4,keyasint,omitempty"`
+	// Abandoned means that the attempt was given up before.
+	Abandoned bool `cbor:"5,keyasint,omitempty"`
 }
 
-// directShare is the part of the claim's time that is kept for writing directly when the owner does not answer.
-const directShare = 2
+// finishAnswer is the result of MethodFinish.
+type finishAnswer struct {
+	Stopped bool `cbor:"1,keyasint,omitempty"`
+}
 
 func (l *Log) callClaim(ctx context.Context, owner string, e entry) (State, error) {
 	end, _ := ctx.Deadline()
-	wait := time.Until(end) / directShare
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	payload, err := wire.Marshal(claimRequest{Entry: e, RemainingMs: wait.Milliseconds()})
+	payload, err := wire.Marshal(claimRequest{Entry: e, RemainingMs: time.Until(end).Milliseconds()})
 	if err != nil {
 		return State{}, err
 	}
@@ -304,6 +350,12 @@
 	if err := wire.Unmarshal(data, &a); err != nil {
 		return State{}, fmt.Errorf("%s at %s: %w", MethodClaim, owner, err)
 	}
+	if a.Stopped {
+		return State{}, fmt.Errorf("%s at %s: %w", MethodClaim, owner, errStopped)
+	}
+	if a.Abandoned {
+		return State{}, ErrAbandoned
+	}
 	if a.Status == 0 || a.Status == Granted && a.Attempt != e.Attempt {
 		return State{}, fmt.Errorf("%s at %s: answer has status %s for attempt %q", MethodClaim, owner, a.Status, a.Attempt)
 	}
@@ -317,9 +369,17 @@
 	if err != nil {
 		return err
 	}
-	if _, err = l.opt.Caller.Call(ctx, owner, MethodFinish, payload); err != nil {
+	data, err := l.opt.Caller.Call(ctx, owner, MethodFinish, payload)
+	if err != nil {
+		return fmt.Errorf("%s at %s: %w", MethodFinish, owner, err)
+	}
+	var a finishAnswer
+	if err := wire.Unmarshal(data, &a); err != nil {
 		return fmt.Errorf("%s at %s: %w", MethodFinish, owner, err)
 	}
+	if a.Stopped {
+		return fmt.Errorf("%s at %s: %w", MethodFinish, owner, errStopped)
+	}
 	return nil
 }
 
@@ -331,11 +391,17 @@
 	if instance, _, _ := strings.Cut(req.Entry.Claimant, "/"); req.Entry.Op != opClaim || instance != from.Instance {
 		return nil, fmt.Errorf("%s: claimant %q does not belong to %s", MethodClaim, req.Entry.Claimant, from.Instance)
 	}
+	if l.stopped.Load() {
+		return wire.Marshal(claimAnswer{Stopped: true})
+	}
 	wait := min(time.Duration(req.RemainingMs)*time.Millisecond, l.opt.ClaimTimeout)
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	shard := l.shardOf(req.Entry.Key)
 	state, written, err := l.shards[shard].claim(ctx, req.Entry)
+	if errors.Is(err, ErrAbandoned) {
+		return wire.Marshal(claimAnswer{Abandoned: true})
+	}
 	if err != nil {
 		if written {
 			l.owe(shard, release(req.Entry))
@@ -353,7 +419,13 @@
 	if e.Op != opFinish && e.Op != opRelease || e.Op == opFinish && e.Result == nil {
 		return nil, fmt.Errorf("%s: entry of kind %d", MethodFinish, e.Op)
 	}
+	if l.stopped.Load() {
+		return wire.Marshal(finishAnswer{Stopped: true})
+	}
 	ctx, cancel := context.WithTimeout(ctx, l.opt.ClaimTimeout)
 	defer cancel()
-	return nil, l.shards[l.shardOf(e.Key)].settle(ctx, e)
+	if err := l.shards[l.shardOf(e.Key)].settle(ctx, e); err != nil {
+		return nil, err
+	}
+	return wire.Marshal(finishAnswer{})
 }
--- a/internal/request/claim/pace.go
+++ b/internal/request/claim/pace.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// pace spreads the store writes of all shards of a process over time.
+// pace spreads the store writes of a shard over time.
 type pace struct {
 	mu     sync.Mutex
 	rate   float64
--- a/internal/request/claim/shard.go
+++ b/internal/request/claim/shard.go
@@ -16,8 +16,8 @@
 // Bounds of a shard.
 const (
 	// maxBatchBytes bounds a batch; a page of pageSize batches stays below the store client's bound of one list.
-	maxBatchBytes = 256 << 10
-	pageSize      = 64
+	maxBatchBytes = 512 << 10
+	pageSize      = 32
 	// maxQueue bounds the operations that wait in one shard of one process, and maxBodies those with a response body.
 	maxQueue  = 8192
 	maxBodies = 256
@@ -28,7 +28,7 @@
 	// callTimeout bounds one store call.
 	callTimeout = 2 * time.Second
 	// settleDelay lets finishes and releases wait for a claim to share a batch with.
-	settleDelay = 250 * time.Millisecond
+	settleDelay = 500 * time.Millisecond
 	// freshFor is how old the last sight of the log's end may be when a claim is refused because of an active one.
 	freshFor = time.Second
 	// cleanEvery is the time between two deletions of old batches.
@@ -87,6 +87,7 @@
 type shard struct {
 	log    *Log
 	number int
+	pace   *pace
 
 	mu    sync.Mutex
 	queue []*op
@@ -113,7 +114,10 @@
 }
 
 func newShard(l *Log, number int) *shard {
-	return &shard{log: l, number: number, wake: make(chan struct{}, 1), state: newReplay(), versions: map[uint64]uint64{}}
+	return &shard{
+		log: l, number: number, pace: newPace(l.opt.WritesPerSecond), wake: make(chan struct{}, 1),
+		state: newReplay(), versions: map[uint64]uint64{},
+	}
 }
 
 func (s *shard) enqueue(o *op) bool {
@@ -220,7 +224,7 @@
 			break
 		}
 	}
-	s.log.pace.take(ctx)
+	s.pace.take(ctx)
 }
 
 func (s *shard) anyClaim() bool {
@@ -243,7 +247,7 @@
 	}
 	ops, b, err := s.build(ctx)
 	if err != nil || len(ops) == 0 {
-		s.log.pace.refund()
+		s.pace.refund()
 		return err
 	}
 	err = s.append(ctx, b)
@@ -257,7 +261,7 @@
 	}
 	if s.expendable() {
 		// One deletion for each batch keeps the log's length steady.
-		s.log.pace.take(ctx)
+		s.pace.take(ctx)
 		s.deleteFirst(ctx)
 	}
 	return nil
@@ -305,7 +309,7 @@
 	if e.Result == nil {
 		return fixed
 	}
-	return fixed + maxResultHeader + len(e.Result.Body)
+	return fixed + e.Result.headerSize() + len(e.Result.Body)
 }
 
 func (s *shard) takeQueue() []*op {
@@ -611,7 +615,7 @@
 
 // clean deletes batches before the horizon, in order, while the write budget has nothing better to do.
 func (s *shard) clean(ctx context.Context) {
-	for s.expendable() && !s.waiting() && s.log.pace.tryTake() {
+	for s.expendable() && !s.waiting() && s.pace.tryTake() {
 		if !s.deleteFirst(ctx) {
 			return
 		}
