--- a/internal/request/claim/shard.go
+++ b/internal/request/claim/shard.go
@@ -29,8 +29,6 @@
 	callTimeout = 2 * time.Second
 	// settleDelay lets finishes and releases wait for a claim to share a batch with.
 	settleDelay = 500 * time.Millisecond
-	// freshFor is how old the last sight of the log's end may be when a claim is refused because of an active one.
-	freshFor = time.Second
 	// cleanEvery is the time between two deletions of old batches.
 	cleanEvery = 10 * time.Second
 	// markEvery is the resolution of the times at which batches were first seen.
@@ -353,9 +351,6 @@
 // refreshForRefusals reads the end of the log again before a claim is refused because of another one that may have
 // ended by now.
 func (s *shard) refreshForRefusals(ctx context.Context, queue []*op) error {
-	if age(s.confirmed) <= freshFor {
-		return nil
-	}
 	for _, o := range queue {
 		rec := s.state.keys[o.entry.Key]
 		if o.claims() && rec != nil && !rec.finished && rec.attempt != o.entry.Attempt {
