--- a/internal/app/compose/compose.go
+++ b/internal/app/compose/compose.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"sync"
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/app/entry"
@@ -17,7 +16,6 @@
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
 	"github.com/dragonflypin/dragonflypin/internal/process/usage"
-	"github.com/dragonflypin/dragonflypin/internal/version/directory"
 	"github.com/dragonflypin/dragonflypin/internal/version/table"
 )
 
@@ -33,8 +31,7 @@
 // Entry is an entry with its operator API.
 type Entry struct {
 	*entry.T
-	follower *directory.Follower
-	metrics  *metrics.Metrics
+	metrics *metrics.Metrics
 }
 
 // NewEntry binds the listeners of an entry. Absent settings get their defaults; events go to log.
@@ -55,12 +52,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Entry{T: e, metrics: m, follower: directory.NewFollower(client, func(err error) {
-		events.Emit(eventlog.StoreUnavailable, eventlog.Reason("directory"), eventlog.Err(err))
-	})}
+	c := &Entry{T: e, metrics: m}
 	follower := e.Follower()
 	e.SetOperator(operator.New(operator.Options{
-		Directory: c.follower.Current,
+		Directory: e.Directory().Current,
 		Current:   follower.Current,
 		Publisher: table.NewPublisher(client, follower.Current, follower.Offer),
 		Log:       table.Log{Client: client},
@@ -74,12 +69,7 @@
 
 // Run serves until ctx ends and everything in flight has ended.
 func (c *Entry) Run(ctx context.Context) error {
-	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	var wg sync.WaitGroup
-	wg.Go(func() { c.follower.Run(background) })
 	err := c.T.Run(ctx)
-	stop()
-	wg.Wait()
 	return errors.Join(err, c.metrics.Shutdown(context.WithoutCancel(ctx)))
 }
 
--- a/internal/app/entry/control.go
+++ b/internal/app/entry/control.go
@@ -211,3 +211,9 @@
 func (e tableEvents) TableForked(instance string, number uint64) {
 	e.t.log.Emit(eventlog.TableInvalid, eventlog.Peer(instance), eventlog.Version(number), eventlog.Reason("fork"))
 }
+
+// Follower holds the table in force.
+func (t *T) Follower() *table.Follower { return t.control.follower }
+
+// Directory holds the workspaces and operators in use.
+func (t *T) Directory() *directory.Follower { return t.control.directory }
--- a/internal/connection/peer/session.go
+++ b/internal/connection/peer/session.go
@@ -55,14 +55,14 @@
 	busy      atomic.Int32
 	busySince atomic.Int64
 	lastHeard atomic.Int64
-	// nextBeat and nextCheck are when the timers of the two loops fire, so that begin wakes them only if that is too late.
-	nextBeat  atomic.Int64
-	nextCheck atomic.Int64
 	// lastData is when the last message of a request stream arrived.
 	lastData atomic.Int64
 	// packets is the number of QUIC packets received at the last check of silence; only watchSilence uses it.
 	packets uint64
-	suspect atomic.Bool
+	// nextBeat and nextCheck are when the timers of the two loops fire, so that begin wakes them only if that is too late.
+	nextBeat  atomic.Int64
+	nextCheck atomic.Int64
+	suspect   atomic.Bool
 }
 
 func newSession(n *Node, conn *quic.Conn, control *quic.Stream, dialled bool) *Session {
