cli: table apply sends an edit again when its answer is lost

Cause: after a lost answer an operator could not tell whether the edit was accepted, and a second apply looked like a conflict with the own change. Change: the command gives each edit an ID and sends the same edit up to four times after a broken connection or the code outcome_unknown; a refusal is never repeated. Conclusion: an apply ends with the version, a refusal, or a message that says that the outcome is not known.

--- a/internal/app/cli/operator.go
+++ b/internal/app/cli/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -46,14 +48,23 @@
 	body   []byte
 }
 
+type errorShape struct {
+	Error struct {
+		Message string `json:"message"`
+		Code    string `json:"code"`
+	} `json:"error"`
+}
+
+// code returns the error's code, or an empty string.
+func (e *apiError) code() string {
+	var shape errorShape
+	_ = json.Unmarshal(e.body, &shape)
+	return shape.Error.Code
+}
+
 // Error implements error. The first line is the message; further fields of the answer, such as conflicts, follow.
 func (e *apiError) Error() string {
-	var shape struct {
-		Error struct {
-			Message string `json:"message"`
-			Code    string `json:"code"`
-		} `json:"error"`
-	}
+	var shape errorShape
 	if json.Unmarshal(e.body, &shape) != nil || shape.Error.Message == "" {
 		return fmt.Sprintf("the operator API answered %d: %s", e.status, strings.TrimSpace(string(e.body)))
 	}
@@ -172,21 +183,17 @@
 	File string `positional-arg-name:"FILE" description:"table file, CSV or JSON"`
 }
 
-// send posts a table file.
-func (o *operatorOptions) send(path, file string, query url.Values) error {
+// tableCall returns the call that posts a table file.
+func tableCall(path, file string, query url.Values) (operatorCall, error) {
 	body, err := os.ReadFile(file)
 	if err != nil {
-		return &usageError{fmt.Sprintf("table file: %v", err)}
+		return operatorCall{}, &usageError{fmt.Sprintf("table file: %v", err)}
 	}
 	contentType := typeCSV
 	if bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) {
 		contentType = typeJSON
 	}
-	answer, err := o.call(operatorCall{method: http.MethodPost, path: path, query: query, body: body, contentType: contentType})
-	if err != nil {
-		return err
-	}
-	return o.print(answer)
+	return operatorCall{method: http.MethodPost, path: path, query: query, body: body, contentType: contentType}, nil
 }
 
 type tableCheckCommand struct {
@@ -199,7 +206,15 @@
 	if err := noArguments(args); err != nil {
 		return err
 	}
-	return c.send("/table/check", c.Args.File, nil)
+	call, err := tableCall("/table/check", c.Args.File, nil)
+	if err != nil {
+		return err
+	}
+	body, err := c.call(call)
+	if err != nil {
+		return err
+	}
+	return c.print(body)
 }
 
 type tableApplyCommand struct {
@@ -209,12 +224,50 @@
 	Args   fileArgument `positional-args:"yes" required:"yes"`
 }
 
+const (
+	// applyAttempts bounds how often an edit is sent when its answer is lost. The edit's ID makes that safe: an edit that
+	// was accepted before is answered with its version.
+	applyAttempts = 4
+	applyPause    = 500 * time.Millisecond
+)
+
 // Execute implements flags.Commander.
 func (c *tableApplyCommand) Execute(args []string) error {
 	if err := noArguments(args); err != nil {
 		return err
 	}
-	return c.send("/table/apply", c.Args.File, url.Values{"base": {strconv.FormatUint(c.Base, 10)}, "reason": {c.Reason}})
+	call, err := tableCall("/table/apply", c.Args.File, url.Values{
+		"base": {strconv.FormatUint(c.Base, 10)}, "reason": {c.Reason}, "edit": {rand.Text()},
+	})
+	if err != nil {
+		return err
+	}
+	body, err := c.call(call)
+	for attempt := 1; attempt < applyAttempts && answerLost(err); attempt++ {
+		select {
+		case <-c.env.ctx.Done():
+			return err
+		case <-time.After(applyPause):
+		}
+		body, err = c.call(call)
+	}
+	if answerLost(err) {
+		return fmt.Errorf("%w; it is not known whether the edit was accepted: see table history", err)
+	}
+	if err != nil {
+		return err
+	}
+	return c.print(body)
+}
+
+// answerLost tells whether an edit may have been accepted although no answer says so.
+func answerLost(err error) bool {
+	var api *apiError
+	if errors.As(err, &api) {
+		return api.code() == "outcome_unknown"
+	}
+	var usage *usageError
+	return err != nil && !errors.As(err, &usage) && !errors.Is(err, syscall.ECONNREFUSED)
 }
 
 type tableHistoryCommand struct{ operatorOptions }
