standin: conditional instance list, addresses in the demo's log

Cause: the membership client sends If-None-Match, which the list ignored; faults of the demo's stand-ins could not be set, as their addresses were not shown. Conclusion: faults can be tried in the demo with PUT /faults at the logged addresses.

--- a/internal/app/demo/demo.go
+++ b/internal/app/demo/demo.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflypin/dragonflypin/internal/app/sidecar"
 	"github.com/dragonflypin/dragonflypin/internal/connection/peer"
 	"github.com/dragonflypin/dragonflypin/internal/connection/wire"
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/standin/instances"
 )
@@ -79,7 +80,7 @@
 
 func (s *system) build(ctx context.Context) error {
 	var err error
-	if s.platform, err = newPlatform(); err != nil {
+	if s.platform, err = newPlatform(eventlog.New(s.opts.Log, "info", "standin", "demo")); err != nil {
 		return err
 	}
 	if s.ca, err = peer.NewDevCA(); err != nil {
--- a/internal/app/demo/platform.go
+++ b/internal/app/demo/platform.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
 	"github.com/dragonflypin/dragonflypin/internal/standin/engine"
@@ -33,23 +34,25 @@
 	storeURL     string
 	instancesURL string
 	servers      []*http.Server
+	log          *eventlog.Log
 }
 
-func newPlatform() (*platform, error) {
-	p := &platform{list: instances.New(instances.Options{})}
+func newPlatform(log *eventlog.Log) (*platform, error) {
+	p := &platform{list: instances.New(instances.Options{}), log: log}
 	var err error
-	if p.storeURL, err = p.serve(standinstore.New(standinstore.Options{})); err != nil {
+	if p.storeURL, err = p.serve("store", standinstore.New(standinstore.Options{})); err != nil {
 		return nil, err
 	}
-	if p.instancesURL, err = p.serve(p.list); err != nil {
+	if p.instancesURL, err = p.serve("instances", p.list); err != nil {
 		p.close()
 		return nil, err
 	}
 	return p, nil
 }
 
-// serve starts a stand-in on a free loopback port and returns its base URL.
-func (p *platform) serve(h http.Handler) (string, error) {
+// serve starts a stand-in on a free loopback port and returns its base URL. The log names the address, which takes
+// PUT /faults.
+func (p *platform) serve(name string, h http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return "", fmt.Errorf("listen for a stand-in: %w", err)
@@ -57,6 +60,7 @@
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	p.servers = append(p.servers, server)
 	go func() { _ = server.Serve(listener) }()
+	p.log.Emit(eventlog.StandinStarted, eventlog.Name(name), eventlog.Address(listener.Addr().String()))
 	return "http://" + listener.Addr().String(), nil
 }
 
@@ -69,9 +73,9 @@
 // upstream starts one replica of a service.
 func (p *platform) upstream(s upstreamService, name string) (string, error) {
 	if s.kind == settings.KindEngine {
-		return p.serve(engine.New(engine.Options{Name: name, Models: []string{s.model}, Slots: engineSlots}))
+		return p.serve(name, engine.New(engine.Options{Name: name, Models: []string{s.model}, Slots: engineSlots}))
 	}
-	return p.serve(service.New(service.Options{Name: name}))
+	return p.serve(name, service.New(service.Options{Name: name}))
 }
 
 // accessKeys are the plain keys of the demo, which only its output shows.
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -3,9 +3,12 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -120,13 +123,26 @@
 	return slices.DeleteFunc(list, func(i Instance) bool { return i.Instance == name })
 }
 
-func (l *List) serveList(w http.ResponseWriter, _ *http.Request) {
+// serveList answers 304 to a caller that names the ETag of the list that it would get.
+func (l *List) serveList(w http.ResponseWriter, r *http.Request) {
 	list := l.Get()
 	if list == nil {
 		list = []Instance{}
 	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	sum := sha256.Sum256(body)
+	etag := strconv.Quote(hex.EncodeToString(sum[:8]))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(list)
+	_, _ = w.Write(append(body, '\n'))
 }
 
 func (l *List) servePut(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/instances/instances_test.go
+++ b/internal/standin/instances/instances_test.go
@@ -35,6 +35,19 @@
 	if a, b := strings.Index(list, `"a"`), strings.Index(list, `"b"`); a < 0 || b < a || !strings.Contains(list, `"live"`) {
 		t.Fatalf("list %s", list)
 	}
+	r := httptest.NewRequest(http.MethodGet, "/instances", nil)
+	first := httptest.NewRecorder()
+	l.ServeHTTP(first, r)
+	r.Header.Set("If-None-Match", first.Header().Get("ETag"))
+	for change, want := range []int{http.StatusNotModified, http.StatusOK} {
+		if change == 1 {
+			l.Put(instances.Instance{Instance: "d", State: instances.StateLive})
+		}
+		again := httptest.NewRecorder()
+		if l.ServeHTTP(again, r); again.Code != want {
+			t.Fatalf("conditional list: status %d, want %d", again.Code, want)
+		}
+	}
 	l.Faults().Put(fault.Set{StaleMs: 60000})
 	call(http.MethodDelete, "/instances/a", "")
 	if _, list := call(http.MethodGet, "/instances", ""); list != "[]\n" {
