--- a/internal/app/cli/commands.go
+++ b/internal/app/cli/commands.go
@@ -65,7 +65,7 @@
 			data: &explainCommand{operatorOptions: operatorOptions{env: env}}},
 		{name: "load", short: "Send load and report by class", long: "Sends the requests of a workload file at their times, however long " +
 			"answers take, checks every answer's content and reports by class. Times in the report are in milliseconds. " +
-			"Exit status 1 when an answer is wrong or none completed.\n\nWorkload file: " + settings.Help[load.Workload](),
+			"Exit status 1 when an answer is wrong or none completed.\n\nWorkload file: " + load.Help(),
 			data: &loadCommand{env: env}},
 		{name: "version", short: "Print version, commit and Go version", long: "Prints version, commit and Go version.",
 			data: &versionCommand{out: env.out}},
--- a/internal/app/load/workload.go
+++ b/internal/app/load/workload.go
@@ -3,7 +3,7 @@
 package load
 
 import (
-	_ "embed"
+	"embed"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -25,6 +25,12 @@
 //go:embed sample.json
 var Sample []byte
 
+//go:embed workload.go
+var source embed.FS
+
+// Help describes the workload file.
+func Help() string { return settings.Help[Workload](source) }
+
 // Workload is the workload file.
 type Workload struct {
 	// Seed selects arrival times, prompts and lengths. Default 1.
--- a/internal/process/settings/help.go
+++ b/internal/process/settings/help.go
@@ -29,8 +29,15 @@
 	Required bool
 }
 
-// Fields returns the settings of T in the order of their declaration. Doc is empty for types of other packages.
-func Fields[T any]() []Field { return fields(reflect.TypeFor[T](), "", docComments()) }
+// Fields returns the settings of T in the order of their declaration. A type of another package needs its source files,
+// or Doc is empty.
+func Fields[T any](source ...embed.FS) []Field {
+	docs := make(map[string]string)
+	for _, files := range append([]embed.FS{sources}, source...) {
+		docComments(files, docs)
+	}
+	return fields(reflect.TypeFor[T](), "", docs)
+}
 
 func fields(t reflect.Type, path string, docs map[string]string) []Field {
 	var list []Field
@@ -54,15 +61,14 @@
 	return list
 }
 
-// docComments returns the comments of struct fields by TYPE.FIELD.
-func docComments() map[string]string {
-	docs := make(map[string]string)
-	entries, err := sources.ReadDir(".")
+// docComments adds the comments of struct fields by TYPE.FIELD.
+func docComments(files embed.FS, docs map[string]string) {
+	entries, err := files.ReadDir(".")
 	if err != nil {
 		panic(err) // the files are embedded
 	}
 	for _, entry := range entries {
-		text, err := sources.ReadFile(entry.Name())
+		text, err := files.ReadFile(entry.Name())
 		if err != nil {
 			panic(err) // the files are embedded
 		}
@@ -72,7 +78,6 @@
 		}
 		ast.Inspect(file, func(n ast.Node) bool { collect(n, docs); return true })
 	}
-	return docs
 }
 
 func collect(n ast.Node, docs map[string]string) {
@@ -91,11 +96,11 @@
 	}
 }
 
-// Help returns the settings of T as text, one setting after the other.
-func Help[T any]() string {
+// Help returns the settings of T as text, one setting after the other. source is as for Fields.
+func Help[T any](source ...embed.FS) string {
 	var b strings.Builder
 	b.WriteString("Settings (JSON):\n")
-	for _, f := range Fields[T]() {
+	for _, f := range Fields[T](source...) {
 		state := "required"
 		switch {
 		case f.Default != "":
