--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 var (
 	reportFile    = flag.String("report", "", "write the report to this file")
 	seedFile      = flag.String("seeds", "tuning", "seed file in testdata, without .seeds")
+	plotDir       = flag.String("plot", "", "write attainment.svg to this directory")
 	onlyScenarios = flag.String("scenarios", "", "comma-separated scenarios; empty means all")
 	onlyPolicies  = flag.String("policies", "", "comma-separated policies; empty means all")
 )
@@ -47,17 +49,31 @@
 	return strings.Split(list, ",")
 }
 
-// measureAll runs scenarios times policies, each in its own bubble, and returns the lines in a fixed order.
-func measureAll(t *testing.T, scenarios, policies []string, seeds []uint64) []Line {
-	parts := make([][]Line, len(scenarios)*len(policies))
+// runSpec is one Measure call.
+type runSpec struct {
+	scenario, policy string
+	seeds            []uint64
+}
+
+func specs(scenarios, policies []string, seeds []uint64) []runSpec {
+	var out []runSpec
+	for _, s := range scenarios {
+		for _, p := range policies {
+			out = append(out, runSpec{s, p, seeds})
+		}
+	}
+	return out
+}
+
+// measureAll makes the runs in parallel, each in its own bubble, and returns the lines in a fixed order.
+func measureAll(t *testing.T, runs []runSpec) []Line {
+	parts := make([][]Line, len(runs))
 	t.Run("runs", func(t *testing.T) {
-		for i, s := range scenarios {
-			for k, p := range policies {
-				t.Run(s+"/"+p, func(t *testing.T) {
-					t.Parallel()
-					synctest.Test(t, func(*testing.T) { parts[i*len(policies)+k] = Measure(s, p, seeds) })
-				})
-			}
+		for i, r := range runs {
+			t.Run(r.scenario+"/"+r.policy, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(*testing.T) { parts[i] = Measure(r.scenario, r.policy, r.seeds) })
+			})
 		}
 	})
 	var lines []Line
@@ -72,7 +88,7 @@
 	if *reportFile == "" {
 		t.Skip("no -report")
 	}
-	lines := measureAll(t, chosen(*onlyScenarios, Scenarios()), chosen(*onlyPolicies, Policies()), readSeeds(t, *seedFile))
+	lines := measureAll(t, specs(chosen(*onlyScenarios, Scenarios()), chosen(*onlyPolicies, Policies()), readSeeds(t, *seedFile)))
 	f, err := os.Create(*reportFile)
 	if err != nil {
 		t.Fatal(err)
@@ -84,3 +100,34 @@
 		t.Fatal(err)
 	}
 }
+
+// TestPlot writes the plot of scripts/measure --plot.
+func TestPlot(t *testing.T) {
+	if *plotDir == "" {
+		t.Skip("no -plot")
+	}
+	seeds := readSeeds(t, *seedFile)
+	loads := PlotLoads()
+	lines, baseline := make([][]Line, len(loads)), make([][]Line, len(loads))
+	t.Run("runs", func(t *testing.T) {
+		for i, load := range loads {
+			t.Run(strconv.FormatFloat(load, 'f', 2, 64), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(*testing.T) {
+					lines[i] = AttainmentAt(load, Dragonflypin, seeds)
+					baseline[i] = AttainmentAt(load, FIFORoundRobin, seeds)
+				})
+			})
+		}
+	})
+	if err := PlotAttainment(*plotDir, loads, lines, baseline); err != nil {
+		t.Fatal(err)
+	}
+	for i, load := range loads {
+		for _, c := range append(slices.Clone(lines[i]), baseline[i]...) {
+			if c.Metric == "attainment" {
+				t.Logf("load %.2f %s %s %.3f", load, c.Policy, c.Class, c.Value)
+			}
+		}
+	}
+}
