--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -16,6 +16,7 @@
 	reportFile    = flag.String("report", "", "write the report to this file")
 	seedFile      = flag.String("seeds", "tuning", "seed file in testdata, without .seeds")
 	plotDir       = flag.String("plot", "", "write attainment.svg to this directory")
+	columnsFile   = flag.String("columns", "", "write the effect of changed columns to this file")
 	onlyScenarios = flag.String("scenarios", "", "comma-separated scenarios; empty means all")
 	onlyPolicies  = flag.String("policies", "", "comma-separated policies; empty means all")
 )
@@ -89,16 +90,7 @@
 		t.Skip("no -report")
 	}
 	lines := measureAll(t, specs(chosen(*onlyScenarios, Scenarios()), chosen(*onlyPolicies, Policies()), readSeeds(t, *seedFile)))
-	f, err := os.Create(*reportFile)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := Write(f, lines); err != nil {
-		t.Fatal(err)
-	}
-	if err := f.Close(); err != nil {
-		t.Fatal(err)
-	}
+	writeLines(t, *reportFile, lines)
 }
 
 // TestPlot writes the plot of scripts/measure --plot.
@@ -131,3 +123,35 @@
 		}
 	}
 }
+
+// TestColumns writes the report of scripts/measure --columns.
+func TestColumns(t *testing.T) {
+	if *columnsFile == "" {
+		t.Skip("no -columns")
+	}
+	seeds := readSeeds(t, *seedFile)
+	variations := Variations()
+	parts := make([][]Line, len(variations))
+	t.Run("runs", func(t *testing.T) {
+		for i, v := range variations {
+			t.Run(v.Name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(*testing.T) { parts[i] = MeasureVariation(v, seeds) })
+			})
+		}
+	})
+	writeLines(t, *columnsFile, slices.Concat(parts...))
+}
+
+func writeLines(t *testing.T, name string, lines []Line) {
+	f, err := os.Create(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Write(f, lines); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
