table: history checks of edits with store faults

Cause: edits of both owners race with lost answers and outages. Change: porcupine checks of edits and reads; a store that overwrites serves as the fake that must be rejected.

--- /dev/null
+++ b/internal/version/table/history_test.go
@@ -0,0 +1,217 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/internal/process/store/storetest"
+)
+
+// historyEdit is one edit of one row, or a read when class is empty. Weights are used once, so that the row seen at the
+// base identifies a version of the row.
+type historyEdit struct {
+	class    string
+	from, to int
+}
+
+type historySeen struct {
+	// version is that of the accepted edit or of the table read; 0 when the outcome is unknown.
+	version  uint64
+	conflict bool
+	// weights are those of the table read, by class.
+	weights string
+}
+
+type historyTable struct {
+	version uint64
+	weights [historyClasses]int
+}
+
+const historyClasses = 4
+
+func (h historyTable) String() string { return fmt.Sprint(h.weights) }
+
+func classIndex(class string) int { return int(class[0] - 'a') }
+
+var tableModel = porcupine.Model{
+	Init: func() any {
+		h := historyTable{version: 1}
+		for i := range h.weights {
+			h.weights[i] = i + 1
+		}
+		return h
+	},
+	Step: func(state, input, output any) (bool, any) {
+		h, in, out := state.(historyTable), input.(historyEdit), output.(historySeen)
+		if in.class == "" {
+			return out.version == h.version && out.weights == h.String(), h
+		}
+		row := &h.weights[classIndex(in.class)]
+		switch {
+		case out.conflict:
+			return *row != in.from, h
+		case *row != in.from:
+			return out.version == 0, h // an edit with unknown outcome that was refused
+		default:
+			h.version++
+			*row = in.to
+			return out.version == 0 || out.version == h.version, h
+		}
+	},
+}
+
+func readTable(ctx context.Context, c store.Client) (*Version, error) {
+	head, err := Log{Client: c}.Head(ctx, 0)
+	if err == nil && head == nil {
+		err = ErrNoVersion
+	}
+	return head, err
+}
+
+func weightsOf(v *Version) string {
+	var h historyTable
+	for _, r := range v.Rows {
+		h.weights[classIndex(r.Class)] = r.Weight
+	}
+	return h.String()
+}
+
+// tableHistory runs editors that compete for few rows, with store faults, and returns what they saw.
+func tableHistory(t *testing.T, seed uint64, wrap func(store.Client) store.Client) (history []porcupine.Operation, accepted, refused int) {
+	const editors, rounds = 6, 12
+	synctest.Test(t, func(t *testing.T) {
+		m := storetest.New()
+		var rows []Row
+		for i := range historyClasses {
+			r := row(string(rune('a'+i)), "furano", i+1)
+			r.Shared = true
+			rows = append(rows, r)
+		}
+		none := func() *Compiled { return nil }
+		if _, err := NewPublisher(m, none, func(*Version) {}).Apply(t.Context(), Edit{Author: "furano", Rows: rows}); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var faults, edits sync.WaitGroup
+		faults.Go(func() {
+			random := rand.New(rand.NewPCG(seed, 99))
+			for ctx.Err() == nil {
+				m.SetFaults([]storetest.Faults{
+					{}, {Delay: 20 * time.Millisecond}, {LoseAnswers: true}, {LoseRequests: true}, {Outage: true}, {Delay: time.Second},
+				}[random.IntN(6)])
+				time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+			}
+		})
+		var mu sync.Mutex
+		now, weight := int64(0), historyClasses
+		tick := func() int64 {
+			mu.Lock()
+			defer mu.Unlock()
+			now++
+			return now
+		}
+		for editor := range editors {
+			edits.Go(func() {
+				random := rand.New(rand.NewPCG(seed, uint64(editor)))
+				client := wrap(m)
+				p := NewPublisher(client, none, func(*Version) {})
+				for range rounds {
+					time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+					call := tick()
+					base, err := readTable(ctx, client)
+					if err != nil {
+						continue
+					}
+					seen := historySeen{version: base.Number, weights: weightsOf(base)}
+					end := tick()
+					mu.Lock()
+					history = append(history, porcupine.Operation{ClientId: editor, Input: historyEdit{}, Call: call, Output: seen, Return: end})
+					weight++
+					in := historyEdit{class: string(rune('a' + random.IntN(historyClasses))), to: weight}
+					mu.Unlock()
+					changed, _ := base.Find(in.class)
+					in.from, changed.Weight = changed.Weight, in.to
+					time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+					author := []string{"furano", "jadestone"}[random.IntN(2)]
+					call = tick()
+					deadline, done := context.WithTimeout(ctx, 5*time.Second)
+					v, err := p.Apply(deadline, Edit{Author: author, Base: base.Number, Rows: with(base.Rows, changed)})
+					done()
+					end = tick()
+					out := historySeen{}
+					var conflict *ConflictError
+					switch {
+					case err == nil:
+						out.version = v.Number
+					case errors.As(err, &conflict):
+						out.conflict = true
+					case errors.Is(err, store.ErrUnknown):
+						end = 1 << 60
+					default:
+						continue // certainly not accepted
+					}
+					mu.Lock()
+					if out.version > 0 {
+						accepted++
+					} else if out.conflict {
+						refused++
+					}
+					history = append(history, porcupine.Operation{ClientId: editor, Input: in, Call: call, Output: out, Return: end})
+					mu.Unlock()
+				}
+			})
+		}
+		edits.Wait()
+		cancel()
+		faults.Wait()
+	})
+	return history, accepted, refused
+}
+
+// overwritingStore is a store whose creation replaces what another writer has created.
+type overwritingStore struct{ store.Client }
+
+func (s overwritingStore) Create(ctx context.Context, kind, name string, value []byte) (store.Object, error) {
+	if old, err := s.Get(ctx, kind, name); err == nil {
+		old.Value = value
+		return s.Update(ctx, old)
+	}
+	return s.Client.Create(ctx, kind, name, value)
+}
+
+const checkTimeout = 30 * time.Second
+
+// Guards against any interleaving of edits and store faults in which an edit is lost, applied twice or applied onto a
+// row that had changed.
+func TestEditHistories(t *testing.T) {
+	for seed := range uint64(6) {
+		history, accepted, refused := tableHistory(t, seed, func(c store.Client) store.Client { return c })
+		t.Logf("seed %d: %d operations, %d edits accepted, %d refused", seed, len(history), accepted, refused)
+		if accepted < 5 {
+			t.Errorf("seed %d: only %d edits accepted, so that little was checked", seed, accepted)
+		}
+		if r := porcupine.CheckOperationsTimeout(tableModel, history, checkTimeout); r != porcupine.Ok {
+			t.Errorf("seed %d: history is %s", seed, r)
+		}
+	}
+}
+
+// Guards against a check that accepts everything: a store without conditional creation must be rejected.
+func TestEditHistoryOfBrokenStoreIsRejected(t *testing.T) {
+	for seed := range uint64(6) {
+		history, _, _ := tableHistory(t, seed, func(c store.Client) store.Client { return overwritingStore{c} })
+		if porcupine.CheckOperationsTimeout(tableModel, history, checkTimeout) == porcupine.Illegal {
+			return
+		}
+	}
+	t.Error("no history of a store that overwrites was rejected")
+}
