attempt: the entry's deadline passes before the sidecar's

Cause: TestDeadlines failed in about one of five runs: the time left was rounded down to milliseconds, so the sidecar's deadline could pass first, and the caller got 502 upstream_failed in place of 504 timeout. Change: the time left is rounded up.

--- a/internal/request/attempt/bind.go
+++ b/internal/request/attempt/bind.go
@@ -112,7 +112,8 @@
 	m := r.Ask
 	m.Attempt, m.Committed = number, committed
 	now := time.Now()
-	m.RemainingMs = millis(r.Deadline.Sub(now))
+	// Rounded up, so that the entry's deadline passes before the sidecar's and the caller learns of a timeout.
+	m.RemainingMs = millis(r.Deadline.Sub(now) + time.Millisecond - 1)
 	m.WaitedMs = millis(now.Sub(r.Accepted))
 	if committed {
 		m.Body = r.Body
