Entry: no own reset of the write deadline

Cause: the reset and its test were added on the belief that a request's write deadline stays on its connection. The test also passes without the reset, because net/http clears the deadline after each request (server.go, conn.serve).

--- a/internal/app/entry/serve.go
+++ b/internal/app/entry/serve.go
@@ -59,8 +59,6 @@
 	defer t.active.Add(-1)
 	e := &exchange{t: t, w: w, r: r, x: &Explanation{RequestID: t.newID(), Entry: t.cfg.Instance, Accepted: time.Now(), Method: r.Method}}
 	w.Header().Set(outcome.HeaderRequestID, e.x.RequestID)
-	// The deadline that a request sets stays on its connection; it must not fail the next request's answer.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // unsupported only by test writers
 	abort := e.finish(e.serve())
 	if abort {
 		panic(http.ErrAbortHandler) // cuts the connection, so that the caller cannot take the answer for complete
