directory: an entry that starts while the store is down asks its peers

Cause: TestInvariantTableIsInForceAndNeverReverts started an entry during a store outage; it learned the table from its peers but never became ready, because the directory came from the store alone, so it could authenticate nobody.

--- a/internal/app/entry/control.go
+++ b/internal/app/entry/control.go
@@ -40,7 +40,7 @@
 func (t *T) newControl() {
 	codec := limit.Codec{Marshal: wire.Marshal, Unmarshal: wire.Unmarshal}
 	c := &t.control
-	c.directory = directory.NewFollower(t.deps.Store, t.storeError)
+	c.directory = directory.NewFollower(t.deps.Store, entryPeers{t}, t.storeError)
 	c.follower = table.NewFollower(table.FollowerOptions{
 		Instance: t.cfg.Instance, Zone: t.cfg.Zone, Client: t.deps.Store, Peers: entryPeers{t}, Events: tableEvents{t},
 	})
@@ -70,6 +70,9 @@
 	t.node.Handle(table.MethodFetch, fromEntries(func(ctx context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
 		return c.follower.HandleFetch(ctx, payload)
 	}))
+	t.node.Handle(directory.MethodFetch, fromEntries(func(ctx context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
+		return c.directory.HandleFetch(ctx, payload)
+	}))
 	t.node.Handle(limit.Method, fromEntries(func(ctx context.Context, from peer.Identity, payload []byte) ([]byte, error) {
 		return c.owner.Handle(ctx, from.Instance, payload)
 	}))
@@ -186,6 +189,17 @@
 	return list
 }
 
+// Instances implements directory.Peers.
+func (p entryPeers) Instances() []string {
+	var names []string
+	for _, m := range p.Members() {
+		if m.Instance != p.t.cfg.Instance {
+			names = append(names, m.Instance)
+		}
+	}
+	return names
+}
+
 // Announce implements table.Peers.
 func (p entryPeers) Announce(instances []string, version uint64) {
 	for _, instance := range instances {
--- a/internal/version/directory/directory_test.go
+++ b/internal/version/directory/directory_test.go
@@ -84,7 +84,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var failures atomic.Int32
-		f := NewFollower(m, func(error) { failures.Add(1) })
+		f := NewFollower(m, nil, func(error) { failures.Add(1) })
 		go f.Run(ctx)
 		<-f.Ready()
 		m.SetFaults(storetest.Faults{Outage: true})
--- a/internal/version/directory/load.go
+++ b/internal/version/directory/load.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"regexp"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -195,23 +196,34 @@
 	return NewIndex(d), obj.Revision, nil
 }
 
+// held is a directory in use with the store revision that it came from.
+type held struct {
+	index    *Index
+	revision uint64
+}
+
 // Follower keeps the latest directory of the store. It keeps the last valid one while the store is down or holds an
-// invalid one.
+// invalid one. An entry that starts while the store is down learns the directory from other entries.
 type Follower struct {
 	client  store.Client
-	current atomic.Pointer[Index]
-	seen    uint64
+	peers   Peers
+	held    atomic.Pointer[held]
 	onError func(error)
 	ready   chan struct{}
 }
 
-// NewFollower returns a follower; Run starts it. onError may be nil.
-func NewFollower(c store.Client, onError func(error)) *Follower {
-	return &Follower{client: c, onError: onError, ready: make(chan struct{})}
+// NewFollower returns a follower; Run starts it. peers and onError may be nil.
+func NewFollower(c store.Client, peers Peers, onError func(error)) *Follower {
+	return &Follower{client: c, peers: peers, onError: onError, ready: make(chan struct{})}
 }
 
 // Current returns the directory in use, or nil before the first one was read.
-func (f *Follower) Current() *Index { return f.current.Load() }
+func (f *Follower) Current() *Index {
+	if h := f.held.Load(); h != nil {
+		return h.index
+	}
+	return nil
+}
 
 // Ready is closed once a first directory is known.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
@@ -223,9 +235,7 @@
 		wait := refreshEvery - refreshEvery/5 + rand.N(refreshEvery*2/5)
 		if err := f.refresh(ctx); err != nil {
 			wait = backoff.Next()
-			if f.onError != nil && ctx.Err() == nil {
-				f.onError(err)
-			}
+			f.failed(ctx, err)
 		} else {
 			backoff.Reset()
 		}
@@ -236,15 +246,39 @@
 	}
 }
 
-// refresh ignores an answer older than the directory in use, so that a removed key stays removed.
+// refresh reads the store. Without any directory it asks the peers at the same time, because a store that is down may
+// answer late.
 func (f *Follower) refresh(ctx context.Context) error {
+	if f.Current() == nil {
+		var peers sync.WaitGroup
+		defer peers.Wait()
+		peers.Go(func() { f.askPeers(ctx) })
+	}
 	index, revision, err := Load(ctx, f.client)
-	if err != nil || revision <= f.seen {
-		return err
+	if err == nil {
+		f.install(index, revision)
+	}
+	return err
+}
+
+// install ignores a directory older than the one in use, so that a removed key stays removed.
+func (f *Follower) install(index *Index, revision uint64) {
+	for {
+		old := f.held.Load()
+		if old != nil && revision <= old.revision {
+			return
+		}
+		if f.held.CompareAndSwap(old, &held{index: index, revision: revision}) {
+			if old == nil {
+				close(f.ready)
+			}
+			return
+		}
 	}
-	f.seen = revision
-	if f.current.Swap(index) == nil {
-		close(f.ready)
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if f.onError != nil && ctx.Err() == nil {
+		f.onError(err)
 	}
-	return nil
 }
