--- a/internal/app/entry/failure_test.go
+++ b/internal/app/entry/failure_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -270,3 +271,57 @@
 		t.Errorf("waiting request: status %d code %q outcome %q", waiting.status, waiting.code(), waiting.outcome())
 	}
 }
+
+// Guards against protected work that is shed at a crest, and against lower work that waits for long instead of being
+// refused with the time to come back.
+func TestCrestRefusesLowerWorkOnly(t *testing.T) {
+	w := newWorld(t)
+	_, server := w.engine(engine.Options{TokenMs: 4})
+	w.sidecar("lm-pool-1", "lm-pool", settings.KindEngine, server.URL, func(c *settings.Sidecar) { c.Slots = 2 })
+	r := w.entry("entry-1", nil)
+	r.ready(t, 1)
+	var refused atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			if i%3 == 0 {
+				content := fmt.Sprint("protected ", i)
+				checkWhole(t, r.chat(content, 30, true), content)
+				return
+			}
+			a := r.chat(fmt.Sprint("eager ", i), 30, true, "Dragonflypin-Class", "eager")
+			if a.outcome() == "completed" {
+				return
+			}
+			refused.Add(1)
+			if a.status != http.StatusServiceUnavailable || a.code() != string(outcome.CodeSaturated) || a.outcome() != "not_run" || a.header.Get("Retry-After") == "" {
+				t.Errorf("refusal: status %d code %q outcome %q header %v", a.status, a.code(), a.outcome(), a.header)
+			}
+		})
+	}
+	wg.Wait()
+	if refused.Load() == 0 {
+		t.Error("60 requests for 2 slots were all admitted")
+	}
+}
+
+// Guards against a deadline of one request that cuts the answer of the next on the same connection.
+func TestDeadlineDoesNotOutliveItsRequest(t *testing.T) {
+	_, _, _, r := simple(t, engine.Options{})
+	own := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	ask := func(path string, header ...string) int {
+		resp, err := own.Do(newRequest(context.Background(), http.MethodPost, r.url+path, chatBody("x", 2, false), header...))
+		must(t, err)
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		must(t, err)
+		return resp.StatusCode
+	}
+	if status := ask("/v1/chat/completions", "Dragonflypin-Class", "hurried"); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	time.Sleep(2500 * time.Millisecond) // beyond the deadline of 300 ms and its grace of 2 s
+	if status := ask("/v2"); status != http.StatusNotFound {
+		t.Errorf("status %d", status)
+	}
+}
