schedule: refuse work whose expected output does not fit before its deadline

Cause: with a timeout of 6 s for packing, whose outputs take 7 s on average, half of the started requests were cut; the learned length came only from complete outputs, which were the short ones. Change: cut outputs that exceed the mean are learned too; the whole expected output time must fit instead of half of it.

--- a/internal/measure/columns.go
+++ b/internal/measure/columns.go
@@ -22,6 +22,7 @@
 		{"reindex.max_wait=10s", "reindex", func(c *class) { c.MaxWait = 10 * time.Second }},
 		{"chat.request_rate=10", "chat", func(c *class) { c.RequestRate = 10 }},
 		{"chat.concurrency=60", "chat", func(c *class) { c.Concurrency = 60 }},
+		{"packing.timeout=12s", "packing", func(c *class) { c.Timeout = 12 * time.Second }},
 		{"packing.timeout=6s", "packing", func(c *class) { c.Timeout = 6 * time.Second }},
 	}
 }
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -29,9 +29,8 @@
 	creditRequests = 6
 	// timingGain is the weight of a new observation in the averages of the upstream's timing.
 	timingGain = 0.1
-	// deadlineShare is the part of the expected output time that must fit before the deadline. Lengths are skewed:
-	// most outputs are shorter than the mean, so a full mean would refuse work that completes in time.
-	deadlineShare = 0.5
+	// deadlineShare is the part of the expected output time that must fit before the deadline.
+	deadlineShare = 1
 )
 
 // Scheduler holds the queued, running and paused items of one upstream. It is not safe for concurrent use.
@@ -115,6 +114,11 @@
 	if j.tokens == 0 {
 		j.lane.deficit += j.charged
 	}
+	if float64(j.tokens) > j.lane.meanTokens {
+		// The length of an output that was cut is at least what it had. Without it, a class whose long outputs miss their
+		// deadline would look short.
+		j.lane.learn(j.tokens)
+	}
 	s.drop(j)
 }
 
