--- a/internal/process/lease/gate.go
+++ b/internal/process/lease/gate.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"sync"
 
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
 )
@@ -34,21 +33,41 @@
 	store    store.Client
 	upstream string
 
-	mu     sync.Mutex
+	turn   turn
 	loaded bool
 	obj    store.Object
 	high   uint64
 }
 
 // NewGate returns the Gate of an upstream; it reads the store at the first order.
-func NewGate(c store.Client, upstream string) *Gate { return &Gate{store: c, upstream: upstream} }
+func NewGate(c store.Client, upstream string) *Gate {
+	return &Gate{store: c, upstream: upstream, turn: newTurn()}
+}
+
+// turn is a lock that is held during store calls; waiting for it ends with the context.
+type turn chan struct{}
+
+func newTurn() turn { return make(turn, 1) }
+
+func (t turn) take(ctx context.Context) error {
+	select {
+	case t <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (t turn) release() { <-t }
 
 // Pass runs act if the fencing number is not older than any accepted one. Orders run one at a time, so that no order
 // with a newer number can finish between the check and the action. While the store cannot be read or written, an order
 // with a new number is refused: nothing was run.
 func (g *Gate) Pass(ctx context.Context, fence uint64, act func(context.Context) error) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	if err := g.turn.take(ctx); err != nil {
+		return err
+	}
+	defer g.turn.release()
 	if err := g.accept(ctx, fence); err != nil {
 		return err
 	}
--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -58,12 +58,14 @@
 	set Settings
 
 	// write serializes store writes; mu guards the fields below and is not held during calls.
-	write sync.Mutex
+	write turn
 	mu    sync.Mutex
 	held  bool
 	obj   store.Object
 	rec   record
 	until time.Time
+	// term is that of the last attempt to acquire, whose write may have taken effect.
+	term string
 
 	// seenVersion was first seen at seenAt, and bounds when its holder may still act.
 	seenVersion uint64
@@ -71,7 +73,7 @@
 }
 
 // New returns a Lease that is not held.
-func New(set Settings) *Lease { return &Lease{set: set} }
+func New(set Settings) *Lease { return &Lease{set: set, write: newTurn()} }
 
 // Valid reports the fencing number while the holder may act. Call it immediately before each action.
 func (l *Lease) Valid(now time.Time) (fence uint64, ok bool) {
@@ -86,14 +88,16 @@
 // Acquire takes the lease if nobody holds it, if it was released, or if its holder has been silent for the whole
 // duration since this process first saw the holder's last write. It returns ErrHeld otherwise; call it again later.
 func (l *Lease) Acquire(ctx context.Context) (fence uint64, err error) {
-	l.write.Lock()
-	defer l.write.Unlock()
+	if err := l.write.take(ctx); err != nil {
+		return 0, err
+	}
+	defer l.write.release()
 	if fence, ok := l.Valid(l.set.Clock()); ok {
 		return fence, nil
 	}
 	obj, err := l.set.Store.Get(ctx, Kind, l.set.Name)
 	if errors.Is(err, store.ErrNotFound) {
-		return l.put(ctx, store.Object{Kind: Kind, Name: l.set.Name}, record{Term: l.set.Term(), Fence: 1})
+		return l.put(ctx, store.Object{Kind: Kind, Name: l.set.Name}, record{Term: l.newTerm(), Fence: 1})
 	}
 	if err != nil {
 		return 0, fmt.Errorf("read lease %s: %w", l.set.Name, err)
@@ -102,10 +106,20 @@
 	if err := json.Unmarshal(obj.Value, &rec); err != nil {
 		return 0, fmt.Errorf("lease %s has an invalid value: %w", l.set.Name, err)
 	}
+	if !rec.Released && rec.Term == l.term {
+		// An earlier write of this process took effect although its response was lost.
+		rec.Renewal++
+		return l.put(ctx, obj, rec)
+	}
 	if !rec.Released && !l.silent(obj, rec) {
 		return 0, ErrHeld
 	}
-	return l.put(ctx, obj, record{Term: l.set.Term(), Fence: rec.Fence + 1})
+	return l.put(ctx, obj, record{Term: l.newTerm(), Fence: rec.Fence + 1})
+}
+
+func (l *Lease) newTerm() string {
+	l.term = l.set.Term()
+	return l.term
 }
 
 // silent reports that the version has been seen unchanged for the longer of both durations.
@@ -121,8 +135,10 @@
 
 // Renew extends the lease. It returns ErrLost when another holder has it or when it could not be renewed in time.
 func (l *Lease) Renew(ctx context.Context) error {
-	l.write.Lock()
-	defer l.write.Unlock()
+	if err := l.write.take(ctx); err != nil {
+		return err
+	}
+	defer l.write.release()
 	l.mu.Lock()
 	held, obj, rec := l.held, l.obj, l.rec
 	l.mu.Unlock()
@@ -134,13 +150,33 @@
 	if errors.Is(err, ErrHeld) {
 		return ErrLost
 	}
+	if errors.Is(err, store.ErrUnknown) {
+		l.refresh(ctx)
+	}
 	return err
 }
 
+// refresh takes over the stored version of the own term, so that the next renewal does not conflict with an earlier
+// one whose response was lost. It does not extend the lease.
+func (l *Lease) refresh(ctx context.Context) {
+	obj, err := l.set.Store.Get(ctx, Kind, l.set.Name)
+	if err != nil {
+		return
+	}
+	var got record
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if json.Unmarshal(obj.Value, &got) == nil && got.Term == l.rec.Term {
+		l.obj, l.rec.Renewal = obj, got.Renewal
+	}
+}
+
 // Release gives the lease up, so that another process need not wait. The holder stops acting before the write.
 func (l *Lease) Release(ctx context.Context) error {
-	l.write.Lock()
-	defer l.write.Unlock()
+	if err := l.write.take(ctx); err != nil {
+		return err
+	}
+	defer l.write.release()
 	l.mu.Lock()
 	held, obj, rec := l.held, l.obj, l.rec
 	l.held = false
@@ -166,8 +202,8 @@
 	sentAt := l.set.Clock()
 	obj.Value = value
 	written, err := l.writeObject(ctx, obj)
-	if errors.Is(err, store.ErrUnknown) {
-		written, err = l.readBack(ctx, rec)
+	if errors.Is(err, store.ErrUnknown) || errors.Is(err, store.ErrConflict) {
+		written, err = l.readBack(ctx, rec, err)
 	}
 	switch {
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
@@ -187,10 +223,14 @@
 	return l.set.Store.Update(ctx, obj)
 }
 
-// readBack compares the stored term and renewal with those of the write whose response was lost. A write that is not
-// there may still arrive, which its version condition then decides; it is reported as ErrUnknown.
-func (l *Lease) readBack(ctx context.Context, rec record) (store.Object, error) {
+// readBack compares the stored term and renewal with those of the write that conflicted or whose response was lost: a
+// conflict can be with an earlier write of the same term. A write that is not there may still arrive, which its version
+// condition then decides; it stays unknown. A stored later or released term means that the lease is lost.
+func (l *Lease) readBack(ctx context.Context, rec record, cause error) (store.Object, error) {
 	obj, err := l.set.Store.Get(ctx, Kind, l.set.Name)
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Object{}, store.ErrUnknown
+	}
 	if err != nil {
 		return store.Object{}, fmt.Errorf("%w: read back: %w", store.ErrUnknown, err)
 	}
@@ -201,10 +241,12 @@
 	switch {
 	case got.Term == rec.Term && got.Renewal == rec.Renewal && got.Released == rec.Released:
 		return obj, nil
-	case got.Fence >= rec.Fence && got.Term != rec.Term:
+	case got.Term == rec.Term && !got.Released:
+		return store.Object{}, store.ErrUnknown
+	case got.Fence >= rec.Fence:
 		return store.Object{}, store.ErrConflict
 	default:
-		return store.Object{}, store.ErrUnknown
+		return store.Object{}, cause
 	}
 }
 
