--- a/internal/app/entry/operator.go
+++ b/internal/app/entry/operator.go
@@ -11,8 +11,8 @@
 	case "/healthz":
 		_, _ = io.WriteString(w, "ok\n")
 	case "/readyz":
-		if t.draining.Load() {
-			http.Error(w, "draining", http.StatusServiceUnavailable)
+		if reason := t.notReady(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
 			return
 		}
 		_, _ = io.WriteString(w, "ok\n")
@@ -20,3 +20,17 @@
 		(*t.operator.Load()).ServeHTTP(w, r)
 	}
 }
+
+// notReady returns why the entry should get no callers, or an empty text.
+func (t *T) notReady() string {
+	switch {
+	case t.draining.Load():
+		return "draining"
+	case t.control.follower.Current() == nil:
+		return "no table"
+	case t.control.directory.Current() == nil:
+		return "no directory"
+	default:
+		return ""
+	}
+}
--- a/internal/measure/production.go
+++ b/internal/measure/production.go
@@ -20,6 +20,12 @@
 
 const (
 	reportInterval = 100 * time.Millisecond
+	// probeTarget is the latency target below which a request is not used as a probe of a slow upstream.
+	probeTarget = 3 * time.Second
+	// probeEvery and probeMax space the probes of a slow upstream, because every probe is a request served slowly.
+	probeEvery, probeMax = 10 * time.Second, time.Minute
+	// zonePenalty is the picker's default.
+	zonePenalty = 1.1
 	// promptPerToken is the number of prompt tokens that cost an engine as much as one output token of a stream.
 	promptPerToken = 256
 	evictInterval  = 50 * time.Millisecond
@@ -37,6 +43,8 @@
 	entries  []*entry
 	sidecars []*sidecar
 	asks     uint64
+	// limiters is empty when no class has a limit.
+	limiters []*limiter
 }
 
 type entry struct {
@@ -79,6 +87,7 @@
 	replace, reask int
 	// saturated is set when a committed ask was refused because its sidecar had no free slot.
 	saturated bool
+	reason    route.Reason
 }
 
 var zones = [3]string{"a", "b", "c"}
@@ -90,7 +99,7 @@
 		p.sidecars[e.id].reset()
 	}
 	for i := range entries {
-		en := &entry{p: p, picker: route.New(w.start, route.Settings{Zone: zones[i%len(zones)], Seed: uint64(i + 1)})}
+		en := &entry{p: p, picker: route.New(w.start, route.Settings{Zone: zones[i%len(zones)], Seed: uint64(i + 1), ProbeEvery: probeEvery, ProbeMax: probeMax, Scorer: route.FreeSlot{DrainTime: route.DrainTime{ZonePenalty: zonePenalty}}})}
 		for s := range en.crest {
 			en.crest[s] = crest.New(crest.Config{})
 		}
@@ -103,6 +112,13 @@
 		p.entries = append(p.entries, en)
 		p.evict(w.start, en)
 	}
+	if p.limited() {
+		p.limiters = newLimiters(p)
+		for _, l := range p.limiters {
+			l.tick(w.start)
+		}
+		w.ended = func(r *request) { p.limiters[r.entry].settle(r) }
+	}
 	return p
 }
 
@@ -117,6 +133,15 @@
 }
 
 func (p *production) arrive(now time.Time, r *request) {
+	if len(p.limiters) > 0 {
+		p.limiters[r.entry].admit(now, r)
+		return
+	}
+	p.enter(now, r)
+}
+
+// enter hands a request that is within its limits to admission.
+func (p *production) enter(now time.Time, r *request) {
 	en := p.entries[r.entry]
 	row := &p.w.classes[r.class]
 	v := en.crest[r.service].Offer(now, &crest.Request{
@@ -182,6 +207,7 @@
 		})
 		return
 	}
+	d.reason = c.Reason
 	single := p.commit(en, d, r, &c) || p.binding == earlyBinding
 	d.asks[0] = p.ask(now, en, r, c.First, single, tokens)
 	d.asks[1] = nil
@@ -241,9 +267,10 @@
 
 // routeRequest describes a request to the picker, excluding the upstreams of the given asks and those tried before.
 func (p *production) routeRequest(d *dispatch, r *request, asks ...*ask) *route.Request {
+	row := &p.w.classes[r.class]
 	out := &route.Request{
 		Service: serviceNames[r.service], PrefixHash: r.prefix, Tokens: p.expected(d, r),
-		PrefixTokens: r.prompt / promptPerToken, Protected: p.w.classes[r.class].Protected, Exclude: d.tried,
+		PrefixTokens: r.prompt / promptPerToken, Protected: row.Protected || row.TTFTTarget < probeTarget, Exclude: d.tried,
 	}
 	for i, a := range asks {
 		if a != nil {
@@ -461,7 +488,8 @@
 	}
 	firstToken(p.w, now, r)
 	s.sched.OnTokens(a.id, n, now)
-	p.w.after(now, hop, func(now time.Time) { a.entry.picker.Tokens(now, &a.flight, n) })
+	// Without the hop: one event for every chunk would be most of the events of a run.
+	a.entry.picker.Tokens(now, &a.flight, n)
 	if s.sched.Stats().Queued > 0 {
 		s.step(now)
 	}
@@ -520,7 +548,11 @@
 }
 
 func (p *production) expire(now time.Time, r *request) {
-	d := r.policy.(*dispatch)
+	d, ok := r.policy.(*dispatch)
+	if !ok {
+		p.w.finish(now, r, endDeadline)
+		return
+	}
 	d.entry.crest[r.service].Left(now, r.id)
 	p.withdraw(now, d, nil)
 	p.w.finish(now, r, endDeadline)
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"time"
 )
 
@@ -36,10 +37,12 @@
 // All is the class of lines over all classes.
 const All = "all"
 
-// sample collects the requests of a class over the seeds of a file.
+// sample collects the requests of a class over the seeds of a file. A complete response counts for attainment when its
+// first token came within the row's ttft_target, for token_attainment when its mean time between tokens, pauses
+// included, is within token_target, and for full_attainment and crest_goodput when both hold.
 type sample struct {
 	offered, attained, shed, deadline, pausedForLower int
-	paced, completed, started                         int
+	steady, full, completed, started                  int
 	ttft, shortWait, wait                             []float64
 	tokens, wasted, crestTokens                       float64
 }
@@ -72,12 +75,18 @@
 		return
 	}
 	s.completed++
-	if r.first-r.arrived <= c.TTFTTarget {
+	prompt := r.first-r.arrived <= c.TTFTTarget
+	// A pause counts as time between tokens.
+	steady := float64(r.done-r.first) <= float64(max(0, r.output-1))*float64(c.TokenTarget)+float64(tickInterval)
+	if prompt {
 		s.attained++
-		s.crestTokens += float64(r.crestTokens)
 	}
-	if float64(r.done-r.first) <= float64(max(0, r.output-1))*float64(c.TokenTarget)+float64(tickInterval) {
-		s.paced++
+	if steady {
+		s.steady++
+	}
+	if prompt && steady {
+		s.full++
+		s.crestTokens += float64(r.crestTokens)
 	}
 }
 
@@ -93,7 +102,10 @@
 }
 
 func measure(s scenario, policyName string, seeds []uint64) []Line {
-	classes := workloadClasses()
+	classes := s.rows()
+	shares := make([]float64, len(classes))
+	shareError := make([]float64, len(classes))
+	overshoot := make([]float64, len(classes))
 	per := make([]sample, len(classes))
 	for _, seed := range seeds {
 		w := run(s, policyName, seed)
@@ -103,19 +115,73 @@
 			}
 			per[r.class].add(&classes[r.class], r)
 		}
+		for i := range classes {
+			if classes[i].RequestRate > 0 {
+				overshoot[i] = max(overshoot[i], w.overshoot(i))
+			}
+		}
+		addShareErrors(shareError, w)
+		addShares(shares, w, float64(len(seeds)))
 	}
 	var total sample
 	var lines []Line
 	for i := range classes {
 		lines = append(lines, classLines(&s, policyName, &classes[i], &per[i], len(seeds))...)
+		if classes[i].RequestRate > 0 && (policyName == Dragonflypin || policyName == EarlyBinding) {
+			lines = append(lines, Line{s.name, policyName, classes[i].Class, "limit_overshoot", overshoot[i], "share"})
+		}
+		if s.name == WeightedBacklog {
+			lines = append(lines, Line{s.name, policyName, classes[i].Class, "share_error", shareError[i], "share"},
+				Line{s.name, policyName, classes[i].Class, "share_of_weight", shares[i], "ratio"})
+		}
 		total.merge(&per[i])
 	}
 	return append(lines, totalLines(&s, policyName, &total, len(seeds))...)
 }
 
+// addShareErrors raises the errors to the largest relative difference of a class's share of tokens from its weight in
+// any window.
+func addShareErrors(errs []float64, w *world) {
+	weights := 0.0
+	for i := range w.classes {
+		weights += float64(w.classes[i].Weight)
+	}
+	for k := range horizon / shareWindow {
+		all := 0.0
+		for i := range w.classes {
+			if w.windows[i] != nil {
+				all += w.windows[i][k]
+			}
+		}
+		for i := range w.classes {
+			if all > 0 && w.windows[i] != nil {
+				want := float64(w.classes[i].Weight) / weights
+				errs[i] = max(errs[i], math.Abs(w.windows[i][k]/all/want-1))
+			}
+		}
+	}
+}
+
+// addShares adds each class's share of the tokens, relative to its weight, averaged over n runs.
+func addShares(shares []float64, w *world, n float64) {
+	weights, all := 0.0, 0.0
+	sums := make([]float64, len(w.classes))
+	for i := range w.classes {
+		weights += float64(w.classes[i].Weight)
+		for _, v := range w.windows[i] {
+			sums[i] += v
+		}
+		all += sums[i]
+	}
+	for i := range w.classes {
+		shares[i] += share(sums[i], all) / (float64(w.classes[i].Weight) / weights) / n
+	}
+}
+
 func (s *sample) merge(o *sample) {
 	s.offered += o.offered
 	s.attained += o.attained
+	s.full += o.full
 	s.shed += o.shed
 	s.tokens += o.tokens
 	s.wasted += o.wasted
@@ -138,7 +204,8 @@
 	}
 	n := float64(m.offered)
 	add("attainment", share(float64(m.attained), n), "share")
-	add("token_attainment", share(float64(m.paced), float64(m.completed)), "share")
+	add("token_attainment", share(float64(m.steady), n), "share")
+	add("full_attainment", share(float64(m.full), n), "share")
 	add("ttft_p99", percentile(m.ttft, 0.99), "s")
 	add("short_wait_p99", percentile(m.shortWait, 0.99), "s")
 	add("wasted_tokens", share(m.wasted, m.tokens), "share")
@@ -158,6 +225,7 @@
 func totalLines(s *scenario, policyName string, m *sample, seeds int) []Line {
 	lines := []Line{
 		{s.name, policyName, All, "attainment", share(float64(m.attained), float64(m.offered)), "share"},
+		{s.name, policyName, All, "full_attainment", share(float64(m.full), float64(m.offered)), "share"},
 		{s.name, policyName, All, "ttft_p99", percentile(m.ttft, 0.99), "s"},
 		{s.name, policyName, All, "short_wait_p99", percentile(m.shortWait, 0.99), "s"},
 		{s.name, policyName, All, "wasted_tokens", share(m.wasted, m.tokens), "share"},
--- a/internal/request/admit/crest/crest.go
+++ b/internal/request/admit/crest/crest.go
@@ -14,6 +14,9 @@
 const (
 	// rateTime is the time constant of the drain rate; load changes within seconds.
 	rateTime = 2 * time.Second
+	// minRate is the drain rate assumed after a backlog without any start, in requests/s: one within rateTime. Without it
+	// one blocked request would make the expected wait of all others infinite.
+	minRate = 0.5
 	// maxRetryAfter bounds the hint, because the load may have changed by then.
 	maxRetryAfter = time.Minute
 	// minRetryAfter is the resolution of the Retry-After header.
@@ -111,6 +114,7 @@
 	busy   time.Duration
 	last   time.Time
 	queued int
+	free   []*waiter
 }
 
 // New returns a Controller with an empty queue.
@@ -137,7 +141,8 @@
 	if c.queued >= c.cfg.MaxQueue && c.lowest(r.Priority) == nil {
 		return Verdict{ReasonFull, retryAfter(wait, budget)}
 	}
-	w := &waiter{id: r.ID, lane: l, since: now, budget: budget, limit: max(budget, r.MaxWait), protected: r.Protected}
+	w := c.newWaiter()
+	*w = waiter{id: r.ID, lane: l, since: now, budget: budget, limit: max(budget, r.MaxWait), protected: r.Protected}
 	c.queue[r.ID] = w
 	l.push(w)
 	c.tiers[l.key.priority].queued++
@@ -205,7 +210,7 @@
 	c.tiers[w.lane.key.priority].queued--
 	c.queued--
 	delete(c.queue, w.id)
-	w.lane.trim()
+	c.trim(w.lane)
 }
 
 // budget is the expected wait up to which a request is admitted.
@@ -241,10 +246,8 @@
 			weights += o.weight
 		}
 	}
+	total = max(total, minRate)
 	rate := max(total-above, c.cfg.FloorShare*total)
-	if rate <= 0 {
-		return time.Duration(math.MaxInt64)
-	}
 	own := float64(l.count+extra) / (rate * l.weight / weights)
 	// The queue of higher tiers is served at the full rate before this tier's turn, except for the floor.
 	seconds := min(own+float64(ahead)/total, float64(l.count+extra)/(c.cfg.FloorShare*total))
--- a/internal/request/attempt/bind.go
+++ b/internal/request/attempt/bind.go
@@ -25,6 +25,11 @@
 	ended  bool
 }
 
+// detailClaim tells that the claim of a non-idempotent call was no longer valid when a slot was granted.
+const detailClaim = "claim expired before the start"
+
+func (r *Request) mayStart() bool { return r.MayStart == nil || r.MayStart() }
+
 type event struct {
 	ask *ask
 	m   wire.Message
@@ -43,6 +48,10 @@
 
 // bind asks the choice's targets. It returns the ask that started, or nil with the result.
 func (r *Request) bind(ctx context.Context, choice Choice, number *uint32) (*ask, Result) {
+	if choice.Committed && len(choice.Targets) == 1 {
+		*number++
+		return r.bindOne(ctx, choice.Targets[0], *number)
+	}
 	b := &binding{req: r, events: make(chan event, eventsPerAsk*len(choice.Targets))}
 	for _, up := range choice.Targets {
 		*number++
@@ -53,7 +62,36 @@
 	return won, b.result
 }
 
+// bindOne sends a single committed ask and waits for its start without further goroutines, as this is the usual case.
+func (r *Request) bindOne(ctx context.Context, up Upstream, number uint32) (*ask, Result) {
+	b := &binding{req: r}
+	b.send(up, number, true)
+	if b.open() == 0 {
+		return nil, b.ended()
+	}
+	a := b.asks[0]
+	stop := context.AfterFunc(ctx, func() {
+		_ = a.st.Send(&wire.Cancel{}) // on a broken stream the read fails
+		time.AfterFunc(confirmTime, a.st.Abort)
+	})
+	m, err := a.st.Recv()
+	if !stop() {
+		b.closing = true
+	}
+	if err == nil {
+		err = a.verify(m, r.Ask.RequestID)
+	}
+	if b.on(event{ask: a, m: m, err: err}) {
+		return a, b.result
+	}
+	return nil, b.ended()
+}
+
 func (b *binding) send(up Upstream, number uint32, committed bool) {
+	if !b.req.mayStart() {
+		b.result.End, b.result.Detail = EndCancelled, detailClaim
+		return
+	}
 	st, err := up.Open()
 	if err != nil {
 		b.unreachable(up)
@@ -65,14 +103,17 @@
 		return
 	}
 	b.asks = append(b.asks, a)
-	go a.read(b.events, b.req.Ask.RequestID)
+	if b.events != nil {
+		go a.read(b.events, b.req.Ask.RequestID)
+	}
 }
 
 func (r *Request) message(number uint32, committed bool) *wire.Ask {
 	m := r.Ask
 	m.Attempt, m.Committed = number, committed
 	now := time.Now()
-	m.RemainingMs = millis(r.Deadline.Sub(now))
+	// Rounded up, so that the entry's deadline passes before the sidecar's and the caller learns of a timeout.
+	m.RemainingMs = millis(r.Deadline.Sub(now) + time.Millisecond - 1)
 	m.WaitedMs = millis(now.Sub(r.Accepted))
 	if committed {
 		m.Body = r.Body
@@ -145,13 +186,19 @@
 			}
 		}
 	}
+	b.ended()
+	return nil
+}
+
+// ended completes the result of asks of which none started.
+func (b *binding) ended() Result {
 	if b.result.End == 0 {
 		b.result.End = EndRefused
 		if b.closing {
 			b.result.End = EndCancelled
 		}
 	}
-	return nil
+	return b.result
 }
 
 func (b *binding) open() int {
@@ -212,6 +259,11 @@
 		a.drop()
 		return
 	}
+	if !b.req.mayStart() {
+		b.result.End, b.result.Detail = EndCancelled, detailClaim
+		b.cancel()
+		return
+	}
 	b.granted, a.handed = a, true
 	if err := a.st.Send(&wire.Start{Body: b.req.Body}); err != nil {
 		return // the reader reports the broken stream
--- a/internal/request/attempt/runner.go
+++ b/internal/request/attempt/runner.go
@@ -30,7 +30,9 @@
 	Asked   time.Time
 	Targets []string
 	Reason  string
-	Result  Result
+	// Committed tells that the single ask carried the body.
+	Committed bool
+	Result    Result
 }
 
 // Runner runs requests to their end.
@@ -47,6 +49,7 @@
 	var failed []string
 	wait := retryWait
 	started := 0
+	r.Budget.OnRequest(time.Now())
 	for {
 		changed := r.Changed()
 		choice := r.Chooser.Choose(time.Now(), req, failed)
@@ -83,7 +86,10 @@
 		sink.Started(result.Upstream)
 		won.relay(ctx, sink, &result)
 	}
-	round := Round{Asked: asked, Reason: choice.Reason, Result: result}
+	if result.End == EndInterrupted && req.Ask.Kind == wire.KindPlain {
+		result.End = EndUnknown // the service may have finished the call
+	}
+	round := Round{Asked: asked, Reason: choice.Reason, Committed: choice.Committed, Result: result}
 	for _, up := range choice.Targets {
 		round.Targets = append(round.Targets, up.Name())
 	}
