Limit allowances: nothing borrowed ahead below one request

Retries of waiting requests counted as demand, and an account without a record at its owner was never forgotten. Change: an entry borrows ahead only from one request per 200 ms on, counts a request once it is decided, and forgets accounts without demand.

--- a/internal/process/limit/local.go
+++ b/internal/process/limit/local.go
@@ -147,14 +147,16 @@
 	defer l.mu.Unlock()
 	l.awake(now)
 	a := l.account(now, k, limits)
-	a.seenRequests++
-	a.seenTokens += float64(tokens)
 	d := l.admit(now, k, a, tokens)
-	if d.Result != Wait || a.owner != l.set.Self {
-		return d
+	if d.Result == Wait && a.owner == l.set.Self {
+		l.askSelf(now, k, a)
+		d = l.admit(now, k, a, tokens)
 	}
-	l.askSelf(now, k, a)
-	return l.admit(now, k, a, tokens)
+	if d.Result != Wait { // a waiting request comes again
+		a.seenRequests++
+		a.seenTokens += float64(tokens)
+	}
+	return d
 }
 
 // AdmitWait calls Admit until the answer is not Wait or the context ends, which refuses nothing and returns Wait.
@@ -355,7 +357,11 @@
 	for k, a := range l.accounts {
 		a.expire(now)
 		a.estimate(now)
-		if a.sending || l.busy[a.owner] || a.owner == "" || !a.due(now) {
+		if !a.due(now) {
+			l.forget(k, a)
+			continue
+		}
+		if a.sending || l.busy[a.owner] || a.owner == "" {
 			continue
 		}
 		if a.owner == l.set.Self {
@@ -459,11 +465,15 @@
 	a.seenRequests, a.seenTokens, a.seenAt = 0, 0, now
 }
 
-// target is what the entry wants to hold ahead of its demand.
+// target is what the entry wants to hold ahead of its demand. Below one request it holds nothing: many entries that
+// each keep one unused request would hold back a small limit from the others.
 func (a *account) target() (requests, tokens float64, spare int) {
 	f := float64(horizon / Interval)
-	requests, tokens = a.rateRequests*f, a.rateTokens*f
-	return requests, tokens, int(math.Ceil(requests))
+	requests = math.Floor(a.rateRequests * f)
+	if requests < 1 {
+		return 0, 0, 0
+	}
+	return requests, a.rateTokens * f, int(requests)
 }
 
 func (a *account) due(now time.Time) bool {
@@ -480,7 +490,7 @@
 	case a.inUse > 0 || a.permits > 0 || a.requests > 0 || a.tokens > 0:
 		return a.expires.Sub(now) <= renewBefore
 	default:
-		return a.known && requests == 0
+		return a.known && a.rateRequests == 0
 	}
 }
 
--- a/internal/process/limit/overshoot.go
+++ b/internal/process/limit/overshoot.go
@@ -78,6 +78,8 @@
 	stopped time.Time
 	running []simRun
 	waiting []time.Time
+	// changed is the channel that signals the next answer to the waiting requests.
+	changed <-chan struct{}
 }
 
 type simRun struct {
@@ -309,6 +311,14 @@
 }
 
 func (s *simulation) retry(e *simEntry) {
+	select {
+	case <-e.changed:
+	default:
+		if int(s.now.Sub(s.start)/simStep)%int(Interval/simStep) != 0 {
+			return
+		}
+	}
+	e.changed = e.local.Changed()
 	waiting := e.waiting
 	e.waiting = nil
 	for _, since := range waiting {
