--- a/internal/app/entry/operator.go
+++ b/internal/app/entry/operator.go
@@ -11,18 +11,26 @@
 	case "/healthz":
 		_, _ = io.WriteString(w, "ok\n")
 	case "/readyz":
-		if t.draining.Load() {
-			http.Error(w, "draining", http.StatusServiceUnavailable)
+		if reason := t.notReady(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
 			return
 		}
 		_, _ = io.WriteString(w, "ok\n")
-	case "/metrics":
-		if t.deps.Metrics != nil {
-			t.deps.Metrics.Handler().ServeHTTP(w, r)
-			return
-		}
-		http.NotFound(w, r)
 	default:
 		(*t.operator.Load()).ServeHTTP(w, r)
 	}
 }
+
+// notReady returns why the entry should get no callers, or an empty text.
+func (t *T) notReady() string {
+	switch {
+	case t.draining.Load():
+		return "draining"
+	case t.control.follower.Current() == nil:
+		return "no table"
+	case t.control.directory.Current() == nil:
+		return "no directory"
+	default:
+		return ""
+	}
+}
