directory: a starting entry takes the directory of other entries during a store outage

Cause: an entry that started while the store was down got the table from its peers but no directory, so it could not authenticate any caller. Change: peer call directory.fetch; a follower without a directory asks up to 8 entries when the store fails and takes the newest revision. The entry registers the call. Conclusion: an outage no longer prevents entries from starting.

--- a/internal/app/entry/control.go
+++ b/internal/app/entry/control.go
@@ -41,6 +41,7 @@
 	codec := limit.Codec{Marshal: wire.Marshal, Unmarshal: wire.Unmarshal}
 	c := &t.control
 	c.directory = directory.NewFollower(t.deps.Store, t.storeError)
+	c.directory.AskPeers(entryPeers{t}, t.entries)
 	c.follower = table.NewFollower(table.FollowerOptions{
 		Instance: t.cfg.Instance, Zone: t.cfg.Zone, Client: t.deps.Store, Peers: entryPeers{t}, Events: tableEvents{t},
 	})
@@ -70,6 +71,9 @@
 	t.node.Handle(table.MethodFetch, fromEntries(func(ctx context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
 		return c.follower.HandleFetch(ctx, payload)
 	}))
+	t.node.Handle(directory.MethodFetch, fromEntries(func(ctx context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
+		return c.directory.HandleFetch(ctx, payload)
+	}))
 	t.node.Handle(limit.Method, fromEntries(func(ctx context.Context, from peer.Identity, payload []byte) ([]byte, error) {
 		return c.owner.Handle(ctx, from.Instance, payload)
 	}))
--- a/internal/version/directory/directory_test.go
+++ b/internal/version/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -112,3 +113,49 @@
 		}
 	})
 }
+
+// peerFollowers reaches other followers by name.
+type peerFollowers map[string]*Follower
+
+func (p peerFollowers) Call(ctx context.Context, instance, method string, payload []byte) ([]byte, error) {
+	f := p[instance]
+	if f == nil || method != MethodFetch {
+		return nil, errors.New("peer unreachable")
+	}
+	return f.HandleFetch(ctx, payload)
+}
+
+// Guards against an entry that cannot authenticate anybody because it was started while the store was down.
+func TestStartDuringOutageTakesNewestDirectoryOfPeers(t *testing.T) {
+	peers := peerFollowers{}
+	for i, keys := range []string{"old", "new"} {
+		d := sample()
+		d.Workspaces[0].KeySHA256 = HashKey(keys)
+		value, err := json.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := parseLoaded(value, uint64(i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		peers[keys] = NewFollower(nil, nil)
+		peers[keys].install(l)
+	}
+	peers["empty"] = NewFollower(nil, nil)
+	m := storetest.New()
+	m.SetFaults(storetest.Faults{Outage: true})
+	f := NewFollower(m, nil)
+	f.AskPeers(peers, func() []string { return []string{"old", "empty", "new", "dead"} })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	go f.Run(ctx)
+	select {
+	case <-f.Ready():
+	case <-ctx.Done():
+		t.Fatal("no directory")
+	}
+	if _, ok := f.Current().Workspace("new"); !ok {
+		t.Error("the older of two directories was taken")
+	}
+}
--- a/internal/version/directory/load.go
+++ b/internal/version/directory/load.go
@@ -10,10 +10,14 @@
 	"io"
 	"math/rand/v2"
 	"regexp"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
 )
 
@@ -184,25 +188,68 @@
 
 // Load reads the directory from the store.
 func Load(ctx context.Context, c store.Client) (*Index, uint64, error) {
+	l, err := load(ctx, c)
+	if err != nil {
+		return nil, 0, err
+	}
+	return l.index, l.revision, nil
+}
+
+// loaded is a directory with the text that it was read from, for other entries.
+type loaded struct {
+	index    *Index
+	revision uint64
+	value    []byte
+}
+
+func load(ctx context.Context, c store.Client) (*loaded, error) {
 	obj, err := c.Get(ctx, Kind, Name)
 	if err != nil {
-		return nil, 0, fmt.Errorf("read directory: %w", err)
+		return nil, fmt.Errorf("read directory: %w", err)
 	}
-	d, err := Parse(obj.Value)
+	return parseLoaded(obj.Value, obj.Revision)
+}
+
+func parseLoaded(value []byte, revision uint64) (*loaded, error) {
+	d, err := Parse(value)
 	if err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	return NewIndex(d), obj.Revision, nil
+	return &loaded{index: NewIndex(d), revision: revision, value: value}, nil
+}
+
+// MethodFetch is the peer call that returns the directory in use.
+const MethodFetch = "directory.fetch"
+
+// peersAsked bounds the peers that a starting entry asks, and callTimeout the wait for each.
+const (
+	peersAsked  = 8
+	callTimeout = time.Second
+)
+
+// fetchReply is the result of MethodFetch; Revision is 0 when the answering entry knows no directory.
+type fetchReply struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	Value    []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Peers reaches the other entries.
+type Peers interface {
+	// Call makes a peer call; peer.Caller implements it.
+	Call(ctx context.Context, instance, method string, payload []byte) ([]byte, error)
 }
 
 // Follower keeps the latest directory of the store. It keeps the last valid one while the store is down or holds an
-// invalid one.
+// invalid one. An entry that starts in such a time takes the directory of another entry.
 type Follower struct {
 	client  store.Client
-	current atomic.Pointer[Index]
-	seen    uint64
 	onError func(error)
 	ready   chan struct{}
+	peers   Peers
+	members func() []string
+
+	mu      sync.Mutex
+	current atomic.Pointer[loaded]
 }
 
 // NewFollower returns a follower; Run starts it. onError may be nil.
@@ -210,12 +257,30 @@
 	return &Follower{client: c, onError: onError, ready: make(chan struct{})}
 }
 
+// AskPeers makes a starting follower ask other entries when the store does not answer. members returns their names.
+// It must be called before Run.
+func (f *Follower) AskPeers(p Peers, members func() []string) { f.peers, f.members = p, members }
+
 // Current returns the directory in use, or nil before the first one was read.
-func (f *Follower) Current() *Index { return f.current.Load() }
+func (f *Follower) Current() *Index {
+	if l := f.current.Load(); l != nil {
+		return l.index
+	}
+	return nil
+}
 
 // Ready is closed once a first directory is known.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
 
+// HandleFetch answers a MethodFetch call.
+func (f *Follower) HandleFetch(context.Context, []byte) ([]byte, error) {
+	l := f.current.Load()
+	if l == nil {
+		return cbor.Marshal(fetchReply{})
+	}
+	return cbor.Marshal(fetchReply{Revision: l.revision, Value: l.value})
+}
+
 // Run reads the directory again and again until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := store.NewBackoff(100*time.Millisecond, 5*time.Second)
@@ -236,15 +301,68 @@
 	}
 }
 
-// refresh ignores an answer older than the directory in use, so that a removed key stays removed.
 func (f *Follower) refresh(ctx context.Context) error {
-	index, revision, err := Load(ctx, f.client)
-	if err != nil || revision <= f.seen {
+	l, err := load(ctx, f.client)
+	if err != nil {
+		if f.current.Load() == nil && f.peers != nil {
+			f.askPeers(ctx)
+		}
 		return err
 	}
-	f.seen = revision
-	if f.current.Swap(index) == nil {
+	f.install(l)
+	return nil
+}
+
+// install ignores a directory older than the one in use, so that a removed key stays removed.
+func (f *Follower) install(l *loaded) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.current.Load()
+	if old != nil && l.revision <= old.revision {
+		return
+	}
+	f.current.Store(l)
+	if old == nil {
 		close(f.ready)
 	}
-	return nil
+}
+
+// askPeers takes the newest directory among the answers of several entries.
+func (f *Follower) askPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	names := slices.Clone(f.members())
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	var best *loaded
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, name := range names[:min(peersAsked, len(names))] {
+		wg.Go(func() {
+			l, err := f.fetch(ctx, name)
+			if err != nil {
+				return // the store's error is reported, and the next attempt asks again
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if best == nil || l.revision > best.revision {
+				best = l
+			}
+		})
+	}
+	wg.Wait()
+	if best != nil {
+		f.install(best)
+	}
+}
+
+func (f *Follower) fetch(ctx context.Context, instance string) (*loaded, error) {
+	data, err := f.peers.Call(ctx, instance, MethodFetch, nil)
+	if err != nil {
+		return nil, err
+	}
+	var r fetchReply
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return nil, err
+	}
+	return parseLoaded(r.Value, r.Revision)
 }
