--- a/internal/measure/columns.go
+++ b/internal/measure/columns.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// MeasureVariation runs the crest with a changed row; the scenario of the lines is "crest:" and the variation's name.
-func MeasureVariation(v Variation, seeds []uint64) []Line {
+// RunVariation runs the crest with a changed row; the scenario of the lines is "crest:" and the variation's name.
+func RunVariation(v Variation, seeds []uint64) []Line {
 	for _, s := range scenarios() {
 		if s.name != "crest" {
 			continue
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -136,7 +136,7 @@
 		for i, v := range variations {
 			t.Run(v.Name, func(t *testing.T) {
 				t.Parallel()
-				synctest.Test(t, func(*testing.T) { parts[i] = MeasureVariation(v, seeds) })
+				synctest.Test(t, func(*testing.T) { parts[i] = RunVariation(v, seeds) })
 			})
 		}
 	})
