--- a/internal/request/admit/crest/crest.go
+++ b/internal/request/admit/crest/crest.go
@@ -21,6 +21,8 @@
 	maxRetryAfter = time.Minute
 	// minRetryAfter is the resolution of the Retry-After header.
 	minRetryAfter = time.Second
+	// forgetAfter is the idle time after which a class is forgotten when another one appears.
+	forgetAfter = 10 * time.Minute
 	// minBusy is the time with a backlog after which the drain rate is known.
 	minBusy = 250 * time.Millisecond
 )
@@ -129,7 +131,7 @@
 // When it takes the place of a request of a lower tier, Next returns that one.
 func (c *Controller) Offer(now time.Time, r *Request) Verdict {
 	c.advance(now)
-	l := c.lane(r)
+	l := c.lane(now, r)
 	wait := c.wait(l, 1)
 	budget := c.budget(r)
 	if !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline) {
@@ -195,7 +197,7 @@
 // Wait returns the expected wait of a request of the class if it were queued now.
 func (c *Controller) Wait(now time.Time, r *Request) time.Duration {
 	c.advance(now)
-	return c.wait(c.lane(r), 1)
+	return c.wait(c.lane(now, r), 1)
 }
 
 func (c *Controller) shed(w *waiter) Shed {
--- a/internal/request/admit/crest/lane.go
+++ b/internal/request/admit/crest/lane.go
@@ -1,6 +1,9 @@
 package crest
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxPriority is the lowest tier of a table row.
 const maxPriority = 8
@@ -26,6 +29,8 @@
 	queue []*waiter
 	head  int
 	count int
+	// seen is the last time at which a request arrived.
+	seen time.Time
 }
 
 type waiter struct {
@@ -39,10 +44,11 @@
 	gone      bool
 }
 
-func (c *Controller) lane(r *Request) *lane {
+func (c *Controller) lane(now time.Time, r *Request) *lane {
 	key := laneKey{r.Class, min(r.Priority, maxPriority)}
 	l := c.byKey[key]
 	if l == nil {
+		c.forgetLanes(now)
 		l = &lane{key: key}
 		c.byKey[key] = l
 		at := len(c.lanes)
@@ -53,10 +59,21 @@
 		copy(c.lanes[at+1:], c.lanes[at:])
 		c.lanes[at] = l
 	}
-	l.weight = max(1, float64(r.Weight))
+	l.weight, l.seen = max(1, float64(r.Weight)), now
 	return l
 }
 
+// forgetLanes drops the lanes of classes that have left the table or changed their tier.
+func (c *Controller) forgetLanes(now time.Time) {
+	c.lanes = slices.DeleteFunc(c.lanes, func(l *lane) bool {
+		old := l.count == 0 && now.Sub(l.seen) > forgetAfter
+		if old {
+			delete(c.byKey, l.key)
+		}
+		return old
+	})
+}
+
 func (l *lane) push(w *waiter) {
 	l.queue = append(l.queue, w)
 	l.count++
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -12,6 +12,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -27,6 +28,8 @@
 	creditWindow = 5 * time.Second
 	// creditRequests bounds the share saved that way, in mean requests of the class.
 	creditRequests = 6
+	// forgetAfter is the idle time after which the learned length of a class is dropped when another class appears.
+	forgetAfter = 10 * time.Minute
 	// timingGain is the weight of a new observation in the averages of the upstream's timing.
 	timingGain = 0.1
 	// deadlineShare is the part of the expected output time that must fit before the deadline.
@@ -89,7 +92,7 @@
 	if item.Policy.MaxWait <= 0 {
 		item.Policy.MaxWait = s.cfg.DefaultMaxWait
 	}
-	l := s.lane(&item)
+	l := s.lane(now, &item)
 	l.seen = now
 	j := s.newJob()
 	*j = job{Item: item, lane: l, state: queued, heapIndex: -1}
@@ -178,10 +181,11 @@
 	return Decision{Wake: s.wake(now)}
 }
 
-func (s *Scheduler) lane(item *Item) *lane {
+func (s *Scheduler) lane(now time.Time, item *Item) *lane {
 	key := laneKey{item.Class, item.Policy.Priority}
 	l := s.byKey[key]
 	if l == nil {
+		s.forgetLanes(now)
 		l = &lane{key: key, meanTokens: initialTokens}
 		s.byKey[key] = l
 		at := len(s.lanes)
@@ -198,6 +202,17 @@
 	return l
 }
 
+// forgetLanes drops the lanes of classes that have left the table or changed their tier.
+func (s *Scheduler) forgetLanes(now time.Time) {
+	s.lanes = slices.DeleteFunc(s.lanes, func(l *lane) bool {
+		old := l.idle() && l.active == 0 && now.Sub(l.seen) > forgetAfter
+		if old {
+			delete(s.byKey, l.key)
+		}
+		return old
+	})
+}
+
 func (s *Scheduler) newJob() *job {
 	if n := len(s.free); n > 0 {
 		j := s.free[n-1]
--- a/internal/request/schedule/schedule_test.go
+++ b/internal/request/schedule/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -185,6 +186,21 @@
 	})
 }
 
+// Guards against memory and search time that grow with every class that a table ever had.
+func TestUnusedClassesAreForgotten(t *testing.T) {
+	s := New(Config{})
+	now := epoch
+	for id := uint64(1); id <= 100; id++ {
+		now = now.Add(time.Hour)
+		s.Enqueue(now, item(id, fmt.Sprint(id), 3))
+		expect(t, s, now, ActionStart, id)
+		s.OnDone(id, now)
+	}
+	if len(s.lanes) > 2 || len(s.byKey) > 2 {
+		t.Fatalf("%d lanes and %d keys remain, want at most 2", len(s.lanes), len(s.byKey))
+	}
+}
+
 // machine drives a Scheduler with random work and keeps what an upstream would know.
 type machine struct {
 	t       *rapid.T
