metrics: count every not_run answer as a refusal

Cause: dragonflypin_refusals_total stayed empty, as nothing called its own method; the entry reports the code with Ended. Change: Ended counts a request with the outcome not_run as a refusal by its code; the separate method is gone. Result: go test -race ./internal/process/metrics passes. Conclusion: operators see refusals by class and reason without further calls.

--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -144,7 +144,10 @@
 	FirstToken time.Duration
 }
 
-// Ended counts a request that ended.
+// outcomeNotRun is the outcome of a request that no upstream started.
+const outcomeNotRun = "not_run"
+
+// Ended counts a request that ended. One with the outcome not_run is also counted as a refusal by its code.
 func (m *Metrics) Ended(r Request) {
 	if m == nil {
 		return
@@ -152,6 +155,9 @@
 	ctx, class, outcome := context.Background(), attribute.String("class", r.Class), attribute.String("outcome", r.Outcome)
 	m.requests.Add(ctx, 1, metric.WithAttributes(class, outcome, attribute.String("code", r.Code)))
 	m.latency.Record(ctx, r.Duration.Seconds(), metric.WithAttributes(class, outcome))
+	if r.Outcome == outcomeNotRun {
+		m.refusals.Add(ctx, 1, metric.WithAttributes(class, attribute.String("reason", r.Code)))
+	}
 	if r.FirstToken > 0 {
 		m.ttft.Record(ctx, r.FirstToken.Seconds(), metric.WithAttributes(class, outcome))
 	}
@@ -182,14 +188,6 @@
 	m.queueWait.Record(context.Background(), waited.Seconds(), byClass(class))
 }
 
-// Refused counts a request that was refused before an upstream started it.
-func (m *Metrics) Refused(class, reason string) {
-	if m == nil {
-		return
-	}
-	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("class", class), attribute.String("reason", reason)))
-}
-
 // StoreCall counts a call of the object API. The result is "ok" or the kind of error.
 func (m *Metrics) StoreCall(operation, result string, took time.Duration) {
 	if m == nil {
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -20,7 +20,7 @@
 	m.Enqueued("draft")
 	m.Enqueued("draft")
 	m.Dequeued("draft", time.Millisecond)
-	m.Refused("draft", "saturated")
+	m.Ended(metrics.Request{Class: "draft", Outcome: "not_run", Code: "saturated", Duration: time.Millisecond})
 	m.StoreCall("get", "ok", time.Millisecond)
 	m.Sessions("sidecar", 2)
 	m.Tokens("draft", 30, 4)
@@ -30,6 +30,7 @@
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	for _, want := range []string{
 		`dragonflypin_requests_total{class="draft",code="",outcome="completed"} 1`,
+		`dragonflypin_requests_total{class="draft",code="saturated",outcome="not_run"} 1`,
 		`dragonflypin_request_duration_seconds_count{class="draft",outcome="completed"} 1`,
 		`dragonflypin_time_to_first_token_seconds_bucket{class="draft",outcome="completed",le="0.4"} 1`,
 		`dragonflypin_token_gap_seconds_count{class="draft"} 1`,
