standin: replicas of a plain service share their orders

Cause: in the demo each replica listed only its own executions, so GET /services/order-svc/orders showed a part of them and a duplicate at another replica stayed hidden. Change: replicas can share a book of orders, as they would share a database; the demo gives each service one. Conclusion: order IDs begin with the service's name instead of the replica's.

--- a/internal/app/demo/platform.go
+++ b/internal/app/demo/platform.go
@@ -35,10 +35,12 @@
 	instancesURL string
 	servers      []*http.Server
 	log          *eventlog.Log
+	// books holds the orders of each plain service, which its replicas share.
+	books map[string]*service.Book
 }
 
 func newPlatform(log *eventlog.Log) (*platform, error) {
-	p := &platform{list: instances.New(instances.Options{}), log: log}
+	p := &platform{list: instances.New(instances.Options{}), log: log, books: make(map[string]*service.Book)}
 	var err error
 	if p.storeURL, err = p.serve("store", standinstore.New(standinstore.Options{})); err != nil {
 		return nil, err
@@ -75,7 +77,12 @@
 	if s.kind == settings.KindEngine {
 		return p.serve(name, engine.New(engine.Options{Name: name, Models: []string{s.model}, Slots: engineSlots}))
 	}
-	return p.serve(name, service.New(service.Options{Name: name}))
+	book := p.books[s.name]
+	if book == nil {
+		book = service.NewBook(s.name)
+		p.books[s.name] = book
+	}
+	return p.serve(name, service.NewReplica(service.Options{Name: name}, book))
 }
 
 // accessKeys are the plain keys of the demo, which only its output shows.
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -40,20 +40,49 @@
 	Body      json.RawMessage `json:"body,omitempty"`
 }
 
+// Book holds the executions of all replicas of a service, as their common database would.
+type Book struct {
+	name   string
+	mu     sync.Mutex
+	orders []Order
+}
+
+// NewBook returns an empty book. The name begins every order ID.
+func NewBook(name string) *Book { return &Book{name: name} }
+
+// Orders returns every execution in order.
+func (b *Book) Orders() []Order {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.orders)
+}
+
+func (b *Book) execute(order Order) Order {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	order.OrderID = fmt.Sprintf("%s-%06d", b.name, len(b.orders)+1)
+	b.orders = append(b.orders, order)
+	return order
+}
+
 // Service is the stand-in. It implements http.Handler.
 type Service struct {
 	opts    Options
 	faults  fault.Box
 	handler http.Handler
-
-	mu     sync.Mutex
-	orders []Order
+	book    *Book
 }
 
-// New returns a service without orders.
+// New returns a service with a book of its own.
 func New(opts Options) *Service {
 	settings.ApplyDefaults(&opts)
-	s := &Service{opts: opts}
+	return NewReplica(opts, NewBook(opts.Name))
+}
+
+// NewReplica returns one replica of a service whose replicas share a book.
+func NewReplica(opts Options, book *Book) *Service {
+	settings.ApplyDefaults(&opts)
+	s := &Service{opts: opts, book: book}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /orders", s.serveOrder)
 	mux.HandleFunc("GET /orders", s.serveOrders)
@@ -69,12 +98,8 @@
 // Faults returns the injected faults.
 func (s *Service) Faults() *fault.Box { return &s.faults }
 
-// Orders returns every execution in order.
-func (s *Service) Orders() []Order {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.orders)
-}
+// Orders returns every execution in the service's book in order.
+func (s *Service) Orders() []Order { return s.book.Orders() }
 
 func (s *Service) serveOrder(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
@@ -86,7 +111,7 @@
 		writeJSON(w, http.StatusBadRequest, problem{Error: "the order is not valid JSON"})
 		return
 	}
-	order := s.execute(Order{
+	order := s.book.execute(Order{
 		IdempotencyKey: r.Header.Get("Idempotency-Key"),
 		RequestID:      r.Header.Get("X-Request-Id"),
 		Body:           body,
@@ -98,14 +123,6 @@
 	writeJSON(w, http.StatusOK, Order{OrderID: order.OrderID, IdempotencyKey: order.IdempotencyKey})
 }
 
-func (s *Service) execute(order Order) Order {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	order.OrderID = fmt.Sprintf("%s-%06d", s.opts.Name, len(s.orders)+1)
-	s.orders = append(s.orders, order)
-	return order
-}
-
 func (s *Service) serveOrders(w http.ResponseWriter, _ *http.Request) {
 	orders := s.Orders()
 	if orders == nil {
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -31,6 +31,14 @@
 	if err := send(); err == nil {
 		t.Fatal("the answer was not lost")
 	}
+	book := service.NewBook("allotdesk")
+	for range 2 {
+		w := httptest.NewRecorder()
+		service.NewReplica(service.Options{}, book).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/orders", strings.NewReader(`{}`)))
+	}
+	if shared := book.Orders(); len(shared) != 2 || shared[1].OrderID != "allotdesk-000002" {
+		t.Fatalf("replicas with one book: %+v", shared)
+	}
 	orders := s.Orders()
 	if len(orders) != 2 || orders[1].IdempotencyKey != "k1" || orders[1].OrderID != "order-svc-000002" {
 		t.Fatalf("orders %+v", orders)
