--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -12,6 +12,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -27,11 +28,12 @@
 	creditWindow = 5 * time.Second
 	// creditRequests bounds the share saved that way, in mean requests of the class.
 	creditRequests = 6
+	// forgetAfter is the idle time after which the learned length of a class is dropped when another class appears.
+	forgetAfter = 10 * time.Minute
 	// timingGain is the weight of a new observation in the averages of the upstream's timing.
 	timingGain = 0.1
-	// deadlineShare is the part of the expected output time that must fit before the deadline. Lengths are skewed:
-	// most outputs are shorter than the mean, so a full mean would refuse work that completes in time.
-	deadlineShare = 0.5
+	// deadlineShare is the part of the expected output time that must fit before the deadline.
+	deadlineShare = 1
 )
 
 // Scheduler holds the queued, running and paused items of one upstream. It is not safe for concurrent use.
@@ -90,7 +92,7 @@
 	if item.Policy.MaxWait <= 0 {
 		item.Policy.MaxWait = s.cfg.DefaultMaxWait
 	}
-	l := s.lane(&item)
+	l := s.lane(now, &item)
 	l.seen = now
 	j := s.newJob()
 	*j = job{Item: item, lane: l, state: queued, heapIndex: -1}
@@ -115,6 +117,11 @@
 	if j.tokens == 0 {
 		j.lane.deficit += j.charged
 	}
+	if float64(j.tokens) > j.lane.meanTokens {
+		// The length of an output that was cut is at least what it had. Without it, a class whose long outputs miss their
+		// deadline would look short.
+		j.lane.learn(j.tokens)
+	}
 	s.drop(j)
 }
 
@@ -174,10 +181,11 @@
 	return Decision{Wake: s.wake(now)}
 }
 
-func (s *Scheduler) lane(item *Item) *lane {
+func (s *Scheduler) lane(now time.Time, item *Item) *lane {
 	key := laneKey{item.Class, item.Policy.Priority}
 	l := s.byKey[key]
 	if l == nil {
+		s.forgetLanes(now)
 		l = &lane{key: key, meanTokens: initialTokens}
 		s.byKey[key] = l
 		at := len(s.lanes)
@@ -194,6 +202,17 @@
 	return l
 }
 
+// forgetLanes drops the lanes of classes that have left the table or changed their tier.
+func (s *Scheduler) forgetLanes(now time.Time) {
+	s.lanes = slices.DeleteFunc(s.lanes, func(l *lane) bool {
+		old := l.idle() && l.active == 0 && now.Sub(l.seen) > forgetAfter
+		if old {
+			delete(s.byKey, l.key)
+		}
+		return old
+	})
+}
+
 func (s *Scheduler) newJob() *job {
 	if n := len(s.free); n > 0 {
 		j := s.free[n-1]
