crest: Retry-After is twice the expected wait

Change: metric retry_after_kept; the hint is twice the expected wait instead of the wait minus the row's budget.

--- a/internal/measure/production.go
+++ b/internal/measure/production.go
@@ -144,12 +144,14 @@
 func (p *production) enter(now time.Time, r *request) {
 	en := p.entries[r.entry]
 	row := &p.w.classes[r.class]
-	v := en.crest[r.service].Offer(now, &crest.Request{
+	offer := &crest.Request{
 		ID: r.id, Class: row.Class, Priority: uint8(row.Priority), Weight: uint16(row.Weight), Protected: row.Protected,
 		TTFTTarget: row.TTFTTarget, MaxWait: row.MaxWait, Deadline: now.Add(row.Timeout),
-	})
+	}
+	v := en.crest[r.service].Offer(now, offer)
 	if !v.Admitted() {
 		r.retryAfter = v.RetryAfter
+		p.checkRetry(now, en, r, offer)
 		p.w.finish(now, r, endShed)
 		return
 	}
@@ -161,6 +163,15 @@
 	}
 }
 
+// checkRetry notes whether a refused request would find its expected wait within the latency target when it follows
+// Retry-After.
+func (p *production) checkRetry(now time.Time, en *entry, r *request, offer *crest.Request) {
+	p.w.after(now, r.retryAfter, func(now time.Time) {
+		r.retried = true
+		r.retryKept = en.crest[r.service].Wait(now, offer) <= offer.TTFTTarget
+	})
+}
+
 // evict runs the periodic shedding of an entry.
 func (p *production) evict(now time.Time, en *entry) {
 	for s := range en.crest {
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -42,6 +42,7 @@
 // included, is within token_target, and for full_attainment and crest_goodput when both hold.
 type sample struct {
 	offered, attained, shed, deadline, interrupted, pausedForLower int
+	retries, kept                                                  int
 	steady, full, completed, started                               int
 	ttft, shortWait, wait                                          []float64
 	tokens, wasted, crestTokens                                    float64
@@ -49,6 +50,12 @@
 
 func (s *sample) add(c *class, r *request) {
 	s.offered++
+	if r.retried {
+		s.retries++
+	}
+	if r.retryKept {
+		s.kept++
+	}
 	s.tokens += float64(r.tokens)
 	if r.pausedForLower {
 		s.pausedForLower++
@@ -216,6 +223,9 @@
 	add("shed", share(float64(m.shed), n), "share")
 	add("interrupted", share(float64(m.interrupted), n), "share")
 	add("deadline_refused", share(float64(m.deadline), n), "share")
+	if m.retries > 0 {
+		add("retry_after_kept", share(float64(m.kept), float64(m.retries)), "share")
+	}
 	if c.Protected {
 		add("paused_for_lower", float64(m.pausedForLower), "requests")
 	}
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -213,6 +213,8 @@
 	paused         int
 	pausedForLower bool
 	retryAfter     time.Duration
+	// retried and retryKept tell whether Retry-After was followed and true.
+	retried, retryKept bool
 	// reserved is the reservation against the token limit; limited is set while it must be settled.
 	reserved int
 	limited  bool
--- a/internal/request/admit/crest/crest.go
+++ b/internal/request/admit/crest/crest.go
@@ -19,6 +19,8 @@
 	minRate = 0.5
 	// maxRetryAfter bounds the hint, because the load may have changed by then.
 	maxRetryAfter = time.Minute
+	// retryShare is the ratio of Retry-After to the expected wait.
+	retryShare = 2
 	// minRetryAfter is the resolution of the Retry-After header.
 	minRetryAfter = time.Second
 	// forgetAfter is the idle time after which a class is forgotten when another one appears.
@@ -93,7 +95,7 @@
 // Verdict is the answer to Offer.
 type Verdict struct {
 	Reason Reason
-	// RetryAfter is when the expected wait is within the row's budget again, if no more work arrives.
+	// RetryAfter is when the expected wait is likely to be within the latency target again.
 	RetryAfter time.Duration
 }
 
@@ -135,13 +137,13 @@
 	wait := c.wait(l, 1)
 	budget := c.budget(r)
 	if !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline) {
-		return Verdict{ReasonDeadline, retryAfter(wait, budget)}
+		return Verdict{ReasonDeadline, retryAfter(wait)}
 	}
 	if !r.Protected && wait > budget {
-		return Verdict{ReasonSaturated, retryAfter(wait, budget)}
+		return Verdict{ReasonSaturated, retryAfter(wait)}
 	}
 	if c.queued >= c.cfg.MaxQueue && c.lowest(r.Priority) == nil {
-		return Verdict{ReasonFull, retryAfter(wait, budget)}
+		return Verdict{ReasonFull, retryAfter(wait)}
 	}
 	w := c.newWaiter()
 	*w = waiter{id: r.ID, lane: l, since: now, budget: budget, limit: max(budget, r.MaxWait), protected: r.Protected}
@@ -201,7 +203,7 @@
 }
 
 func (c *Controller) shed(w *waiter) Shed {
-	s := Shed{ID: w.id, RetryAfter: retryAfter(c.wait(w.lane, 0), w.budget)}
+	s := Shed{ID: w.id, RetryAfter: retryAfter(c.wait(w.lane, 0))}
 	c.remove(w)
 	return s
 }
@@ -256,8 +258,10 @@
 	return time.Duration(min(seconds, 1e6) * float64(time.Second))
 }
 
-func retryAfter(wait, budget time.Duration) time.Duration {
-	return min(max(wait-budget, minRetryAfter), maxRetryAfter)
+// retryAfter is the hint for a refused request. The expected wait alone is too short, because others keep arriving while
+// the queue drains.
+func retryAfter(wait time.Duration) time.Duration {
+	return min(max(retryShare*wait, minRetryAfter), maxRetryAfter)
 }
 
 // lowest returns the newest unprotected request of the lowest tier below the given priority number.
