--- a/internal/app/entry/control.go
+++ b/internal/app/entry/control.go
@@ -40,7 +40,8 @@
 func (t *T) newControl() {
 	codec := limit.Codec{Marshal: wire.Marshal, Unmarshal: wire.Unmarshal}
 	c := &t.control
-	c.directory = directory.NewFollower(t.deps.Store, entryPeers{t}, t.storeError)
+	c.directory = directory.NewFollower(t.deps.Store, t.storeError)
+	c.directory.AskPeers(entryPeers{t}, t.entries)
 	c.follower = table.NewFollower(table.FollowerOptions{
 		Instance: t.cfg.Instance, Zone: t.cfg.Zone, Client: t.deps.Store, Peers: entryPeers{t}, Events: tableEvents{t},
 	})
@@ -189,17 +190,6 @@
 	return list
 }
 
-// Instances implements directory.Peers.
-func (p entryPeers) Instances() []string {
-	var names []string
-	for _, m := range p.Members() {
-		if m.Instance != p.t.cfg.Instance {
-			names = append(names, m.Instance)
-		}
-	}
-	return names
-}
-
 // Announce implements table.Peers.
 func (p entryPeers) Announce(instances []string, version uint64) {
 	for _, instance := range instances {
--- a/internal/version/directory/load.go
+++ b/internal/version/directory/load.go
@@ -10,11 +10,14 @@
 	"io"
 	"math/rand/v2"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
 )
 
@@ -185,42 +188,83 @@
 
 // Load reads the directory from the store.
 func Load(ctx context.Context, c store.Client) (*Index, uint64, error) {
-	obj, err := c.Get(ctx, Kind, Name)
-	if err != nil {
-		return nil, 0, fmt.Errorf("read directory: %w", err)
-	}
-	d, err := Parse(obj.Value)
+	l, err := load(ctx, c)
 	if err != nil {
 		return nil, 0, err
 	}
-	return NewIndex(d), obj.Revision, nil
+	return l.index, l.revision, nil
 }
 
-// held is a directory in use with the store revision that it came from.
-type held struct {
+// loaded is a directory with the text that it was read from, for other entries.
+type loaded struct {
 	index    *Index
 	revision uint64
+	value    []byte
+}
+
+func load(ctx context.Context, c store.Client) (*loaded, error) {
+	obj, err := c.Get(ctx, Kind, Name)
+	if err != nil {
+		return nil, fmt.Errorf("read directory: %w", err)
+	}
+	return parseLoaded(obj.Value, obj.Revision)
+}
+
+func parseLoaded(value []byte, revision uint64) (*loaded, error) {
+	d, err := Parse(value)
+	if err != nil {
+		return nil, err
+	}
+	return &loaded{index: NewIndex(d), revision: revision, value: value}, nil
+}
+
+// MethodFetch is the peer call that returns the directory in use.
+const MethodFetch = "directory.fetch"
+
+// peersAsked bounds the peers that a starting entry asks, and callTimeout the wait for each.
+const (
+	peersAsked  = 8
+	callTimeout = time.Second
+)
+
+// fetchReply is the result of MethodFetch; Revision is 0 when the answering entry knows no directory.
+type fetchReply struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	Value    []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Peers reaches the other entries.
+type Peers interface {
+	// Call makes a peer call; peer.Caller implements it.
+	Call(ctx context.Context, instance, method string, payload []byte) ([]byte, error)
 }
 
 // Follower keeps the latest directory of the store. It keeps the last valid one while the store is down or holds an
-// invalid one. An entry that starts while the store is down learns the directory from other entries.
+// invalid one. An entry that starts in such a time takes the directory of another entry.
 type Follower struct {
 	client  store.Client
-	peers   Peers
-	held    atomic.Pointer[held]
 	onError func(error)
 	ready   chan struct{}
+	peers   Peers
+	members func() []string
+
+	mu      sync.Mutex
+	current atomic.Pointer[loaded]
 }
 
-// NewFollower returns a follower; Run starts it. peers and onError may be nil.
-func NewFollower(c store.Client, peers Peers, onError func(error)) *Follower {
-	return &Follower{client: c, peers: peers, onError: onError, ready: make(chan struct{})}
+// NewFollower returns a follower; Run starts it. onError may be nil.
+func NewFollower(c store.Client, onError func(error)) *Follower {
+	return &Follower{client: c, onError: onError, ready: make(chan struct{})}
 }
 
+// AskPeers makes a starting follower ask other entries when the store does not answer. members returns their names.
+// It must be called before Run.
+func (f *Follower) AskPeers(p Peers, members func() []string) { f.peers, f.members = p, members }
+
 // Current returns the directory in use, or nil before the first one was read.
 func (f *Follower) Current() *Index {
-	if h := f.held.Load(); h != nil {
-		return h.index
+	if l := f.current.Load(); l != nil {
+		return l.index
 	}
 	return nil
 }
@@ -228,6 +272,15 @@
 // Ready is closed once a first directory is known.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
 
+// HandleFetch answers a MethodFetch call.
+func (f *Follower) HandleFetch(context.Context, []byte) ([]byte, error) {
+	l := f.current.Load()
+	if l == nil {
+		return cbor.Marshal(fetchReply{})
+	}
+	return cbor.Marshal(fetchReply{Revision: l.revision, Value: l.value})
+}
+
 // Run reads the directory again and again until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := store.NewBackoff(100*time.Millisecond, 5*time.Second)
@@ -235,7 +288,9 @@
 		wait := refreshEvery - refreshEvery/5 + rand.N(refreshEvery*2/5)
 		if err := f.refresh(ctx); err != nil {
 			wait = backoff.Next()
-			f.failed(ctx, err)
+			if f.onError != nil && ctx.Err() == nil {
+				f.onError(err)
+			}
 		} else {
 			backoff.Reset()
 		}
@@ -246,39 +301,68 @@
 	}
 }
 
-// refresh reads the store. Without any directory it asks the peers at the same time, because a store that is down may
-// answer late.
 func (f *Follower) refresh(ctx context.Context) error {
-	if f.Current() == nil {
-		var peers sync.WaitGroup
-		defer peers.Wait()
-		peers.Go(func() { f.askPeers(ctx) })
-	}
-	index, revision, err := Load(ctx, f.client)
-	if err == nil {
-		f.install(index, revision)
+	l, err := load(ctx, f.client)
+	if err != nil {
+		if f.current.Load() == nil && f.peers != nil {
+			f.askPeers(ctx)
+		}
+		return err
 	}
-	return err
+	f.install(l)
+	return nil
 }
 
 // install ignores a directory older than the one in use, so that a removed key stays removed.
-func (f *Follower) install(index *Index, revision uint64) {
-	for {
-		old := f.held.Load()
-		if old != nil && revision <= old.revision {
-			return
-		}
-		if f.held.CompareAndSwap(old, &held{index: index, revision: revision}) {
-			if old == nil {
-				close(f.ready)
+func (f *Follower) install(l *loaded) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.current.Load()
+	if old != nil && l.revision <= old.revision {
+		return
+	}
+	f.current.Store(l)
+	if old == nil {
+		close(f.ready)
+	}
+}
+
+// askPeers takes the newest directory among the answers of several entries.
+func (f *Follower) askPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	names := slices.Clone(f.members())
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	var best *loaded
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, name := range names[:min(peersAsked, len(names))] {
+		wg.Go(func() {
+			l, err := f.fetch(ctx, name)
+			if err != nil {
+				return // the store's error is reported, and the next attempt asks again
 			}
-			return
-		}
+			mu.Lock()
+			defer mu.Unlock()
+			if best == nil || l.revision > best.revision {
+				best = l
+			}
+		})
+	}
+	wg.Wait()
+	if best != nil {
+		f.install(best)
 	}
 }
 
-func (f *Follower) failed(ctx context.Context, err error) {
-	if f.onError != nil && ctx.Err() == nil {
-		f.onError(err)
+func (f *Follower) fetch(ctx context.Context, instance string) (*loaded, error) {
+	data, err := f.peers.Call(ctx, instance, MethodFetch, nil)
+	if err != nil {
+		return nil, err
+	}
+	var r fetchReply
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return nil, err
 	}
+	return parseLoaded(r.Value, r.Revision)
 }
