Limit messages: integer keys for the handover list

Cause: the list of keys in a handover was encoded with field names. Change: integer keys, as in every other message. Measured: go test -race of the package passes. Conclusion: no change of behaviour.

--- a/internal/process/limit/limit.go
+++ b/internal/process/limit/limit.go
@@ -16,8 +16,8 @@
 
 // Key identifies what a limit applies to.
 type Key struct {
-	Class     string
-	Workspace string
+	Class     string `cbor:"1,keyasint"`
+	Workspace string `cbor:"2,keyasint"`
 }
 
 // Limits are the values of a table row; 0 means no limit.
