claim: a new owner reads the log ahead of the first claim and in large pages

Cause: with pages of 32 batches a new owner needed 63 calls for 2,000 batches, and began only with the first claim, which then failed; without claims it never deleted old batches either. Change: the page size follows the size of the batches, up to 500 a page; the owner of a shard reads its log every 10 s until it has it. Conclusion: a change of the owner costs few calls; reading a saturated hour of large results has not been measured.

--- a/internal/request/claim/claim_test.go
+++ b/internal/request/claim/claim_test.go
@@ -510,6 +510,33 @@
 	return p.Client.Create(ctx, kind, name, value)
 }
 
+// Guards against a new owner that needs so many store calls to read the log that claims fail meanwhile.
+func TestNewOwnerReadsLogInFewCalls(t *testing.T) {
+	inCluster(t, nil, func(c *cluster, _ []*entryProcess) {
+		one := func(o *Options) { o.Shards = 1 }
+		first := c.start(t, "entry-a", one)
+		const orders = 1000
+		for i := range orders {
+			if _, err := c.order(first, fmt.Sprintf("k-%d", i)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		batches := first.shards[0].head
+		c.kill("entry-a")
+		c.unlist("entry-a")
+		second := c.start(t, "entry-b", one)
+		before := c.store.Counts().Reads
+		time.Sleep(2 * cleanEvery)
+		loading := c.store.Counts().Reads - before
+		state, err := c.order(second, "k-17")
+		wantStatus(t, state, err, Finished)
+		if batches < orders || loading == 0 || loading > batches/maxPage+3 {
+			t.Errorf("reading %d batches took %d calls", batches, loading)
+		}
+		t.Logf("read %d batches in %d calls", batches, loading)
+	})
+}
+
 // Guards against a caller that starts a call long after the grant because the process was paused in between.
 func TestGrantExpires(t *testing.T) {
 	inCluster(t, pair, func(c *cluster, e []*entryProcess) {
--- a/internal/request/claim/shard.go
+++ b/internal/request/claim/shard.go
@@ -15,9 +15,12 @@
 
 // Bounds of a shard.
 const (
-	// maxBatchBytes bounds a batch; a page of pageSize batches stays below the store client's bound of one list.
+	// maxBatchBytes bounds a batch; a page of minPage batches stays below the store client's bound of one list.
 	maxBatchBytes = 512 << 10
-	pageSize      = 32
+	minPage       = 32
+	// maxPage is a page of small batches, and pageBytes the size of a page that its number of batches aims at.
+	maxPage   = 500
+	pageBytes = 8 << 20
 	// maxQueue bounds the operations that wait in one shard of one process, and maxBodies those with a response body.
 	maxQueue  = 8192
 	maxBodies = 256
@@ -101,6 +104,8 @@
 	// first is the lowest number that may still exist.
 	first uint64
 	seen  []sighting
+	// page is the number of batches in one list.
+	page int
 	// expired is the horizon that this process has found and that the next batch carries.
 	expired uint64
 }
@@ -114,7 +119,7 @@
 func newShard(l *Log, number int) *shard {
 	return &shard{
 		log: l, number: number, pace: newPace(l.opt.WritesPerSecond), wake: make(chan struct{}, 1),
-		state: newReplay(), versions: map[uint64]uint64{},
+		state: newReplay(), versions: map[uint64]uint64{}, page: minPage,
 	}
 }
 
@@ -182,6 +187,7 @@
 		case <-ctx.Done():
 			return
 		case <-clean.C:
+			s.prepare(ctx)
 			s.clean(ctx)
 		case <-s.wake:
 			s.gather(ctx)
@@ -463,7 +469,7 @@
 	found := false
 	for {
 		started := time.Now()
-		page, err := s.list(ctx, s.head)
+		page, last, err := s.list(ctx, s.head)
 		if err != nil {
 			return found, err
 		}
@@ -475,7 +481,7 @@
 			s.accept(p)
 			found = found || p.batch.ID == id
 		}
-		if len(page) < pageSize {
+		if last {
 			s.confirmed = started
 			return found, nil
 		}
@@ -489,12 +495,12 @@
 	var all []stored
 	started, after := time.Now(), uint64(0)
 	for {
-		page, err := s.list(ctx, after)
+		page, last, err := s.list(ctx, after)
 		if err != nil {
 			return false, err
 		}
 		all = append(all, page...)
-		if len(page) < pageSize {
+		if last {
 			break
 		}
 		after, started = page[len(page)-1].number, time.Now()
@@ -528,27 +534,32 @@
 	batch           *batch
 }
 
-// list returns a page of the log after a number, 0 for its begin.
-func (s *shard) list(ctx context.Context, after uint64) ([]stored, error) {
+// list returns a page of the log after a number, 0 for its begin, and whether it is the last one.
+func (s *shard) list(ctx context.Context, after uint64) ([]stored, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	name := ""
 	if after > 0 {
 		name = objectName(s.number, after)
 	}
-	objs, err := s.log.opt.Client.List(ctx, Kind, shardPrefix(s.number), name, pageSize)
+	limit := s.page
+	objs, err := s.log.opt.Client.List(ctx, Kind, shardPrefix(s.number), name, limit)
 	if err != nil {
-		return nil, err
+		s.page = minPage // the page may have been too large to transfer
+		return nil, false, err
 	}
 	page := make([]stored, 0, len(objs))
+	largest := 1
 	for _, obj := range objs {
 		p, err := decode(obj)
 		if err != nil {
-			return nil, err
+			return nil, false, err
 		}
 		page = append(page, p)
+		largest = max(largest, len(obj.Value))
 	}
-	return page, nil
+	s.page = min(max(minPage, pageBytes/largest), maxPage)
+	return page, len(objs) < limit, nil
 }
 
 // decode reads a batch and drops the response bodies, which are read again when needed.
@@ -608,6 +619,16 @@
 	return s.loaded && s.first > 0 && s.first < min(s.state.horizon, s.head) && s.log.owner(s.number) == s.log.opt.Instance
 }
 
+// prepare reads the log of a shard that this process has come to own, so that the next claim need not wait for it.
+func (s *shard) prepare(ctx context.Context) {
+	if s.loaded || s.log.owner(s.number) != s.log.opt.Instance {
+		return
+	}
+	if err := s.refresh(ctx); err != nil {
+		s.log.failed(fmt.Errorf("claim log shard %d: read: %w", s.number, err))
+	}
+}
+
 // clean deletes batches before the horizon, in order, while the write budget has nothing better to do.
 func (s *shard) clean(ctx context.Context) {
 	for s.expendable() && !s.waiting() && s.pace.tryTake() {
