sidecar: load reports as often as the entries' choice needs them

Cause: a busy sidecar reported its load ten times a second on every session, since each token while work waits counts as a change. With about 130 bytes a report and 48 sessions, an entry would receive some 62 KB/s (computed); control may take 8 KB/s. Change: a pacer sends changes of free slots, health and draining at most every 100 ms and others at most every second.

--- a/internal/app/sidecar/sidecar.go
+++ b/internal/app/sidecar/sidecar.go
@@ -18,11 +18,10 @@
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
 	"github.com/dragonflypin/dragonflypin/internal/process/usage"
 	"github.com/dragonflypin/dragonflypin/internal/request/execute"
+	"github.com/dragonflypin/dragonflypin/internal/request/schedule"
 )
 
 const (
-	// reportInterval is the shortest time between load reports on change.
-	reportInterval = 100 * time.Millisecond
 	// probeInterval is the time between checks whether the upstream answers; a failed dispatch is noticed at once.
 	probeInterval = time.Second
 	probeTimeout  = 2 * time.Second
@@ -146,19 +145,27 @@
 	}
 }
 
-// report broadcasts the load after changes, at most once per interval. A drain is announced like any change.
+// report broadcasts the load after changes, as often as the pacer allows. A drain is announced like any change.
 func (t *T) report(ctx context.Context) {
+	var pacer schedule.ReportPacer
+	due := time.NewTimer(0)
+	defer due.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.changed:
+		case <-due.C:
 		}
-		t.node.Broadcast(t.executor.Load())
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(reportInterval):
+		load := t.executor.Load()
+		send, wait := pacer.Next(time.Now(), schedule.Report{
+			Slots: load.Slots, Running: load.Running, Paused: load.Paused, Queued: load.Queued, Draining: load.Draining, Healthy: load.Healthy,
+		})
+		if send {
+			t.node.Broadcast(load)
+		}
+		if wait > 0 {
+			due.Reset(wait)
 		}
 	}
 }
