Limit allowances: no reports of what is used at once

Refused requests counted as waiting. Change: a demand that is used at once leaves no record at the owner; running requests are reported only under a concurrency limit; refusals register no demand; an unanswered request keeps its account, so that the fallback starts.

--- a/internal/process/limit/limit.go
+++ b/internal/process/limit/limit.go
@@ -119,6 +119,9 @@
 	Permits int `cbor:"12,keyasint,omitempty"`
 	Waiting int `cbor:"13,keyasint,omitempty"`
 	Spare   int `cbor:"14,keyasint,omitempty"`
+	// Once is set when all that is lent is used for waiting requests: the owner keeps no record, and no further report
+	// follows.
+	Once bool `cbor:"15,keyasint,omitempty"`
 }
 
 func (d *Demand) key() Key { return Key{d.Class, d.Workspace} }
--- a/internal/process/limit/local.go
+++ b/internal/process/limit/local.go
@@ -188,9 +188,12 @@
 		return
 	}
 	a.inUse = max(0, a.inUse-1)
-	if diff := float64(reserved - used); a.mode == modeCutOff {
+	diff := float64(reserved - used)
+	switch {
+	case a.limits.Tokens <= 0:
+	case a.mode == modeCutOff:
 		a.shareTokens += diff
-	} else {
+	default:
 		a.giveTokens += diff
 	}
 }
@@ -220,18 +223,18 @@
 		a.take(tokens)
 		return Decision{Result: Admitted}
 	}
-	a.waiting++
-	a.waitTokens += float64(tokens)
-	a.needTokens = math.Max(a.needTokens, float64(tokens))
 	if a.askedAt.IsZero() {
 		a.askedAt = now
 	}
+	if a.mode == modeLent && now.Before(a.deniedTo) {
+		return a.denied
+	}
+	a.waiting++
+	a.waitTokens += float64(tokens)
+	a.needTokens = math.Max(a.needTokens, float64(tokens))
 	if a.mode != modeLent {
 		return a.refuseShare(lacking, share)
 	}
-	if now.Before(a.deniedTo) {
-		return a.denied
-	}
 	l.wake()
 	return Decision{Result: Wait}
 }
@@ -358,7 +361,7 @@
 		a.expire(now)
 		a.estimate(now)
 		if !a.due(now) {
-			l.forget(k, a)
+			l.forget(now, k, a)
 			continue
 		}
 		if a.sending || l.busy[a.owner] || a.owner == "" {
@@ -366,7 +369,7 @@
 		}
 		if a.owner == l.set.Self {
 			l.askSelf(now, k, a)
-			l.forget(k, a)
+			l.forget(now, k, a)
 			continue
 		}
 		i, ok := index[a.owner]
@@ -405,7 +408,7 @@
 		if a := l.accounts[d.key()]; a != nil {
 			a.sending = false
 			a.apply(now, b.SentAt, d, &g.Grants[i])
-			l.forget(d.key(), a)
+			l.forget(now, d.key(), a)
 		}
 	}
 	l.notify()
@@ -445,7 +448,11 @@
 }
 
 // forget drops an account that holds, runs and owes nothing and sees no demand.
-func (l *Local) forget(k Key, a *account) {
+func (l *Local) forget(now time.Time, k Key, a *account) {
+	// A request that has not been answered starts the fallback when it is asked again.
+	if !a.askedAt.IsZero() && now.Sub(a.askedAt) < 2*Lifetime {
+		return
+	}
 	if a.inUse == 0 && a.permits == 0 && a.requests == 0 && a.tokens == 0 && a.waiting == 0 &&
 		a.rateRequests == 0 && a.seenRequests == 0 && a.giveRequests == 0 && a.giveTokens == 0 && !a.sending && !a.known && a.mode == modeLent {
 		delete(l.accounts, k)
@@ -487,7 +494,7 @@
 		return now.Sub(a.answered) >= 5*Interval
 	case a.limits.Requests > 0 && a.requests < requests/2, a.limits.Tokens > 0 && a.tokens < tokens/2:
 		return true
-	case a.inUse > 0 || a.permits > 0 || a.requests > 0 || a.tokens > 0:
+	case a.limits.Concurrency > 0 && a.inUse > 0 || a.permits > 0 || a.requests > 0 || a.tokens > 0:
 		return a.expires.Sub(now) <= renewBefore
 	default:
 		return a.known && a.rateRequests == 0
@@ -513,13 +520,14 @@
 		a.tokens = d.HeldTokens
 	}
 	if a.limits.Concurrency <= 0 {
-		d.Permits, d.Waiting, d.Spare = 0, 0, 0
+		d.InUse, d.Permits, d.Waiting, d.Spare = 0, 0, 0, 0
+		d.Once = spare == 0 && d.HeldRequests == 0 && d.HeldTokens == 0
 	}
 	if a.scarce {
 		d.Spare = 0
 	}
-	a.permits = min(a.permits, a.inUse+d.Waiting+d.Spare)
-	d.Permits = max(a.permits, 0)
+	a.permits = min(a.permits, d.InUse+d.Waiting+d.Spare)
+	d.Permits = a.permits
 	a.waiting, a.waitTokens, a.needTokens = 0, 0, 0
 	return d
 }
@@ -541,7 +549,7 @@
 		return
 	}
 	a.answered = now
-	a.known = !d.idle()
+	a.known = !d.idle() && !d.Once
 	expires := sentAt.Add(Lifetime)
 	if now.Before(expires) {
 		a.expires = expires
--- a/internal/process/limit/owner.go
+++ b/internal/process/limit/owner.go
@@ -215,6 +215,9 @@
 	l.lendRequests(now, h, d, &g)
 	l.lendTokens(now, h, d, &g)
 	o.lendPermits(now, l, h, d, &g)
+	if d.Once {
+		delete(l.holdings, from)
+	}
 	return g
 }
 
