entry: ask other sidecars while a request waits; committed asks do not queue

Change: an ask without a grant is replaced after 25 ms, doubling to 1 s; a request that waits alone sends its body with the first ask, and a sidecar that cannot start it at once refuses it as saturated, after which plain asks follow; the picker prefers a free slot and probes slow upstreams every 10 s with tolerant requests; asks carry the row's token target. The tests of entry, attempt and execute pass with the race detector.

--- a/internal/app/entry/fleet.go
+++ b/internal/app/entry/fleet.go
@@ -15,6 +15,15 @@
 	"github.com/dragonflypin/dragonflypin/internal/request/route"
 )
 
+const (
+	// probeTarget is the latency target below which a request is not used as a probe of a slow upstream.
+	probeTarget = 3 * time.Second
+	// probeEvery and probeMax space the probes of a slow upstream, because every probe is a request served slowly.
+	probeEvery, probeMax = 10 * time.Second, time.Minute
+	// zonePenalty multiplies the cost of an upstream in another availability zone.
+	zonePenalty = 1.1
+)
+
 // maxCommittedBody bounds the body of a committed ask, whose frame holds the header too.
 const maxCommittedBody = 256 << 10
 
@@ -57,7 +66,10 @@
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(instance))
 	return &fleet{
-		picker:  route.New(time.Now(), route.Settings{Zone: zone, Seed: h.Sum64()}),
+		picker: route.New(time.Now(), route.Settings{
+			Zone: zone, Seed: h.Sum64(), ProbeEvery: probeEvery, ProbeMax: probeMax,
+			Scorer: route.FreeSlot{DrainTime: route.DrainTime{ZonePenalty: zonePenalty}},
+		}),
 		members: map[string]*member{}, byID: map[route.ID]*member{}, services: map[string]*service{},
 		changed: make(chan struct{}),
 	}
@@ -241,7 +253,8 @@
 	defer f.mu.RUnlock()
 	query := route.Request{
 		Model: r.Ask.Model, PrefixHash: r.Ask.PrefixHash, Tokens: max(1, int(r.Ask.PromptTokens+r.Ask.MaxTokens)),
-		PrefixTokens: int(r.Ask.PromptTokens), Protected: r.Ask.Policy.Protected,
+		PrefixTokens: int(r.Ask.PromptTokens),
+		Protected:    r.Ask.Policy.Protected || time.Duration(r.Ask.Policy.TTFTTargetMs)*time.Millisecond < probeTarget,
 	}
 	n := 0
 	for _, name := range failed {
@@ -270,7 +283,8 @@
 	if first == nil {
 		return attempt.Choice{}
 	}
-	choice := attempt.Choice{Reason: c.Reason.String() + " in " + service, Committed: c.Committed && len(r.Body) <= maxCommittedBody}
+	committed := (c.Committed || r.Alone) && !r.Saturated && len(r.Body) <= maxCommittedBody
+	choice := attempt.Choice{Reason: c.Reason.String() + " in " + service, Committed: committed}
 	choice.Targets = append(choice.Targets, &target{member: first, link: first.link, tokens: query.Tokens, prefix: query.PrefixHash})
 	if second := f.byID[c.Second]; second != nil && !choice.Committed {
 		choice.Targets = append(choice.Targets, &target{member: second, link: second.link, tokens: query.Tokens, prefix: query.PrefixHash})
--- a/internal/app/entry/serve.go
+++ b/internal/app/entry/serve.go
@@ -200,7 +200,7 @@
 			Policy: wire.Policy{
 				TableVersion: e.x.TableVersion, Priority: uint8(e.row.Priority), Weight: uint16(e.row.Weight),
 				Protected: e.row.Protected, TTFTTargetMs: uint32(e.row.TTFTTarget / time.Millisecond),
-				MaxWaitMs: uint32(e.row.MaxWait / time.Millisecond),
+				MaxWaitMs: uint32(e.row.MaxWait / time.Millisecond), TokenTargetMs: uint32(e.row.TokenTarget / time.Millisecond),
 			},
 		},
 	}
@@ -219,6 +219,7 @@
 		return saturated(&verdict)
 	}
 	defer func() { ticket.Leave(time.Now()) }()
+	req.Alone = ticket.Alone
 	ctx, stop := context.WithDeadline(ctx, req.Deadline)
 	defer stop()
 	settle, oerr := e.enforce(ctx, req)
--- a/internal/request/admit/queue.go
+++ b/internal/request/admit/queue.go
@@ -39,6 +39,8 @@
 	id      uint64
 	class   string
 	cancel  func(error)
+	// Alone tells that no other request waited for the service at the time of entry.
+	Alone bool
 }
 
 // NewQueue returns a Queue that bounds the waiting requests of each service.
@@ -63,7 +65,7 @@
 	if !verdict.Admitted() {
 		return nil, verdict
 	}
-	t := &Ticket{queue: q, service: c, id: q.last, class: row.Class, cancel: cancel}
+	t := &Ticket{queue: q, service: c, id: q.last, class: row.Class, cancel: cancel, Alone: c.Queued() == 1}
 	q.tickets[t.id] = t
 	q.byClass[t.class]++
 	q.shed(now, c)
--- a/internal/request/attempt/attempt.go
+++ b/internal/request/attempt/attempt.go
@@ -64,6 +64,10 @@
 	// MayStart is asked before the request is handed to a sidecar; nil allows it always. It stops a process that was
 	// paused for longer than its claim is valid.
 	MayStart func() bool
+	// Alone is set when no other request waits for the same service in this entry, so that a free slot is likely.
+	Alone bool
+	// Saturated is set when a sidecar had no free slot for a committed ask.
+	Saturated bool
 }
 
 // End is how an attempt ended.
--- a/internal/request/attempt/attempt_test.go
+++ b/internal/request/attempt/attempt_test.go
@@ -249,3 +249,29 @@
 		})
 	}
 }
+
+// Guards against a request that waits at slow sidecars while others have free slots.
+func TestAskWithoutGrantIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := []*fakeUpstream{{name: "a", stream: newFakeStream()}, {name: "b", stream: newFakeStream()}}
+		free := &fakeUpstream{name: "c", stream: newFakeStream()}
+		go func() {
+			ask := free.stream.got(t).(*wire.Ask)
+			free.stream.in <- &wire.Grant{RequestID: "r", Attempt: ask.Attempt}
+			free.stream.got(t) // Start
+			complete(free.stream, ask.Attempt)
+		}()
+		began := time.Now()
+		result := run(t.Context(), &fakeSink{}, true, one(false, slow...), one(false, free))
+		if result.End != EndCompleted || result.Upstream != "c" {
+			t.Errorf("result %+v", result)
+		}
+		if waited := time.Since(began); waited != firstReask {
+			t.Errorf("replaced after %s, want %s", waited, firstReask)
+		}
+		slow[0].stream.got(t) // Ask
+		if _, ok := slow[0].stream.got(t).(*wire.Cancel); !ok {
+			t.Error("the replaced ask was not cancelled")
+		}
+	})
+}
--- a/internal/request/attempt/bind.go
+++ b/internal/request/attempt/bind.go
@@ -11,8 +11,12 @@
 const (
 	// confirmTime is how long the entry waits for a sidecar's word on a withdrawn ask that may have started.
 	confirmTime = time.Second
-	// eventsPerAsk bounds what a reader reports: a grant and one final message.
-	eventsPerAsk = 2
+	// firstReask is the wait without a grant after which one of the asks is replaced by an ask of another sidecar; it doubles
+	// up to maxReask. A request keeps its place, because sidecars order by the arrival at the entry.
+	firstReask = 25 * time.Millisecond
+	maxReask   = time.Second
+	// maxAsks is the number of sidecars asked at the same time.
+	maxAsks = 2
 )
 
 // ask is one Ask sent to one sidecar.
@@ -38,21 +42,28 @@
 
 // binding waits for one of several asks to start.
 type binding struct {
-	req     *Request
-	asks    []*ask
-	events  chan event
+	req    *Request
+	asks   []*ask
+	events chan event
+	// done is closed when nobody receives events any more.
+	done chan struct{}
+	// next proposes another sidecar than the named ones, or nil.
+	next    func(except []string) Upstream
+	number  *uint32
 	granted *ask
 	result  Result
 	closing bool
 }
 
-// bind asks the choice's targets. It returns the ask that started, or nil with the result.
-func (r *Request) bind(ctx context.Context, choice Choice, number *uint32) (*ask, Result) {
+// bind asks the choice's targets, and others while none grants a slot. It returns the ask that started, or nil with the
+// result.
+func (r *Request) bind(ctx context.Context, choice Choice, number *uint32, next func(except []string) Upstream) (*ask, Result) {
 	if choice.Committed && len(choice.Targets) == 1 {
 		*number++
 		return r.bindOne(ctx, choice.Targets[0], *number)
 	}
-	b := &binding{req: r, events: make(chan event, eventsPerAsk*len(choice.Targets))}
+	b := &binding{req: r, events: make(chan event), done: make(chan struct{}), next: next, number: number}
+	defer close(b.done)
 	for _, up := range choice.Targets {
 		*number++
 		b.send(up, *number, choice.Committed)
@@ -104,7 +115,7 @@
 	}
 	b.asks = append(b.asks, a)
 	if b.events != nil {
-		go a.read(b.events, b.req.Ask.RequestID)
+		go a.read(b.events, b.done, b.req.Ask.RequestID)
 	}
 }
 
@@ -128,18 +139,18 @@
 }
 
 // read reports the messages up to the one that decides the ask; after Started the relay reads on.
-func (a *ask) read(events chan<- event, requestID string) {
+func (a *ask) read(events chan<- event, done <-chan struct{}, requestID string) {
 	for {
 		m, err := a.st.Recv()
 		if err == nil {
 			err = a.verify(m, requestID)
 		}
-		if err != nil {
-			events <- event{ask: a, err: err}
+		select {
+		case events <- event{ask: a, m: m, err: err}:
+		case <-done:
 			return
 		}
-		events <- event{ask: a, m: m}
-		if _, granted := m.(*wire.Grant); !granted {
+		if _, granted := m.(*wire.Grant); err != nil || !granted {
 			return
 		}
 	}
@@ -169,8 +180,15 @@
 func (b *binding) wait(ctx context.Context) *ask {
 	done := ctx.Done()
 	var confirm <-chan time.Time
+	wait := firstReask
+	reask := time.NewTimer(wait)
+	defer reask.Stop()
 	for b.open() > 0 {
 		select {
+		case <-reask.C:
+			b.replace()
+			wait = min(2*wait, maxReask)
+			reask.Reset(wait)
 		case <-done:
 			done = nil
 			b.cancel()
@@ -211,6 +229,33 @@
 	return n
 }
 
+// replace asks another sidecar; with maxAsks open, the oldest ask is withdrawn for it.
+func (b *binding) replace() {
+	if b.closing || b.granted != nil {
+		return
+	}
+	var open []*ask
+	var names []string
+	for _, a := range b.asks {
+		if a.handed && !a.ended {
+			return // it may start; nothing else may be started beside it
+		}
+		if !a.ended {
+			open, names = append(open, a), append(names, a.up.Name())
+		}
+	}
+	up := b.next(names)
+	if up == nil {
+		return
+	}
+	if len(open) >= maxAsks {
+		open[0].drop()
+	}
+	b.asks = open
+	*b.number++
+	b.send(up, *b.number, false)
+}
+
 // cancel withdraws all asks; those that may have started stay open until the sidecar says so.
 func (b *binding) cancel() {
 	b.closing = true
--- a/internal/request/attempt/runner.go
+++ b/internal/request/attempt/runner.go
@@ -64,7 +64,11 @@
 			wait = min(2*wait, maxRetryWait)
 			continue
 		}
-		result := r.round(ctx, req, choice, &number, sink, trace)
+		result := r.round(ctx, req, choice, failed, &number, sink, trace)
+		if choice.Committed && result.End == EndRefused && result.saturated() {
+			req.Saturated = true // the sidecar has no free slot; plain asks wait for one, there and elsewhere
+			result.Refusals = nil
+		}
 		for _, refusal := range result.Refusals {
 			failed = append(failed, refusal.Upstream)
 		}
@@ -79,9 +83,15 @@
 	}
 }
 
-func (r *Runner) round(ctx context.Context, req *Request, choice Choice, number *uint32, sink Sink, trace *Trace) Result {
+func (r *Runner) round(ctx context.Context, req *Request, choice Choice, failed []string, number *uint32, sink Sink, trace *Trace) Result {
 	asked := time.Now()
-	won, result := req.bind(ctx, choice, number)
+	won, result := req.bind(ctx, choice, number, func(except []string) Upstream {
+		other := r.Chooser.Choose(time.Now(), req, append(except, failed...))
+		if len(other.Targets) == 0 {
+			return nil
+		}
+		return other.Targets[0]
+	})
 	if won != nil {
 		sink.Started(result.Upstream)
 		won.relay(ctx, sink, &result)
@@ -140,6 +150,11 @@
 	}
 }
 
+// saturated tells whether the only refusal is for want of a free slot.
+func (r *Result) saturated() bool {
+	return len(r.Refusals) == 1 && r.Refusals[0].Reason == wire.RefuseSaturated && !r.Refusals[0].Unreachable
+}
+
 // Refused returns the reason that most refusals of a result name, and the longest wait that they suggest.
 func (r *Result) Refused() (wire.RefuseReason, time.Duration) {
 	var reason wire.RefuseReason
--- a/internal/request/execute/execute.go
+++ b/internal/request/execute/execute.go
@@ -242,6 +242,13 @@
 	e.queued++
 	e.sched.Enqueue(j.arrived, j.item())
 	e.dispatch(j.arrived)
+	if j.ask.Committed && !j.granted && e.jobs[j.id] == j {
+		// A committed ask has no second sidecar to wait at, so it does not wait here either.
+		e.sched.Remove(j.id)
+		e.forget(j)
+		e.queued--
+		return wire.RefuseSaturated
+	}
 	return 0
 }
 
