Limit allowances: a start or change of owner waits instead of refusing

Cause: for 2 s after an entry's first members, its keys had empty buckets, so that requests within the limit were refused; an idle report during a takeover ended the entry's takeover mode too early and dropped its share. Change: requests beyond the share wait during a takeover, which ends within 2 s; what the share collected is kept; an idle report is answered as part of the takeover.

--- a/internal/process/limit/limit_test.go
+++ b/internal/process/limit/limit_test.go
@@ -343,6 +343,35 @@
 	}
 }
 
+// Guards against refusals right after a start, when the first members of an entry make it wait for an unknown
+// predecessor's allowances although the load is within the limits.
+func TestStartWaitsInsteadOfRefusing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		net := newNetwork(ctx, 2, Limits{Requests: 2, Concurrency: 1})
+		m := net.locals["e0"].members
+		k := ownedBy(m, "e0")
+		codec := Codec{Marshal: cbor.Marshal, Unmarshal: cbor.Unmarshal}
+		fresh := NewOwner("e0", time.Now, codec)
+		fresh.SetMembers(time.Now(), m)
+		net.owners["e0"] = fresh
+		net.down["e1"] = true // no handover
+		l := NewLocal(LocalSettings{
+			Self: "e0", Limits: func(Key) Limits { return Limits{Requests: 2, Concurrency: 1} }, Owner: fresh,
+			Caller: wire{net, "e0"}, Codec: codec, Clock: time.Now,
+		})
+		l.SetMembers(m)
+		go l.Run(ctx)
+		before := time.Now()
+		d := l.AdmitWait(ctx, k, 1)
+		if waited := time.Since(before); d.Result != Admitted || waited > Lifetime+2*Interval {
+			t.Errorf("%+v after %v", d, waited)
+		}
+		cancel()
+		time.Sleep(2 * callTimeout)
+	})
+}
+
 // Guards against an allowance that outlives what its owner assumes, when the answer was slow.
 func TestAllowanceExpiresFromSending(t *testing.T) {
 	m := Members{Live: []string{"a", "b"}}
--- a/internal/process/limit/local.go
+++ b/internal/process/limit/local.go
@@ -296,14 +296,15 @@
 	a.shareTokens = math.Min(share.Tokens, a.shareTokens+s*share.Tokens)
 }
 
+// refuseShare refuses what exceeds the share. During a takeover, which ends within Lifetime, the request waits instead.
 func (a *account) refuseShare(lacking Result, share Limits) Decision {
 	switch {
+	case a.mode == modeTakeover:
+		return Decision{Result: Wait}
 	case lacking == RequestRate:
 		return Decision{RequestRate, seconds((1 - a.shareRequests) / share.Requests)}
 	case lacking == TokenRate:
 		return Decision{TokenRate, seconds((1 - a.shareTokens) / share.Tokens)}
-	case a.mode == modeTakeover:
-		return Decision{Result: Wait}
 	default:
 		return Decision{Concurrency, cutOffRetry}
 	}
@@ -561,6 +562,11 @@
 		a.enter(now, modeTakeover)
 		return
 	}
+	if a.mode == modeTakeover && a.expires.Equal(expires) {
+		// The new owner's buckets fill from the end of the takeover on; until then the shares did.
+		a.requests += a.shareRequests
+		a.tokens += math.Max(0, a.shareTokens)
+	}
 	a.leave()
 	a.scarce = g.Scarce
 	a.askedAt = time.Time{}
--- a/internal/process/limit/owner.go
+++ b/internal/process/limit/owner.go
@@ -203,12 +203,16 @@
 	o.prune(now, l)
 	l.refill(now, o.rates(now, l))
 	l.credit(d)
+	takingOver := now.Before(l.readyAt)
 	if d.idle() {
 		delete(l.holdings, from)
+		if takingOver {
+			return Grant{Status: StatusTakingOver}
+		}
 		return Grant{Status: StatusLent}
 	}
 	h := l.holding(now, from, d)
-	if now.Before(l.readyAt) {
+	if takingOver {
 		return Grant{Status: StatusTakingOver, Permits: d.Permits, RetryMs: millis(l.readyAt.Sub(now))}
 	}
 	g := Grant{Status: StatusLent}
