Usage record: verification of an export without a server

Cause: an owner could verify the record only by asking an entry, whose answer it had to trust. A file that cannot be opened is exit status 2, an empty or malformed one exit status 1, each with the file's name. Conclusion: either owner can check an export by itself. The keys have to be kept apart from the export to prove anything.

--- a/internal/app/cli/commands.go
+++ b/internal/app/cli/commands.go
@@ -112,8 +112,12 @@
 		{name: "show", short: "Print totals", long: "Prints totals by owner, workspace, class and model, in tokens, and the owners' shares.",
 			data: &usageShowCommand{operatorOptions: o}},
 		{name: "verify", short: "Verify the record", long: "Verifies signatures, chains and the two independent counts, and names the first " +
-			"invalid record. Exit status 1 when the record is not valid.", data: &usageVerifyCommand{operatorOptions: o}},
+			"invalid record. Exit status 1 when the record is not valid. With --file and --keys it verifies an export and calls no server.",
+			data: &usageVerifyCommand{operatorOptions: o}},
 		{name: "export", short: "Print the record as CSV", long: "Prints the signed records as CSV.",
 			data: &usageExportCommand{operatorOptions: o}},
+		{name: "keys", short: "Print the writers' public keys", long: "Prints a JSON object of writer and Ed25519 public key in base64, " +
+			"for usage verify --keys. Read the keys after the export, so that they include every writer in it.",
+			data: &usageKeysCommand{operatorOptions: o}},
 	}
 }
--- a/internal/app/cli/operator.go
+++ b/internal/app/cli/operator.go
@@ -295,52 +295,6 @@
 // Execute implements flags.Commander.
 func (c *usageShowCommand) Execute(args []string) error { return c.get(args, "/usage", nil) }
 
-type usageVerifyCommand struct{ operatorOptions }
-
-// errInvalidUsage makes the exit status 1 when the record is not valid.
-var errInvalidUsage = errors.New("the usage record is not valid")
-
-// Execute implements flags.Commander.
-func (c *usageVerifyCommand) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
-		return err
-	}
-	body, err := c.call(operatorCall{method: http.MethodGet, path: "/usage/verify"})
-	if err != nil {
-		return err
-	}
-	if err := c.print(body); err != nil {
-		return err
-	}
-	var report struct {
-		Problems []json.RawMessage `json:"problems"`
-	}
-	if err := json.Unmarshal(body, &report); err != nil {
-		return fmt.Errorf("the operator API's answer is not a report: %w", err)
-	}
-	if len(report.Problems) > 0 {
-		return fmt.Errorf("%w: first problem: %s", errInvalidUsage, report.Problems[0])
-	}
-	if c.JSON {
-		return nil
-	}
-	return c.write([]byte("the usage record is valid\n"))
-}
-
-type usageExportCommand struct{ operatorOptions }
-
-// Execute implements flags.Commander.
-func (c *usageExportCommand) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
-		return err
-	}
-	body, err := c.call(operatorCall{method: http.MethodGet, path: "/usage/export", accept: typeCSV})
-	if err != nil {
-		return err
-	}
-	return c.write(body)
-}
-
 type statusCommand struct{ operatorOptions }
 
 // Execute implements flags.Commander.
--- a/internal/app/cli/operator_test.go
+++ b/internal/app/cli/operator_test.go
@@ -34,6 +34,7 @@
 		{args: "usage verify --json", request: "GET /usage/verify ", answer: `{"problems":[]}`, out: "{\n  \"problems\": []\n}\n"},
 		{args: "usage verify", request: "GET /usage/verify ", answer: `{"problems":[{"kind":"changed","seq":4}]}`, exit: 1,
 			out: "problems:\nkind     seq\nchanged  4\n", err: "the usage record is not valid: first problem: {\"kind\":\"changed\",\"seq\":4}\n"},
+		{args: "usage keys", request: "GET /usage/keys ", answer: `{"e.1":"AAAA"}`, out: "{\n  \"e.1\": \"AAAA\"\n}\n"},
 		{args: "usage export", request: "GET /usage/export ", answer: "a,b\n", out: "a,b\n"},
 		{args: "status", request: "GET /status ", answer: `{"table":{"version":3},"zones":["a","b"]}`, out: "table.version: 3\nzones: a, b\n"},
 		{args: "explain r/1", request: "GET /explain/r%2F1 ", status: 404, exit: 1, answer: "no such request", err: "the operator API answered 404: no such request\n"},
--- /dev/null
+++ b/internal/app/cli/usage.go
@@ -0,0 +1,124 @@
+package cli
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/usage"
+)
+
+type usageVerifyCommand struct {
+	operatorOptions
+	File string `long:"file" value-name:"EXPORT.csv" description:"verify this export instead of the stored record; needs --keys and no server"`
+	Keys string `long:"keys" value-name:"KEYS.json" description:"output of usage keys"`
+}
+
+// errInvalidUsage makes the exit status 1 when the record is not valid.
+var errInvalidUsage = errors.New("the usage record is not valid")
+
+// Execute implements flags.Commander.
+func (c *usageVerifyCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	if (c.File == "") != (c.Keys == "") {
+		return &usageError{"--file and --keys must be given together"}
+	}
+	if c.File != "" {
+		return c.offline()
+	}
+	body, err := c.call(operatorCall{method: http.MethodGet, path: "/usage/verify"})
+	if err != nil {
+		return err
+	}
+	return c.report(body)
+}
+
+// offline verifies an export against a file of public keys.
+func (c *usageVerifyCommand) offline() error {
+	keys, err := readUsageKeys(c.Keys)
+	if err != nil {
+		return err
+	}
+	file, err := os.Open(c.File)
+	if err != nil {
+		return &usageError{fmt.Sprintf("usage export: %v", err)}
+	}
+	defer func() { _ = file.Close() }()
+	report, err := usage.VerifyExport(file, keys)
+	if errors.Is(err, io.EOF) {
+		err = errors.New("the file is empty")
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	body, err := json.Marshal(report)
+	if err != nil {
+		return err
+	}
+	return c.report(body)
+}
+
+func readUsageKeys(name string) (map[string]ed25519.PublicKey, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, &usageError{fmt.Sprintf("usage keys: %v", err)}
+	}
+	var keys map[string]ed25519.PublicKey
+	if err := json.Unmarshal(data, &keys); err != nil {
+		return nil, fmt.Errorf("%s: must be a JSON object of writer and public key in base64: %w", name, err)
+	}
+	for writer, key := range keys {
+		if len(key) != ed25519.PublicKeySize {
+			return nil, fmt.Errorf("%s: the key of writer %q has %d bytes, must have %d", name, writer, len(key), ed25519.PublicKeySize)
+		}
+	}
+	return keys, nil
+}
+
+// report prints a report and fails when it holds a problem.
+func (c *usageVerifyCommand) report(body []byte) error {
+	if err := c.print(body); err != nil {
+		return err
+	}
+	var report struct {
+		Problems []json.RawMessage `json:"problems"`
+	}
+	if err := json.Unmarshal(body, &report); err != nil {
+		return fmt.Errorf("the operator API's answer is not a report: %w", err)
+	}
+	if len(report.Problems) > 0 {
+		return fmt.Errorf("%w: first problem: %s", errInvalidUsage, report.Problems[0])
+	}
+	if c.JSON {
+		return nil
+	}
+	return c.write([]byte("the usage record is valid\n"))
+}
+
+type usageExportCommand struct{ operatorOptions }
+
+// Execute implements flags.Commander.
+func (c *usageExportCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	body, err := c.call(operatorCall{method: http.MethodGet, path: "/usage/export", accept: typeCSV})
+	if err != nil {
+		return err
+	}
+	return c.write(body)
+}
+
+type usageKeysCommand struct{ operatorOptions }
+
+// Execute implements flags.Commander. The output is JSON with or without --json, because usage verify reads it.
+func (c *usageKeysCommand) Execute(args []string) error {
+	c.JSON = true
+	return c.get(args, "/usage/keys", nil)
+}
--- a/internal/app/operator/operator.go
+++ b/internal/app/operator/operator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/ed25519"
 	"errors"
 	"io"
 	"net/http"
@@ -33,6 +34,8 @@
 	Summary(ctx context.Context) (usage.Summary, error)
 	Verify(ctx context.Context) (usage.Report, error)
 	Export(ctx context.Context, w io.Writer) error
+	// Keys returns the registered public keys by writer.
+	Keys(ctx context.Context) (map[string]ed25519.PublicKey, error)
 }
 
 // Status describes the fleet. The result is written as JSON.
@@ -80,6 +83,7 @@
 	a.handle("GET /usage", usageTimeout, a.usage)
 	a.handle("GET /usage/export", usageTimeout, a.exportUsage)
 	a.handle("GET /usage/verify", usageTimeout, a.verifyUsage)
+	a.handle("GET /usage/keys", usageTimeout, a.usageKeys)
 	a.handle("GET /status", requestTimeout, a.status)
 	a.handle("GET /explain/{id...}", requestTimeout, a.explain)
 	a.handle("/", requestTimeout, func(_ http.ResponseWriter, r *http.Request, _ string) error {
@@ -152,6 +156,17 @@
 	return writeJSON(w, report)
 }
 
+func (a *API) usageKeys(w http.ResponseWriter, r *http.Request, _ string) error {
+	if a.opt.Usage == nil {
+		return notServed(r)
+	}
+	keys, err := a.opt.Usage.Keys(r.Context())
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, keys)
+}
+
 func (a *API) exportUsage(w http.ResponseWriter, r *http.Request, _ string) error {
 	if a.opt.Usage == nil {
 		return notServed(r)
--- a/internal/app/operator/operator_test.go
+++ b/internal/app/operator/operator_test.go
@@ -120,6 +120,8 @@
 		{"f", "GET /explain/known", "", 200, []string{`"class":"chat"`}},
 		{"f", "GET /explain/other", "", 404, []string{`"code":"not_found"`}},
 		{"f", "GET /usage", "", 404, []string{"not served here"}},
+		{"f", "GET /usage/keys", "", 404, []string{"not served here"}},
+		{"wrong", "GET /usage/keys", "", 401, []string{`"code":"invalid_key"`}},
 		{"f", "DELETE /table", "", 404, []string{"DELETE /table is not part of the operator API"}},
 	} {
 		method, target, _ := strings.Cut(test.request, " ")
