--- a/internal/app/cli/script_test.go
+++ b/internal/app/cli/script_test.go
@@ -39,6 +39,7 @@
 			"ports":    ports,
 			"expand":   expand,
 			"serving":  serving,
+			"runpages": runPages,
 		},
 		Setup: func(env *testscript.Env) error {
 			env.Values[processKey{}] = make(map[string]*exec.Cmd)
