cli: an answer over the bound is an error

Cause: answers of the operator API were cut at 256 MiB without an error, so a long usage export would have been written incomplete and then failed offline verification, or passed it without the end of a chain. Change: reading fails when the answer is longer than the bound. Measured: TestAnswerIsNotCut; go test -race of internal/app/cli passes. Conclusion: an export is whole or fails. A record over 256 MiB cannot be exported by the command line yet; it needs streaming or a time range.

--- a/internal/app/cli/operator.go
+++ b/internal/app/cli/operator.go
@@ -114,7 +114,7 @@
 		return nil, fmt.Errorf("call the operator API at %s://%s: %w", r.URL.Scheme, r.URL.Host, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxOperatorAnswer))
+	body, err := readBounded(resp.Body, maxOperatorAnswer)
 	if err != nil {
 		return nil, fmt.Errorf("read the operator API's answer: %w", err)
 	}
@@ -124,6 +124,15 @@
 	return body, nil
 }
 
+// readBounded reads all of r and fails when it holds more than limit bytes: a shortened usage export would look like a record with gaps.
+func readBounded(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = fmt.Errorf("it is longer than %d bytes", limit)
+	}
+	return body, err
+}
+
 // get calls a path and prints the answer, as text unless --json is set.
 func (o *operatorOptions) get(args []string, path string, query url.Values) error {
 	if err := noArguments(args); err != nil {
--- a/internal/app/cli/operator_test.go
+++ b/internal/app/cli/operator_test.go
@@ -99,3 +99,13 @@
 		}
 	}
 }
+
+// Guards against a long usage export that is cut without an error.
+func TestAnswerIsNotCut(t *testing.T) {
+	if body, err := readBounded(strings.NewReader("abc"), 3); err != nil || string(body) != "abc" {
+		t.Errorf("answer at the bound: %q, %v", body, err)
+	}
+	if _, err := readBounded(strings.NewReader("abcd"), 3); err == nil {
+		t.Error("a longer answer was cut without an error")
+	}
+}
