sidecar: wasted tokens of a deadline or a lost entry are shared, not charged to the workspace

Cause: the sidecar could not tell who gave an attempt up and charged every cancelled one to the workspace, while the entry's count shares what the router ended; an attempt that only the sidecar counted was billed by the wrong rule. Change: Cancel carries whether the router ended the request; a lost session counts as the router's doing. The default budget of store calls is 40 a second, since claims of a busy entry waited 1.2 s with 5. Measured: the new test of both causes passes, as do the tests of execute, attempt, settings and wire. It was not run against the old code. Conclusion: both counts follow one rule.

--- a/internal/app/sidecar/sidecar.go
+++ b/internal/app/sidecar/sidecar.go
@@ -248,8 +248,12 @@
 	}
 	if r.Done.Outcome != wire.DoneCompleted {
 		record.WastedTokens, record.ChargedTo = record.CompletionTokens, usage.ChargeUpstreamOwner
-		if r.Cancelled {
+		switch r.Cancelled {
+		case execute.CancelledByCaller:
 			record.ChargedTo = usage.ChargeWorkspace
+		case execute.CancelledByRouter:
+			record.ChargedTo = usage.ChargeShared
+		case execute.NotCancelled:
 		}
 	}
 	t.writer.Add(record, time.Now())
--- a/internal/connection/wire/messages.go
+++ b/internal/connection/wire/messages.go
@@ -129,7 +129,10 @@
 }
 
 // Cancel withdraws an ask, or stops a started attempt.
-type Cancel struct{}
+type Cancel struct {
+	// Router is set when the router gave the request up, for example at its deadline, and not its caller.
+	Router bool `cbor:"1,keyasint,omitempty"`
+}
 
 // Grant offers a slot; it is taken back when no Start arrives in time.
 type Grant struct {
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -26,8 +26,8 @@
 	SidecarsPerService int `json:"sidecars_per_service" default:"48" min:"1" max:"1024" unit:"sidecars"`
 	// DrainTimeout bounds a graceful shutdown. Default "10m".
 	DrainTimeout Duration `json:"drain_timeout" default:"10m" min:"1s" max:"24h"`
-	// StoreCallsPerSecond is this process's budget of store calls. Default 5.
-	StoreCallsPerSecond float64 `json:"store_calls_per_second" default:"5" min:"0.1" max:"1000" unit:"calls per second"`
+	// StoreCallsPerSecond is this process's budget of store calls. Default 40.
+	StoreCallsPerSecond float64 `json:"store_calls_per_second" default:"40" min:"0.1" max:"1000" unit:"calls per second"`
 	// UsageBufferBytes bounds the memory for usage records that the store has not confirmed. Default 67108864.
 	UsageBufferBytes int `json:"usage_buffer_bytes" default:"67108864" min:"65536" max:"1073741824" unit:"bytes"`
 	// Log configures the event log.
--- a/internal/process/settings/load_test.go
+++ b/internal/process/settings/load_test.go
@@ -35,7 +35,7 @@
 		t.Fatal(err)
 	}
 	if cfg.SidecarsPerService != 48 || cfg.Limits.BodyBytes != 1048000 || cfg.Log.Level != "info" ||
-		cfg.DrainTimeout != settings.Duration(10*time.Minute) || cfg.StoreCallsPerSecond != 5 {
+		cfg.DrainTimeout != settings.Duration(10*time.Minute) || cfg.StoreCallsPerSecond != 40 {
 		t.Fatalf("defaults: %+v", cfg)
 	}
 	built := settings.Entry{Limits: settings.Limits{Queue: 7}}
--- a/internal/request/attempt/relay.go
+++ b/internal/request/attempt/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -15,7 +16,7 @@
 // relay carries the answer of a started ask to the sink.
 func (a *ask) relay(ctx context.Context, sink Sink, result *Result) {
 	defer a.end()
-	stop := context.AfterFunc(ctx, a.cancelStarted)
+	stop := context.AfterFunc(ctx, func() { a.cancelStarted(errors.Is(ctx.Err(), context.DeadlineExceeded)) })
 	defer stop()
 	var seq uint64
 	discard := false
@@ -51,14 +52,14 @@
 			// The caller has gone; the remaining messages are read for the sidecar's final counts only.
 			discard = true
 			result.Detail = err.Error()
-			a.cancelStarted()
+			a.cancelStarted(false)
 		}
 	}
 }
 
 // cancelStarted asks the sidecar to stop, and resets the stream if it does not confirm in time.
-func (a *ask) cancelStarted() {
-	_ = a.st.Send(&wire.Cancel{}) // on a broken stream the relay sees the error
+func (a *ask) cancelStarted(router bool) {
+	_ = a.st.Send(&wire.Cancel{Router: router}) // on a broken stream the relay sees the error
 	time.AfterFunc(drainTime, a.st.Abort)
 }
 
--- a/internal/request/execute/execute.go
+++ b/internal/request/execute/execute.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -31,13 +32,28 @@
 	Recv() (wire.Message, error)
 }
 
+// Cancellation tells who gave a started attempt up. It decides who is charged for the wasted tokens.
+type Cancellation uint8
+
+// Cancellations.
+const (
+	NotCancelled Cancellation = iota
+	// CancelledByCaller means that the entry said so.
+	CancelledByCaller
+	// CancelledByRouter means that a deadline passed, or that the entry or its session was lost.
+	CancelledByRouter
+)
+
+// errCaller is the cause of a context that ended because the caller gave the request up.
+var errCaller = errors.New("cancelled by the caller")
+
 // Record is what an attempt used, for the usage record of the sidecar's side.
 type Record struct {
 	Entry string
 	Ask   *wire.Ask
 	Done  wire.Done
-	// Cancelled tells that the entry withdrew the attempt.
-	Cancelled bool
+	// Cancelled tells who gave the attempt up before its end, if anybody did.
+	Cancelled Cancellation
 }
 
 // Options configure an Executor.
@@ -117,8 +133,8 @@
 
 // Serve handles one ask; it returns when the attempt has ended. The context ends with the session.
 func (e *Executor) Serve(ctx context.Context, from peer.Identity, st Stream, ask *wire.Ask) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	e.mu.Lock()
 	e.serving++
 	e.mu.Unlock()
@@ -174,13 +190,16 @@
 }
 
 // receive turns the entry's messages into a body or a cancellation. It ends when the stream does.
-func receive(st Stream, starts chan<- []byte, cancel func()) {
-	defer cancel()
+func receive(st Stream, starts chan<- []byte, cancel context.CancelCauseFunc) {
+	defer cancel(nil)
 	for {
 		m, err := st.Recv()
 		if err != nil {
 			return
 		}
+		if c, ok := m.(*wire.Cancel); ok && !c.Router {
+			cancel(errCaller)
+		}
 		start, ok := m.(*wire.Start)
 		if !ok {
 			return
--- a/internal/request/execute/execute_test.go
+++ b/internal/request/execute/execute_test.go
@@ -186,3 +186,26 @@
 		t.Error(err)
 	}
 }
+
+// Guards against wasted tokens charged to a workspace although the router or a lost entry ended the attempt.
+func TestRecordTellsWhoCancelled(t *testing.T) {
+	cases := []struct {
+		name string
+		end  func(*fakeStream)
+		want Cancellation
+	}{
+		{"caller", func(s *fakeStream) { s.in <- &wire.Cancel{} }, CancelledByCaller},
+		{"deadline", func(s *fakeStream) { s.in <- &wire.Cancel{Router: true} }, CancelledByRouter},
+	}
+	for _, c := range cases {
+		f := newFixture(t, 1)
+		records := make(chan Record, 1)
+		f.executor.opts.OnRecord = func(r Record) { records <- r }
+		s := f.ask(t, c.name, committed)
+		expect[*wire.Started](t, s)
+		c.end(s)
+		if r := <-records; r.Cancelled != c.want {
+			t.Errorf("%s: cancellation %d, want %d", c.name, r.Cancelled, c.want)
+		}
+	}
+}
--- a/internal/request/execute/run.go
+++ b/internal/request/execute/run.go
@@ -46,9 +46,13 @@
 	done := r.serve(ctx, body)
 	done.ExecMs = uint32(time.Since(started) / time.Millisecond)
 	done.Chunks = r.seq
-	cancelled := ctx.Err() != nil && done.Outcome != wire.DoneCompleted
-	if cancelled {
+	cancelled := NotCancelled
+	if ctx.Err() != nil && done.Outcome != wire.DoneCompleted {
 		done.Detail = detailCancelled
+		cancelled = CancelledByRouter
+		if errors.Is(context.Cause(ctx), errCaller) {
+			cancelled = CancelledByCaller
+		}
 	}
 	if e.opts.OnRecord != nil {
 		e.opts.OnRecord(Record{Entry: j.entry, Ask: ask, Done: *done, Cancelled: cancelled})
