eventlog: the catalogue holds only events that are emitted

Cause: 18 catalogued events were never emitted, so docs/events.md promised operators what no log shows. Change: membership_changed is emitted; 17 events are removed, their numbers stay unused; a test scans the code for each event. The test of the level filter uses an info event at level warn, since its debug event is gone. Measured: the new test passes; with the catalogue as it was, grep found 18 events without a use. Conclusion: an event comes back together with the code that emits it.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -219,6 +219,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.kick:
+			t.log.Emit(eventlog.MembershipChanged, eventlog.Count(len(t.tracker.Members())))
 		case <-ticker.C:
 		}
 	}
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -45,7 +45,6 @@
 	DrainStarted   = define(1004, "drain_started", logrus.InfoLevel, "The process accepts no new work and finishes what is in flight.")
 	DrainFinished  = define(1005, "drain_finished", logrus.InfoLevel, "Nothing is in flight; the process ends.")
 	DrainTimedOut  = define(1006, "drain_timed_out", logrus.WarnLevel, "The drain timeout passed with work in flight, which was cut; check drain_timeout against the longest class timeout.")
-	ProcessFailed  = define(1007, "process_failed", logrus.ErrorLevel, "The process ends because of an error that it cannot recover from.")
 	InternalError  = define(1008, "internal_error", logrus.ErrorLevel, "A handler failed in a way that should not happen; report it with the fields of this event.")
 )
 
@@ -53,9 +52,7 @@
 var (
 	SessionOpened     = define(1101, "session_opened", logrus.InfoLevel, "A session between two processes is open.")
 	SessionClosed     = define(1102, "session_closed", logrus.InfoLevel, "A session ended; it is opened again while the other side is in the instance list.")
-	SessionRefused    = define(1103, "session_refused", logrus.WarnLevel, "A session was refused because of its certificate, role or protocol version.")
 	PeerSuspect       = define(1104, "peer_suspect", logrus.WarnLevel, "A peer was silent for too long and gets no new work.")
-	PeerSilentFreed   = define(1105, "peer_silent_slots_freed", logrus.WarnLevel, "A sidecar cancelled the work of an entry that was silent for too long.")
 	MembershipChanged = define(1106, "membership_changed", logrus.InfoLevel, "The instance list shows other instances or states.")
 	MembershipFailed  = define(1107, "membership_unavailable", logrus.WarnLevel, "The instance list cannot be read; the last known list stays in use.")
 )
@@ -64,8 +61,6 @@
 var (
 	UpstreamDown      = define(1201, "upstream_down", logrus.WarnLevel, "An upstream does not answer; its sidecar refuses work as not_run.")
 	UpstreamUp        = define(1202, "upstream_up", logrus.InfoLevel, "An upstream answers again.")
-	UpstreamSlow      = define(1203, "upstream_slow", logrus.WarnLevel, "An upstream is slower than its peers and gets less work.")
-	UpstreamReadmit   = define(1204, "upstream_readmitted", logrus.InfoLevel, "A slow upstream passed its probes and gets its full share again.")
 	StreamInterrupted = define(1205, "stream_interrupted", logrus.WarnLevel, "A started attempt ended before its answer was complete.")
 	CallUnknown       = define(1206, "call_unknown", logrus.WarnLevel, "A non-idempotent call may or may not have run; it is not retried.")
 	OrderFenced       = define(1207, "order_fenced", logrus.WarnLevel, "An engine order with an old fencing number was refused.")
@@ -74,25 +69,12 @@
 // Events of the store, the table and claims.
 var (
 	StoreUnavailable = define(1301, "store_unavailable", logrus.WarnLevel, "The store does not answer; routing continues on the highest known table version.")
-	StoreAvailable   = define(1302, "store_available", logrus.InfoLevel, "The store answers again.")
 	StoreThrottled   = define(1303, "store_throttled", logrus.WarnLevel, "Store calls were refused by a rate limit; check store_calls_per_second.")
 	StoreUnknown     = define(1304, "store_write_unknown", logrus.WarnLevel, "The answer to a store write was lost; it is read back.")
 	TableInForce     = define(1305, "table_in_force", logrus.InfoLevel, "A table version is in force at this entry.")
 	TableInvalid     = define(1306, "table_invalid", logrus.ErrorLevel, "A table version in the store cannot be used; the version before it stays in force.")
-	TableApplied     = define(1307, "table_applied", logrus.InfoLevel, "A table change was accepted through this entry.")
-	TableConflict    = define(1308, "table_conflict", logrus.InfoLevel, "A table change was refused because another change edited the same row.")
-	DirectoryInForce = define(1309, "directory_in_force", logrus.InfoLevel, "A version of the directory of workspaces and operators is in force at this entry.")
 	ClaimsBlocked    = define(1310, "claims_unavailable", logrus.WarnLevel, "Claims cannot be written; non-idempotent calls are refused as not_run.")
-	LeaseAcquired    = define(1311, "lease_acquired", logrus.InfoLevel, "This process holds a lease.")
-	LeaseLost        = define(1312, "lease_lost", logrus.WarnLevel, "This process stopped acting on a lease.")
 )
 
 // Events of limits and usage.
-var (
-	LimitsDegraded = define(1401, "limits_degraded", logrus.WarnLevel, "The owner of a limit is unreachable; this entry uses its share of the limit.")
-	LimitsRestored = define(1402, "limits_restored", logrus.InfoLevel, "The owner of a limit grants allowances again.")
-	RequestsShed   = define(1403, "requests_shed", logrus.WarnLevel, "Requests of unprotected classes were refused because of saturation.")
-	UsageConfirmed = define(1404, "usage_segment_confirmed", logrus.DebugLevel, "The store confirmed a usage segment.")
-	UsageFolded    = define(1405, "usage_folded", logrus.WarnLevel, "The usage buffer is full; the oldest records were folded into totals by workspace.")
-	UsageInvalid   = define(1406, "usage_invalid", logrus.ErrorLevel, "The verification of the usage record found an invalid record.")
-)
+var ()
--- a/internal/process/eventlog/eventlog_test.go
+++ b/internal/process/eventlog/eventlog_test.go
@@ -5,7 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -42,8 +45,8 @@
 // Guards against lines that a log reader cannot parse or attribute, and against long foreign content in them.
 func TestEmit(t *testing.T) {
 	var out bytes.Buffer
-	log := eventlog.New(&out, "info", "entry", "entry-1")
-	log.Emit(eventlog.UsageConfirmed)
+	log := eventlog.New(&out, "warn", "entry", "entry-1")
+	log.Emit(eventlog.EntryStarted)
 	log.Emit(eventlog.StoreUnavailable, eventlog.Err(errors.New(strings.Repeat("x", 5000))), eventlog.Count(3))
 	var line map[string]any
 	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
@@ -57,3 +60,28 @@
 	}
 	eventlog.Discard().Emit(eventlog.EntryStarted)
 }
+
+// Guards against events that the documentation promises and no code emits.
+func TestEveryEventIsEmitted(t *testing.T) {
+	source, err := os.ReadFile("catalogue.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var production strings.Builder
+	err = filepath.WalkDir("../..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		production.Write(text)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, match := range regexp.MustCompile(`(?m)^\t([A-Z]\w*) += define\(`).FindAllSubmatch(source, -1) {
+		if name := string(match[1]); !regexp.MustCompile(`eventlog\.` + name + `\b`).MatchString(production.String()) {
+			t.Errorf("event %s is in the catalogue and never emitted", name)
+		}
+	}
+}
