--- a/internal/app/cli/cli.go
+++ b/internal/app/cli/cli.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/joomcode/errorx"
 
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 )
@@ -21,10 +22,19 @@
 	exitUsage  = 2
 )
 
-// usageError reports an argument that is not allowed.
-type usageError struct{ text string }
+// errUsage is the type of errors about arguments that are not allowed.
+var errUsage = errorx.NewNamespace("cli").NewType("usage")
 
-func (e *usageError) Error() string { return e.text }
+func newUsageError(text string) error { return errUsage.New("%s", text) }
+
+// usageMessage returns the text of a usage error, without the name of its type.
+func usageMessage(err error) (string, bool) {
+	var e *errorx.Error
+	if !errors.As(err, &e) || !e.IsOfType(errUsage) {
+		return "", false
+	}
+	return e.Message(), true
+}
 
 // Run executes one command line and returns the exit status. SIGINT and SIGTERM end a running command gracefully.
 func Run(args []string, stdout, stderr io.Writer) int {
@@ -53,7 +63,7 @@
 
 func execute(c flags.Commander, args []string) error {
 	if c == nil {
-		return &usageError{"a command is missing"}
+		return newUsageError("a command is missing")
 	}
 	if err := c.Execute(args); err != nil {
 		return &commandError{err}
@@ -71,15 +81,18 @@
 func exitStatus(err error, stdout, stderr io.Writer) int {
 	var parse *flags.Error
 	var run *commandError
-	var usage *usageError
 	var bad *settings.Error
+	usage, isUsage := usageMessage(err)
 	switch {
 	case err == nil:
 		return exitDone
 	case errors.As(err, &parse) && parse.Type == flags.ErrHelp:
 		_, _ = fmt.Fprintln(stdout, parse.Message)
 		return exitDone
-	case !errors.As(err, &run), errors.As(err, &usage), errors.As(err, &bad):
+	case isUsage:
+		_, _ = fmt.Fprintln(stderr, usage)
+		return exitUsage
+	case !errors.As(err, &run), errors.As(err, &bad):
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitUsage
 	default:
--- a/internal/app/cli/load.go
+++ b/internal/app/cli/load.go
@@ -59,7 +59,7 @@
 
 func (c *loadCommand) options() (load.Options, error) {
 	if len(c.Targets) == 0 || c.Keys == "" || c.Args.Workload == "" {
-		return load.Options{}, &usageError{"--target, --keys and a workload file are required"}
+		return load.Options{}, newUsageError("--target, --keys and a workload file are required")
 	}
 	workload, err := settings.Load[load.Workload](c.Args.Workload)
 	if err != nil {
@@ -70,7 +70,7 @@
 	}
 	keys, err := os.ReadFile(c.Keys)
 	if err != nil {
-		return load.Options{}, &usageError{fmt.Sprintf("keys file: %v", err)}
+		return load.Options{}, newUsageError(fmt.Sprintf("keys file: %v", err))
 	}
 	return load.Options{Targets: c.Targets, Keys: load.ParseKeys(string(keys)), Workload: workload}, nil
 }
--- a/internal/app/cli/operator.go
+++ b/internal/app/cli/operator.go
@@ -81,10 +81,10 @@
 func (o *operatorOptions) call(c operatorCall) ([]byte, error) {
 	base, err := url.Parse(o.Server)
 	if err != nil || base.Host == "" || base.Scheme != "http" && base.Scheme != "https" {
-		return nil, &usageError{fmt.Sprintf("--server %q must be the URL of an operator API, such as http://127.0.0.1:8081", o.Server)}
+		return nil, newUsageError(fmt.Sprintf("--server %q must be the URL of an operator API, such as http://127.0.0.1:8081", o.Server))
 	}
 	if o.Key == "" {
-		return nil, &usageError{"--key or DRAGONFLYPIN_KEY must hold an operator key"}
+		return nil, newUsageError("--key or DRAGONFLYPIN_KEY must hold an operator key")
 	}
 	if c.accept == "" {
 		c.accept = typeJSON
@@ -196,7 +196,7 @@
 func tableCall(path, file string, query url.Values) (operatorCall, error) {
 	body, err := os.ReadFile(file)
 	if err != nil {
-		return operatorCall{}, &usageError{fmt.Sprintf("table file: %v", err)}
+		return operatorCall{}, newUsageError(fmt.Sprintf("table file: %v", err))
 	}
 	contentType := typeCSV
 	if bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) {
@@ -275,8 +275,8 @@
 	if errors.As(err, &api) {
 		return api.code() == "outcome_unknown"
 	}
-	var usage *usageError
-	return err != nil && !errors.As(err, &usage) && !errors.Is(err, syscall.ECONNREFUSED)
+	_, usage := usageMessage(err)
+	return err != nil && !usage && !errors.Is(err, syscall.ECONNREFUSED)
 }
 
 type tableHistoryCommand struct{ operatorOptions }
--- a/internal/app/cli/roles.go
+++ b/internal/app/cli/roles.go
@@ -21,7 +21,7 @@
 		return err
 	}
 	if c.For < 0 {
-		return &usageError{"--for must not be negative"}
+		return newUsageError("--for must not be negative")
 	}
 	return demo.Run(c.env.ctx, demo.Options{Listen: c.Listen, For: c.For, Out: c.env.out, Log: c.env.err})
 }
--- a/internal/app/cli/usage.go
+++ b/internal/app/cli/usage.go
@@ -27,7 +27,7 @@
 		return err
 	}
 	if (c.File == "") != (c.Keys == "") {
-		return &usageError{"--file and --keys must be given together"}
+		return newUsageError("--file and --keys must be given together")
 	}
 	if c.File != "" {
 		return c.offline()
@@ -47,7 +47,7 @@
 	}
 	file, err := os.Open(c.File)
 	if err != nil {
-		return &usageError{fmt.Sprintf("usage export: %v", err)}
+		return newUsageError(fmt.Sprintf("usage export: %v", err))
 	}
 	defer func() { _ = file.Close() }()
 	report, err := usage.VerifyExport(file, keys)
@@ -67,7 +67,7 @@
 func readUsageKeys(name string) (map[string]ed25519.PublicKey, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
-		return nil, &usageError{fmt.Sprintf("usage keys: %v", err)}
+		return nil, newUsageError(fmt.Sprintf("usage keys: %v", err))
 	}
 	var keys map[string]ed25519.PublicKey
 	if err := json.Unmarshal(data, &keys); err != nil {
--- a/internal/app/cli/version.go
+++ b/internal/app/cli/version.go
@@ -23,7 +23,7 @@
 
 func noArguments(args []string) error {
 	if len(args) > 0 {
-		return &usageError{fmt.Sprintf("unexpected argument %q", args[0])}
+		return newUsageError(fmt.Sprintf("unexpected argument %q", args[0]))
 	}
 	return nil
 }
--- a/internal/app/entry/bench_test.go
+++ b/internal/app/entry/bench_test.go
@@ -129,21 +129,3 @@
 		}
 	}
 }
-
-// BenchmarkIdleSession reports the traffic of one idle session, both directions, over 20 s.
-func BenchmarkIdleSession(b *testing.B) {
-	for range b.N {
-		w := newWorld(b)
-		server := instant(b, nil)
-		s := w.sidecar("lm-pool-1", "lm-pool", settings.KindEngine, server.URL, nil)
-		link := newRelay(b, s.sidecar.AddrPeer())
-		w.show("lm-pool-1", "lm-pool", settings.KindEngine, link.front.LocalAddr().String(), "live")
-		r := w.entry("entry-1", nil)
-		r.ready(b, 1)
-		time.Sleep(2 * time.Second) // path MTU discovery ends
-		before := link.bytes.Load()
-		const span = 20 * time.Second
-		time.Sleep(span)
-		b.ReportMetric(float64(link.bytes.Load()-before)/span.Seconds(), "B/s")
-	}
-}
--- a/internal/app/entry/failure_test.go
+++ b/internal/app/entry/failure_test.go
@@ -133,7 +133,6 @@
 type relay struct {
 	front *net.UDPConn
 	cut   atomic.Bool
-	bytes atomic.Int64
 }
 
 func newRelay(tb testing.TB, to string) *relay {
@@ -160,7 +159,6 @@
 			return
 		}
 		if !r.cut.Load() {
-			r.bytes.Add(int64(n))
 			write(buf[:n], from)
 		}
 	}
