--- a/internal/app/sidecar/sidecar.go
+++ b/internal/app/sidecar/sidecar.go
@@ -84,7 +84,7 @@
 	t.shipper = &usage.Shipper{
 		Writer:  t.writer,
 		Sink:    &usage.Relay{Caller: t.node, Entries: func() []string { return t.node.Instances(wire.RoleEntry) }},
-		OnError: func(err error) { t.log.Emit(eventlog.StoreUnavailable, eventlog.Reason("usage"), eventlog.Err(err)) },
+		OnError: func(err error) { t.log.Emit(eventlog.UsageWaiting, eventlog.Err(err)) },
 	}
 	t.node.Handle(MethodOrder, t.order)
 	return t, nil
@@ -210,7 +210,7 @@
 	defer cancel()
 	go t.cancelWhenAlone(ctx, cancel)
 	if err := t.shipper.Flush(ctx); err != nil {
-		t.log.Emit(eventlog.StoreUnavailable, eventlog.Reason("usage"), eventlog.Err(err))
+		t.log.Emit(eventlog.UsageWaiting, eventlog.Err(err))
 	}
 }
 
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -76,5 +76,7 @@
 	ClaimsBlocked    = define(1310, "claims_unavailable", logrus.WarnLevel, "Claims cannot be written; non-idempotent calls are refused as not_run.")
 )
 
-// Events of limits and usage.
-var ()
+// Events of usage.
+var (
+	UsageWaiting = define(1407, "usage_waiting", logrus.WarnLevel, "No entry took the usage segments; they stay in memory and are sent again while the process lives.")
+)
