--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -196,3 +197,50 @@
 		}
 	}
 }
+
+// Guards against heartbeats that repeat what data already shows, and against a session without data and heartbeats.
+func TestDataReplacesHeartbeats(t *testing.T) {
+	const span = 3500 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		every    time.Duration
+		min, max int64
+	}{
+		{"streaming", 50 * time.Millisecond, 0, 1},
+		{"silent", time.Hour, 3, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var heartbeats atomic.Int64
+			p := newPair(t, func(o *Options) {
+				o.Load = func() *wire.Load { heartbeats.Add(1); return &wire.Load{Slots: 1} }
+				o.OnAsk = func(ctx context.Context, _ Identity, st *Stream, _ *wire.Ask) {
+					for seq := uint64(1); st.Send(&wire.Chunk{Seq: seq}) == nil; seq++ {
+						select {
+						case <-ctx.Done():
+							return
+						case <-time.After(c.every):
+						}
+					}
+				}
+			})
+			st, err := p.entry.Session("s1").Open()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := st.Send(&wire.Ask{RequestID: "r"}); err != nil {
+				t.Fatal(err)
+			}
+			go drain(st)
+			time.Sleep(100 * time.Millisecond)
+			before := heartbeats.Load()
+			time.Sleep(span)
+			if n := heartbeats.Load() - before; n < c.min || n > c.max {
+				t.Errorf("%d heartbeats in %s, want %d to %d", n, span, c.min, c.max)
+			}
+			if p.entry.Session("s1") == nil || p.entry.Session("s1").Suspect() {
+				t.Error("the session was lost or is suspect")
+			}
+		})
+	}
+}
