entry: a fenced order is proved over the whole path; unused event fields removed

Change: a test with two holders, a paused one and a sidecar that restarts, at an engine that ignores fencing numbers. Four field constructors of the event log that nothing calls are gone. Conclusion: no process gives orders by itself yet; the command that would is open.

--- /dev/null
+++ b/internal/app/entry/order_test.go
@@ -0,0 +1,74 @@
+package entry_test
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/lease"
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+	"github.com/dragonflypin/dragonflypin/internal/standin/engine"
+)
+
+// freeWeights is a weight store without a rate limit.
+type freeWeights struct{}
+
+func (freeWeights) Reserve(time.Time, string, string) time.Duration { return 0 }
+
+// Guards against an order of a holder whose lease has lapsed, at an engine that ignores fencing numbers, before and
+// after the sidecar's restart.
+func TestStaleOrderIsRefusedBySidecar(t *testing.T) {
+	w := newWorld(t)
+	_, server := w.engine(engine.Options{})
+	s := w.sidecar("lm-pool-1", "lm-pool", settings.KindEngine, server.URL, nil)
+	r := w.entry("entry-1", nil)
+	r.ready(t, 1)
+	ahead := 0 * time.Second
+	holder := func(name string) *lease.Lease {
+		return lease.New(lease.Settings{
+			Store: w.store, Name: "models/lm-pool", Holder: name, Duration: time.Second, Term: rand.Text,
+			Clock: func() time.Time { return time.Now().Add(ahead) },
+		})
+	}
+	first, second := holder("entry-1"), holder("entry-2")
+	stale, err := first.Acquire(t.Context())
+	must(t, err)
+	load := func(l *lease.Lease, model string) lease.Result {
+		return lease.LoadModel(t.Context(), func() time.Time { return time.Now().Add(ahead) }, l, freeWeights{}, r.entry, "lm-pool-1", model, "1")
+	}
+	if got := load(first, "first"); got.Step != lease.Loaded {
+		t.Fatalf("order of the holder: %+v", got)
+	}
+	if _, err := second.Acquire(t.Context()); !errors.Is(err, lease.ErrHeld) {
+		t.Fatalf("second holder: %v", err)
+	}
+	ahead = 2 * time.Second // the first holder is paused past the lease's end
+	_, err = second.Acquire(t.Context())
+	must(t, err)
+	if got := load(first, "lapsed"); got.Step != lease.NotHolder {
+		t.Errorf("order after the lease lapsed: %+v", got)
+	}
+	if got := load(second, "second"); got.Step != lease.Loaded {
+		t.Fatalf("order of the second holder: %+v", got)
+	}
+	refused := func(when string) {
+		t.Helper()
+		// The first holder sends what it decided before its pause.
+		if err := r.entry.Order(t.Context(), "lm-pool-1", lease.Order{Model: "stale", Version: "1", Fence: stale}); !errors.Is(err, lease.ErrRefused) {
+			t.Errorf("stale order %s: %v, want it refused", when, err)
+		}
+	}
+	refused("before the restart")
+	s.end(t)
+	w.sidecar("lm-pool-1", "lm-pool", settings.KindEngine, server.URL, nil)
+	r.ready(t, 1)
+	refused("after the restart")
+	got := send(newRequest(context.Background(), http.MethodGet, server.URL+"/engine/orders", ""))
+	if strings.Contains(got.body, "stale") || strings.Contains(got.body, "lapsed") || !strings.Contains(got.body, "second") {
+		t.Errorf("orders at the engine: %s", got.body)
+	}
+}
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -76,21 +76,12 @@
 // Upstream is the instance beside an upstream.
 func Upstream(instance string) Field { return Field{"upstream", cut(instance)} }
 
-// Service is the name of an upstream service.
-func Service(name string) Field { return Field{"service", cut(name)} }
-
 // Request is a request ID.
 func Request(id string) Field { return Field{"request_id", cut(id)} }
 
 // Class is the name of a class.
 func Class(name string) Field { return Field{"class", cut(name)} }
 
-// Owner is the name of an operator.
-func Owner(name string) Field { return Field{"owner", cut(name)} }
-
-// Workspace is the name of a workspace.
-func Workspace(name string) Field { return Field{"workspace", cut(name)} }
-
 // Reason is one of a fixed set of reasons.
 func Reason(reason string) Field { return Field{"reason", cut(reason)} }
 
@@ -109,9 +100,6 @@
 // Count is a number of things that the event's meaning names.
 func Count(n int) Field { return Field{"count", n} }
 
-// Took is a duration, logged in milliseconds.
-func Took(d time.Duration) Field { return Field{"took_ms", float64(d) / float64(time.Millisecond)} }
-
 func cut(text string) string {
 	if len(text) <= maxText {
 		return text
