--- a/internal/measure/targets_test.go
+++ b/internal/measure/targets_test.go
@@ -96,15 +96,14 @@
 	x.atLeast(scenario, All, "crest_goodput", 0.9*x.value(scenario, Oracle, All, "crest_goodput"))
 }
 
-// slowUpstreams checks the protected classes and the whole; docs/design/waiting.md gives the others' distance.
+// slowUpstreams checks the protected classes and the whole; TestFirstTokenWithSlowUpstreams checks every class.
 func (x *targets) slowUpstreams() {
 	for _, c := range []string{"suggest", "certificate", All} {
 		x.atMost("slow_upstreams", c, "ttft_p99", 1.5*x.value("steady", Dragonflypin, c, "ttft_p99"))
 	}
 }
 
-// shares checks the mean over the windows of 10 s; a single window of a light class holds about 100 requests of random
-// length, whose share varies by more than 5%.
+// shares checks the mean over the windows of 10 s; TestSharesInEveryWindow checks each.
 func (x *targets) shares() {
 	for _, c := range []string{"weight_10", "weight_20", "weight_50"} {
 		x.atLeast(WeightedBacklog, c, "share_of_weight", 0.95)
@@ -126,6 +125,29 @@
 	}
 }
 
+// Guards the target of the time to the first token with slow upstreams for every class. Classes with a target of 3 s and
+// more carry the probes of slow upstreams.
+func TestFirstTokenWithSlowUpstreams(t *testing.T) {
+	t.Parallel()
+	for _, file := range []string{"tuning", "heldout"} {
+		x := &targets{t, measureAll(t, specs([]string{"steady", "slow_upstreams"}, []string{Dragonflypin}, readSeeds(t, file)))}
+		for _, c := range []string{"suggest", "chat", "draft", "catalogue", "reindex", "certificate", "buyer", "packing", "archive"} {
+			x.atMost("slow_upstreams", c, "ttft_p99", 1.5*x.value("steady", Dragonflypin, c, "ttft_p99"))
+		}
+	}
+}
+
+// Guards the shares of weighted classes in every window of 10 s, where a light class completes about 100 requests.
+func TestSharesInEveryWindow(t *testing.T) {
+	t.Parallel()
+	for _, file := range []string{"tuning", "heldout"} {
+		x := &targets{t, measureAll(t, specs([]string{WeightedBacklog}, []string{Dragonflypin}, readSeeds(t, file)))}
+		for _, c := range []string{"weight_10", "weight_20", "weight_50"} {
+			x.atMost(WeightedBacklog, c, "share_error", 0.05)
+		}
+	}
+}
+
 // Guards against a report that differs between runs of the same seed, which would make comparisons meaningless.
 func TestReportIsDeterministic(t *testing.T) {
 	t.Parallel()
