lease: a budget that spaces reads of the weight store

Cause: LoadModel took a rate limit through an interface that only fakes implemented. Change: ReadBudget, one read each interval, held by the lease's holder, who gives all load orders; the test of orders over the whole path uses it. Measured: the second order within a second is throttled and never reaches the engine.

--- a/internal/app/entry/order_test.go
+++ b/internal/app/entry/order_test.go
@@ -14,11 +14,6 @@
 	"github.com/dragonflypin/dragonflypin/internal/standin/engine"
 )
 
-// freeWeights is a weight store without a rate limit.
-type freeWeights struct{}
-
-func (freeWeights) Reserve(time.Time, string, string) time.Duration { return 0 }
-
 // Guards against an order of a holder whose lease has lapsed, at an engine that ignores fencing numbers, before and
 // after the sidecar's restart.
 func TestStaleOrderIsRefusedBySidecar(t *testing.T) {
@@ -37,12 +32,16 @@
 	first, second := holder("entry-1"), holder("entry-2")
 	stale, err := first.Acquire(t.Context())
 	must(t, err)
+	weights := lease.NewReadBudget(time.Second)
 	load := func(l *lease.Lease, model string) lease.Result {
-		return lease.LoadModel(t.Context(), func() time.Time { return time.Now().Add(ahead) }, l, freeWeights{}, r.entry, "lm-pool-1", model, "1")
+		return lease.LoadModel(t.Context(), func() time.Time { return time.Now().Add(ahead) }, l, weights, r.entry, "lm-pool-1", model, "1")
 	}
 	if got := load(first, "first"); got.Step != lease.Loaded {
 		t.Fatalf("order of the holder: %+v", got)
 	}
+	if got := load(first, "throttled"); got.Step != lease.Throttled || got.Wait <= 0 || got.Wait > time.Second {
+		t.Errorf("second read of the weights within a second: %+v", got)
+	}
 	if _, err := second.Acquire(t.Context()); !errors.Is(err, lease.ErrHeld) {
 		t.Fatalf("second holder: %v", err)
 	}
@@ -68,7 +67,7 @@
 	r.ready(t, 1)
 	refused("after the restart")
 	got := send(newRequest(context.Background(), http.MethodGet, server.URL+"/engine/orders", ""))
-	if strings.Contains(got.body, "stale") || strings.Contains(got.body, "lapsed") || !strings.Contains(got.body, "second") {
+	if strings.Contains(got.body, "stale") || strings.Contains(got.body, "lapsed") || strings.Contains(got.body, "throttled") || !strings.Contains(got.body, "second") {
 		t.Errorf("orders at the engine: %s", got.body)
 	}
 }
