usage: segments are stored compressed

Change: the body of a segment is compressed with DEFLATE; hash and signature cover the uncompressed body, and a body above 8 MB is refused. The benchmark uses varied records at 10, 100 and 1,000 a segment.

--- a/internal/process/usage/segment.go
+++ b/internal/process/usage/segment.go
@@ -1,13 +1,19 @@
 package usage
 
 import (
+	"bytes"
+	"compress/flate"
 	"crypto/ed25519"
 	"crypto/sha256"
 	"fmt"
+	"io"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
+// maxBody bounds an uncompressed segment, in bytes; 1,000 records with the longest names take about 2 MB.
+const maxBody = 8 << 20
+
 // Hash is a SHA-256 digest.
 type Hash [sha256.Size]byte
 
@@ -39,7 +45,8 @@
 }
 
 type signedSegment struct {
-	Body      []byte `cbor:"1,keyasint"`
+	// Packed is the body, compressed by DEFLATE; the hash is that of the body.
+	Packed    []byte `cbor:"1,keyasint"`
 	Signature []byte `cbor:"2,keyasint"`
 }
 
@@ -77,7 +84,39 @@
 	if err != nil {
 		return nil, err
 	}
-	return encMode.Marshal(signedSegment{Body: body, Signature: s.Signature})
+	packed, err := deflate(body)
+	if err != nil {
+		return nil, fmt.Errorf("compress segment %s/%d: %w", s.Writer, s.Seq, err)
+	}
+	return encMode.Marshal(signedSegment{Packed: packed, Signature: s.Signature})
+}
+
+// deflate compresses a body: records of one segment repeat the names of workspaces, classes and upstreams.
+func deflate(body []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.DefaultCompression)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(body); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return packed.Bytes(), nil
+}
+
+// inflate refuses a body above maxBody, so that a small stored segment cannot take all memory.
+func inflate(packed []byte) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxBody+1))
+	if err != nil {
+		return nil, fmt.Errorf("decompress segment: %w", err)
+	}
+	if len(body) > maxBody {
+		return nil, fmt.Errorf("segment has more than %d bytes", maxBody)
+	}
+	return body, nil
 }
 
 // DecodeSegment parses the stored form. It does not check the signature; Verify does.
@@ -86,8 +125,12 @@
 	if err := cbor.Unmarshal(data, &signed); err != nil {
 		return Segment{}, fmt.Errorf("decode signed segment: %w", err)
 	}
+	encoded, err := inflate(signed.Packed)
+	if err != nil {
+		return Segment{}, err
+	}
 	var body segmentBody
-	if err := cbor.Unmarshal(signed.Body, &body); err != nil {
+	if err := cbor.Unmarshal(encoded, &body); err != nil {
 		return Segment{}, fmt.Errorf("decode segment body: %w", err)
 	}
 	if len(body.PrevHash) != sha256.Size {
@@ -95,6 +138,6 @@
 	}
 	return Segment{
 		Writer: body.Writer, Side: body.Side, Seq: body.Seq, PrevHash: Hash(body.PrevHash), Records: body.Records, Final: body.Final,
-		Hash: sha256.Sum256(signed.Body), Signature: signed.Signature,
+		Hash: sha256.Sum256(encoded), Signature: signed.Signature,
 	}, nil
 }
--- a/internal/process/usage/usage_test.go
+++ b/internal/process/usage/usage_test.go
@@ -5,6 +5,7 @@
 	"crypto/ed25519"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -121,6 +122,21 @@
 	return segments
 }
 
+// Guards against a stored segment that takes all memory when it is read.
+func TestOversizedSegmentIsRefused(t *testing.T) {
+	packed, err := deflate(make([]byte, maxBody+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := encMode.Marshal(signedSegment{Packed: packed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := DecodeSegment(data); err == nil || !strings.Contains(err.Error(), "more than") {
+		t.Fatalf("got %v, want a refusal", err)
+	}
+}
+
 // Guards against an export that either owner could edit without being found out offline.
 func TestExportIsVerifiableOffline(t *testing.T) {
 	segments, keys := pair(t, 3)
@@ -243,21 +259,39 @@
 	b.ReportMetric(float64(2*8*segmentRecords*b.N)/b.Elapsed().Seconds(), "records/s")
 }
 
-// Measures the stored size of one record.
+// variedRecord differs in what differs in production: a random request ID, time, workspace, class, upstream and amounts.
+func variedRecord(random *rand.Rand, i int) Record {
+	r := testRecord(i)
+	r.RequestID = fmt.Sprintf("entry-%d-%016x", 1+i%2, random.Uint64())
+	r.UnixMs += int64(random.IntN(10_000))
+	r.Workspace, r.Class = fmt.Sprintf("workspace-%d", random.IntN(200)), fmt.Sprintf("class-%d", random.IntN(8))
+	r.Upstream = fmt.Sprintf("sachetlm-%d", random.IntN(20))
+	r.PromptTokens, r.CompletionTokens = uint64(random.IntN(4000)), uint64(random.IntN(1000))
+	return r
+}
+
+// Measures the stored size of one record, signature and chain included.
 func BenchmarkSegmentBytes(b *testing.B) {
-	var size int
-	for b.Loop() {
-		w := NewWriter("e1", SideEntry, testKey(1), 0)
-		for i := range segmentRecords {
-			w.Add(testRecord(i), testStart)
-		}
-		if err := w.SealFinal(); err != nil {
-			b.Fatal(err)
-		}
-		size = 0
-		for _, o := range w.Unconfirmed() {
-			size += len(o.Segment)
-		}
+	for _, n := range []int{10, 100, segmentRecords} {
+		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
+			var size int
+			for b.Loop() {
+				size = len(segmentOf(b, n))
+			}
+			b.ReportMetric(float64(size)/float64(n), "bytes/record")
+		})
+	}
+}
+
+func segmentOf(b *testing.B, n int) []byte {
+	b.Helper()
+	random := rand.New(rand.NewPCG(1, 2))
+	w := NewWriter("e1", SideEntry, testKey(1), 0)
+	for i := range n {
+		w.Add(variedRecord(random, i), testStart)
+	}
+	if err := w.SealFinal(); err != nil {
+		b.Fatal(err)
 	}
-	b.ReportMetric(float64(size)/segmentRecords, "bytes/record")
+	return w.Unconfirmed()[0].Segment
 }
