usage: a property that any damage of a chain is found

Cause: verification was tested by seven chosen cases only. Change: a rapid property changes a record, repeats one, signs with another key or drops a segment at a random place. Conclusion: the end of a chain stays the one place that only the other side's count shows.

--- a/internal/process/usage/usage_test.go
+++ b/internal/process/usage/usage_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/ed25519"
+	"crypto/sha256"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -295,3 +296,62 @@
 	}
 	return w.Unconfirmed()[0].Segment
 }
+
+// Guards against damage to a stored chain that verification passes over, whatever record or segment it hits.
+func TestVerifyFindsAnyDamage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := NewWriter("e1", SideEntry, testKey(1), 0)
+		segments := make([]Segment, rapid.IntRange(2, 5).Draw(t, "segments"))
+		n := 0
+		for range segments {
+			for range rapid.IntRange(1, 4).Draw(t, "records") {
+				n++
+				w.Add(testRecord(n), testStart)
+			}
+			if err := w.sealOne(false); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i, o := range w.Unconfirmed() {
+			s, err := DecodeSegment(o.Segment)
+			if err != nil {
+				t.Fatal(err)
+			}
+			segments[i] = s
+		}
+		keys := map[string]ed25519.PublicKey{w.Name(): w.Registration().PublicKey}
+		if report := Verify(segments, keys); !report.Valid() {
+			t.Fatalf("sound chain: %v", report.Problems)
+		}
+		at := rapid.IntRange(0, len(segments)-2).Draw(t, "at")
+		segments = damage(t, segments, at)
+		if report := Verify(segments, keys); report.Valid() {
+			t.Fatalf("damage of segment %d of %d is not found", at+1, len(segments))
+		}
+	})
+}
+
+// damage changes, drops or replaces a segment. The last one is spared: the end of a chain shows in the other count only.
+func damage(t *rapid.T, segments []Segment, at int) []Segment {
+	s := &segments[at]
+	rehash := func() {
+		body, err := s.encodeBody()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Hash = sha256.Sum256(body)
+	}
+	switch rapid.IntRange(0, 3).Draw(t, "damage") {
+	case 0:
+		s.Records[rapid.IntRange(0, len(s.Records)-1).Draw(t, "record")].CompletionTokens++
+		rehash()
+	case 1:
+		s.Records = append(s.Records, s.Records[0])
+		rehash()
+	case 2:
+		s.Signature = ed25519.Sign(testKey(9), s.Hash[:])
+	case 3:
+		return append(segments[:at:at], segments[at+1:]...)
+	}
+	return segments
+}
