storetest: one overwriting store for both history checks

Cause: the read-through found the same deliberately broken store in the history tests of claims and of table edits. Change: storetest.Overwriting serves both; the tests keep their assertions.

--- a/internal/request/claim/history_test.go
+++ b/internal/request/claim/history_test.go
@@ -174,18 +174,6 @@
 	}
 }
 
-// overwritingStore is a store whose creation replaces what another writer has created: the fault that claims must not
-// survive unnoticed.
-type overwritingStore struct{ store.Client }
-
-func (s overwritingStore) Create(ctx context.Context, kind, name string, value []byte) (store.Object, error) {
-	if old, err := s.Get(ctx, kind, name); err == nil {
-		old.Value = value
-		return s.Update(ctx, old)
-	}
-	return s.Client.Create(ctx, kind, name, value)
-}
-
 const checkTimeout = 30 * time.Second
 
 // Guards against any interleaving of claims, results and faults in which a key is granted while another attempt holds
@@ -206,7 +194,7 @@
 // Guards against a check that accepts everything: a store without conditional creation must be rejected.
 func TestClaimHistoryOfBrokenStoreIsRejected(t *testing.T) {
 	for seed := range uint64(6) {
-		history, _ := claimHistory(t, seed, func(c store.Client) store.Client { return overwritingStore{c} })
+		history, _ := claimHistory(t, seed, func(c store.Client) store.Client { return storetest.Overwriting{Client: c} })
 		if porcupine.CheckOperationsTimeout(claimModel, history, checkTimeout) == porcupine.Illegal {
 			return
 		}
--- a/internal/version/table/history_test.go
+++ b/internal/version/table/history_test.go
@@ -177,17 +177,6 @@
 	return history, accepted, refused
 }
 
-// overwritingStore is a store whose creation replaces what another writer has created.
-type overwritingStore struct{ store.Client }
-
-func (s overwritingStore) Create(ctx context.Context, kind, name string, value []byte) (store.Object, error) {
-	if old, err := s.Get(ctx, kind, name); err == nil {
-		old.Value = value
-		return s.Update(ctx, old)
-	}
-	return s.Client.Create(ctx, kind, name, value)
-}
-
 const checkTimeout = 30 * time.Second
 
 // Guards against any interleaving of edits and store faults in which an edit is lost, applied twice or applied onto a
@@ -208,7 +197,7 @@
 // Guards against a check that accepts everything: a store without conditional creation must be rejected.
 func TestEditHistoryOfBrokenStoreIsRejected(t *testing.T) {
 	for seed := range uint64(6) {
-		history, _, _ := tableHistory(t, seed, func(c store.Client) store.Client { return overwritingStore{c} })
+		history, _, _ := tableHistory(t, seed, func(c store.Client) store.Client { return storetest.Overwriting{Client: c} })
 		if porcupine.CheckOperationsTimeout(tableModel, history, checkTimeout) == porcupine.Illegal {
 			return
 		}
