--- a/internal/app/cli/commands.go
+++ b/internal/app/cli/commands.go
@@ -51,6 +51,10 @@
 			"flight, for at most drain_timeout.\n\n" + settings.Help[settings.Entry](), data: &entryCommand{roleOptions{env: env}}},
 		{name: "sidecar", short: "Run a sidecar", long: "Runs the sidecar of one upstream. SIGTERM finishes what is in flight, for at most " +
 			"drain_timeout.\n\n" + settings.Help[settings.Sidecar](), data: &sidecarCommand{roleOptions{env: env}}},
+		{name: "edge", short: "Run an edge on the platform", long: "Runs an edge: an entry that serves the platform's HTTP traffic and sends " +
+			"straight to the replicas. What differs between machines is read from the file that DRAGONFLYPIN_NODE_FILE names. " +
+			"SIGTERM finishes what is in flight within the platform's grace time, SIGHUP reads the machine's settings again. " +
+			"Events go to stdout.\n\n" + settings.Help[settings.Edge](), data: &edgeCommand{roleOptions{env: env}}},
 		{name: "standin", short: "Run one of the platform's stand-ins", long: "Runs a stand-in for a part of the platform. " +
 			"PUT /faults sets its faults as JSON: delay_ms and stale_ms in milliseconds, slow_factor as a factor, and outage, " +
 			"lose_answers and crash as true or a number of calls.", commands: standinCommands(env)},
--- /dev/null
+++ b/internal/app/cli/edge.go
@@ -0,0 +1,78 @@
+package cli
+
+import (
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/app/compose"
+	"github.com/dragonflypin/dragonflypin/internal/app/edge"
+	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
+	"github.com/dragonflypin/dragonflypin/internal/process/metrics"
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/platform"
+)
+
+const (
+	roleEdge = "edge"
+	// storeTimeout bounds a call to the store. Answers take 4 ms, and 240 ms while the store is slow.
+	storeTimeout = 1500 * time.Millisecond
+	// storeConnectTimeout bounds a connection to the store.
+	storeConnectTimeout = time.Second
+	// storeWatchGrace is the time allowed for a held watch's answer to arrive.
+	storeWatchGrace = time.Second
+)
+
+type edgeCommand struct{ roleOptions }
+
+// Execute implements flags.Commander.
+func (c *edgeCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	cfg, err := settings.Load[settings.Edge](c.Config)
+	if err != nil {
+		return err
+	}
+	node, err := platform.LoadNode(platform.NodeFile())
+	if err != nil {
+		return err
+	}
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	lines := eventlog.NewBuffered(c.env.out)
+	defer lines.Close()
+	m, err := metrics.New(roleEdge, node.Name, node.Zone)
+	if err != nil {
+		return err
+	}
+	client, err := newPlatformStore(node, cfg, m)
+	if err != nil {
+		return err
+	}
+	e, err := edge.New(node, cfg, edge.Deps{
+		Store: client, Source: platform.Source(), Front: platform.Front{}, Dialect: platform.Dialect{},
+		Log: eventlog.New(lines, cfg.Log.Level, roleEdge, node.Name), Metrics: m,
+		Reload: func() (settings.Node, error) { return platform.LoadNode(platform.NodeFile()) },
+		Hangup: hangup, DroppedLines: lines.Dropped,
+	})
+	if err != nil {
+		return err
+	}
+	return e.Run(c.env.ctx)
+}
+
+func newPlatformStore(node settings.Node, cfg settings.Edge, m *metrics.Metrics) (*store.HTTP, error) {
+	return store.NewHTTP(store.Options{
+		BaseURL: "http://" + node.StoreAddress.String(), Form: platform.StoreForm{},
+		CallsPerSecond: cfg.StoreCallsPerSecond, Timeout: storeTimeout, Attempts: 1,
+		WatchTime: time.Duration(cfg.WatchTime), WatchGrace: storeWatchGrace,
+		Observer:  compose.StoreObserver(m),
+		Transport: &http.Transport{DialContext: direct.Dialer(storeConnectTimeout).DialContext, DisableCompression: true, IdleConnTimeout: time.Minute},
+	})
+}
--- a/internal/app/compose/compose.go
+++ b/internal/app/compose/compose.go
@@ -86,6 +86,9 @@
 	})
 }
 
+// StoreObserver returns an observer that counts store calls in m.
+func StoreObserver(m *metrics.Metrics) store.Observer { return observer{m} }
+
 // observer counts store calls.
 type observer struct{ metrics *metrics.Metrics }
 
--- /dev/null
+++ b/internal/app/edge/follow.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
+	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/internal/version/routes"
+)
+
+// storeRetryLimit bounds the wait between calls to a store that fails. It is a fifth of the bound within which a
+// configuration has to be in force (2 s).
+const storeRetryLimit = 400 * time.Millisecond
+
+// pageSize is the number of objects that are asked for at once; the platform decides how many it sends.
+const pageSize = 500
+
+// maxPages bounds one list; it spans the 7,600 replicas of the target several times over.
+const maxPages = 64
+
+func (e *Edge) feed(kind string, onObjects func([]store.Object), onGap func(context.Context) error) *store.Feed {
+	return &store.Feed{
+		Client: e.deps.Store, Kind: kind, OnObjects: onObjects, OnGap: onGap,
+		OnError: func(err error) {
+			if !errors.Is(err, store.ErrGap) {
+				e.registry.StoreFailed()
+			}
+			e.observer.troubled(eventlog.StoreUnavailable, err)
+		},
+		OnContact:  func() { e.registry.StoreAnswered(time.Now()) },
+		RetryLimit: storeRetryLimit,
+		Pace:       time.Duration(e.cfg.WatchPace),
+	}
+}
+
+func (e *Edge) followConfiguration(ctx context.Context) {
+	source := &e.deps.Source
+	accept := func(o store.Object) {
+		if o.Name != source.ConfigurationName || o.Deleted {
+			return
+		}
+		v, err := source.Configuration(o)
+		if err != nil {
+			e.deps.Log.Emit(eventlog.EdgeConfigurationInvalid, eventlog.Err(err))
+			return
+		}
+		e.configured(v)
+	}
+	e.feed(source.ConfigurationKind,
+		func(objects []store.Object) {
+			for _, o := range objects {
+				accept(o)
+			}
+		},
+		func(ctx context.Context) error {
+			o, err := e.deps.Store.Get(ctx, source.ConfigurationKind, source.ConfigurationName)
+			if errors.Is(err, store.ErrNotFound) {
+				return nil // the first configuration arrives by the watch
+			}
+			if err != nil {
+				return err
+			}
+			accept(o)
+			return nil
+		}).Run(ctx)
+}
+
+func (e *Edge) configured(v *routes.Version) {
+	if !e.routes.Offer(v) {
+		return
+	}
+	e.updatePlacer()
+	e.deps.Metrics.TableVersion(v.Number)
+	e.deps.Log.Emit(eventlog.EdgeConfigured, eventlog.Version(v.Number), eventlog.Count(len(v.Routes)))
+}
+
+func (e *Edge) followReplicas(ctx context.Context) {
+	kind := e.deps.Source.ReplicaKind
+	e.feed(kind,
+		func(objects []store.Object) {
+			e.registry.Apply(e.changes(objects), time.Now())
+			e.listChanged("changed")
+		},
+		func(ctx context.Context) error {
+			var all []store.Object
+			for after, page := "", 0; page < maxPages; page++ {
+				objects, err := e.deps.Store.List(ctx, kind, "", after, pageSize)
+				if err != nil {
+					return err
+				}
+				if len(objects) == 0 {
+					break
+				}
+				all, after = append(all, objects...), objects[len(objects)-1].Name
+			}
+			e.registry.Replace(e.changes(all), time.Now())
+			e.listChanged("listed")
+			return nil
+		}).Run(ctx)
+}
+
+func (e *Edge) changes(objects []store.Object) []replicas.Change {
+	list := make([]replicas.Change, 0, len(objects))
+	for _, o := range objects {
+		change, err := e.deps.Source.Replica(o)
+		if err != nil {
+			e.observer.troubled(eventlog.EdgeReplicaInvalid, err)
+		}
+		list = append(list, change)
+	}
+	return list
+}
+
+func (e *Edge) listChanged(reason string) {
+	e.updatePlacer()
+	e.deps.Log.Emit(eventlog.EdgeReplicas, eventlog.Count(e.registry.View().Len()), eventlog.Reason(reason))
+}
+
+func (e *Edge) updatePlacer() {
+	e.updating.Lock()
+	defer e.updating.Unlock()
+	v := e.routes.Current()
+	if v == nil {
+		return
+	}
+	names := make([]string, 0, len(v.Services))
+	for name := range v.Services {
+		names = append(names, name)
+	}
+	e.placer.Update(e.registry.View(), names)
+}
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -80,3 +80,21 @@
 var (
 	UsageWaiting = define(1407, "usage_waiting", logrus.WarnLevel, "No entry took the usage segments; they stay in memory and are sent again while the process lives.")
 )
+
+// Events of edges.
+var (
+	EdgeStarted              = define(1501, "edge_started", logrus.InfoLevel, "An edge listens; it is ready once it has a configuration and a list of replicas.")
+	EdgeReloaded             = define(1502, "edge_reloaded", logrus.InfoLevel, "The machine's settings were read again.")
+	EdgeReloadFailed         = define(1503, "edge_reload_failed", logrus.WarnLevel, "The machine's settings can't be read; the ones before stay in force.")
+	EdgeConfigured           = define(1504, "edge_configured", logrus.InfoLevel, "A configuration is in force at this edge; count is the number of routes.")
+	EdgeConfigurationInvalid = define(1505, "edge_configuration_invalid", logrus.ErrorLevel, "A configuration can't be read; the one before stays in force.")
+	EdgeReplicas             = define(1506, "edge_replicas", logrus.InfoLevel, "The list of replicas changed; count is the number that take new work.")
+	EdgeReplicaInvalid       = define(1507, "edge_replica_invalid", logrus.WarnLevel, "An entry of the list of replicas can't be read and names no replica.")
+	EdgePeer                 = define(1508, "edge_peer", logrus.InfoLevel, "Another edge is heard, or has fallen silent.")
+	EdgeGossipFailed         = define(1509, "edge_gossip_failed", logrus.WarnLevel, "A load report between edges could not be sent or read; decisions use the own load until the next one.")
+	EdgeRequestEnded         = define(1510, "edge_request_ended", logrus.InfoLevel, "A request ended; reason is why its replica was chosen, refused_for why it was not answered.")
+	EdgeAttemptFailed        = define(1511, "edge_attempt_failed", logrus.InfoLevel, "A replica did not answer a request in a way that the caller gets; error or status say why.")
+	EdgeRequestDenied        = define(1512, "edge_request_denied", logrus.InfoLevel, "A request was answered without a replica; refused_for says why.")
+	EdgeServerError          = define(1513, "edge_server_error", logrus.WarnLevel, "The HTTP server reports an error of a connection.")
+	LinesOmitted             = define(1514, "lines_omitted", logrus.WarnLevel, "Lines about single requests were left out in the last second, because of log_lines_per_second or a slow reader.")
+)
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -100,6 +100,32 @@
 // Count is a number of things that the event's meaning names.
 func Count(n int) Field { return Field{"count", n} }
 
+// Outcome is how a request ended.
+func Outcome(name string) Field { return Field{"outcome", cut(name)} }
+
+// RefusedFor is the code of an answer of the router's own; empty when an upstream answered.
+func RefusedFor(code string) Field { return Field{"refused_for", cut(code)} }
+
+// Status is an HTTP status.
+func Status(code int) Field { return Field{"status", code} }
+
+// Attempts is the number of upstreams that a request was sent to.
+func Attempts(n int) Field { return Field{"attempts", n} }
+
+// Took is the duration of what the line tells, in milliseconds.
+func Took(d time.Duration) Field { return Field{"took_ms", milliseconds(d)} }
+
+// Queued is the time before a request was first sent, in milliseconds.
+func Queued(d time.Duration) Field { return Field{"queued_ms", milliseconds(d)} }
+
+// First is the time to the first byte for the caller, in milliseconds.
+func First(d time.Duration) Field { return Field{"first_ms", milliseconds(d)} }
+
+// LongestGap is the longest pause between two parts of an answer, in milliseconds.
+func LongestGap(d time.Duration) Field { return Field{"longest_gap_ms", milliseconds(d)} }
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 func cut(text string) string {
 	if len(text) <= maxText {
 		return text
--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -23,17 +23,31 @@
 	OnGap func(ctx context.Context) error
 	// OnError is told of failed calls; it may be nil.
 	OnError func(error)
+	// OnContact is told of each call that the store answered; it may be nil.
+	OnContact func()
+	// RetryLimit bounds the wait after a failed call. Default 3 s.
+	RetryLimit time.Duration
+	// Pace is the shortest time between two watches, so that writes in quick succession arrive together. Default 0.
+	Pace time.Duration
 }
 
 // Run watches until the context ends.
 func (f *Feed) Run(ctx context.Context) {
 	var revision uint64
-	backoff := NewBackoff(feedBase, feedLimit)
+	limit := f.RetryLimit
+	if limit <= 0 {
+		limit = feedLimit
+	}
+	backoff := NewBackoff(feedBase, limit)
 	for ctx.Err() == nil {
+		began := time.Now()
 		next, err := f.step(ctx, revision)
 		revision = next
 		if err == nil && next > 0 {
 			backoff.Reset()
+			if !sleep(ctx, f.Pace-time.Since(began)) {
+				return
+			}
 			continue
 		}
 		if err != nil && ctx.Err() == nil && f.OnError != nil {
@@ -49,6 +63,9 @@
 // step returns the revision to continue from; 0 means that the state has to be read again.
 func (f *Feed) step(ctx context.Context, revision uint64) (uint64, error) {
 	objs, next, err := f.Client.Watch(ctx, f.Kind, revision)
+	if err == nil && f.OnContact != nil {
+		f.OnContact()
+	}
 	switch {
 	case errors.Is(err, ErrGap):
 		return 0, err
--- a/internal/process/store/http.go
+++ b/internal/process/store/http.go
@@ -1,16 +1,13 @@
 package store
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -80,6 +77,12 @@
 	Observer Observer
 	// Transport makes the HTTP calls. Default: a transport of its own.
 	Transport http.RoundTripper
+	// Form is the object API's HTTP form. Default: the form of this project's stand-in.
+	Form Form
+	// WatchTime is how long the platform is asked to hold a watch. Default: WatchTime.
+	WatchTime time.Duration
+	// WatchGrace is the time allowed for a held watch's answer to arrive. Default 5 s.
+	WatchGrace time.Duration
 }
 
 // HTTP is the Client of the platform's object API.
@@ -124,6 +127,15 @@
 	if o.Attempts <= 0 {
 		o.Attempts = DefaultAttempts
 	}
+	if o.Form == nil {
+		o.Form = ownForm{}
+	}
+	if o.WatchTime <= 0 {
+		o.WatchTime = WatchTime
+	}
+	if o.WatchGrace <= 0 {
+		o.WatchGrace = watchGrace
+	}
 	if o.Transport == nil {
 		o.Transport = &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
 	}
@@ -134,11 +146,7 @@
 
 // Get implements Client.
 func (h *HTTP) Get(ctx context.Context, kind, name string) (Object, error) {
-	a, err := h.call(ctx, OpGet, func() *sling.Sling { return h.base.New().Get(objectPath(kind, name)) })
-	if err != nil {
-		return Object{}, err
-	}
-	return a.object(kind, name, a.body)
+	return h.one(ctx, &Call{Op: OpGet, Kind: kind, Name: name})
 }
 
 // Create implements Client.
@@ -146,13 +154,7 @@
 	if len(value) > MaxValue {
 		return Object{}, ErrTooLarge
 	}
-	a, err := h.call(ctx, OpCreate, func() *sling.Sling {
-		return h.put(kind, name, value).Set("If-None-Match", "*")
-	})
-	if err != nil {
-		return Object{}, err
-	}
-	return a.object(kind, name, value)
+	return h.one(ctx, &Call{Op: OpCreate, Kind: kind, Name: name, Value: value})
 }
 
 // Update implements Client.
@@ -160,78 +162,65 @@
 	if len(obj.Value) > MaxValue {
 		return Object{}, ErrTooLarge
 	}
-	a, err := h.call(ctx, OpUpdate, func() *sling.Sling {
-		return h.put(obj.Kind, obj.Name, obj.Value).Set("If-Match", quote(obj.Version))
-	})
-	if err != nil {
-		return Object{}, err
-	}
-	return a.object(obj.Kind, obj.Name, obj.Value)
+	return h.one(ctx, &Call{Op: OpUpdate, Kind: obj.Kind, Name: obj.Name, Version: obj.Version, Value: obj.Value})
 }
 
 // Delete implements Client.
 func (h *HTTP) Delete(ctx context.Context, obj Object) error {
-	_, err := h.call(ctx, OpDelete, func() *sling.Sling {
-		return h.base.New().Delete(objectPath(obj.Kind, obj.Name)).Set("If-Match", quote(obj.Version))
-	})
+	_, err := h.call(ctx, &Call{Op: OpDelete, Kind: obj.Kind, Name: obj.Name, Version: obj.Version})
 	return err
 }
 
-type listQuery struct {
-	Prefix string `url:"prefix,omitempty"`
-	After  string `url:"after,omitempty"`
-	Limit  int    `url:"limit,omitempty"`
-}
-
 // List implements Client.
 func (h *HTTP) List(ctx context.Context, kind, prefix, after string, limit int) ([]Object, error) {
-	a, err := h.call(ctx, OpList, func() *sling.Sling {
-		q := &listQuery{Prefix: prefix, After: after, Limit: limit}
-		return h.base.New().Get(strings.TrimPrefix(ObjectsPath, "/") + url.PathEscape(kind)).QueryStruct(q)
-	})
+	c := &Call{Op: OpList, Kind: kind, Prefix: prefix, AfterName: after, Limit: limit}
+	a, err := h.call(ctx, c)
 	if err != nil {
 		return nil, err
 	}
-	var form ListForm
-	if err := json.Unmarshal(a.body, &form); err != nil {
+	objs, err := h.opt.Form.List(c, a)
+	if err != nil {
 		return nil, unreadable(err)
 	}
-	return objects(kind, form.Objects), nil
-}
-
-type watchQuery struct {
-	After uint64 `url:"after"`
+	return objs, nil
 }
 
 // Watch implements Client. A watch that the platform ends without writes is not an error.
 func (h *HTTP) Watch(ctx context.Context, kind string, after uint64) ([]Object, uint64, error) {
-	a, err := h.call(ctx, OpWatch, func() *sling.Sling {
-		path := strings.TrimPrefix(WatchPath, "/") + url.PathEscape(kind)
-		return h.base.New().Get(path).QueryStruct(&watchQuery{After: after})
-	})
+	c := &Call{Op: OpWatch, Kind: kind, After: after, Wait: h.opt.WatchTime}
+	a, err := h.call(ctx, c)
 	if err != nil {
 		return nil, after, err
 	}
-	var form WatchForm
-	if err := json.Unmarshal(a.body, &form); err != nil {
+	objs, revision, err := h.opt.Form.Watch(c, a)
+	if err != nil {
 		return nil, after, unreadable(err)
 	}
-	return objects(kind, form.Objects), max(after, form.Revision), nil
+	return objs, max(after, revision), nil
 }
 
-func (h *HTTP) put(kind, name string, value []byte) *sling.Sling {
-	return h.base.New().Put(objectPath(kind, name)).Set("Content-Type", "application/octet-stream").Body(bytes.NewReader(value))
+// one makes a call whose answer is one object.
+func (h *HTTP) one(ctx context.Context, c *Call) (Object, error) {
+	a, err := h.call(ctx, c)
+	if err != nil {
+		return Object{}, err
+	}
+	obj, err := h.opt.Form.Object(c, a)
+	if err != nil {
+		return Object{}, unreadable(err)
+	}
+	return obj, nil
 }
 
 // call makes up to Attempts attempts. A write is repeated only when the last attempt was certainly not applied.
-func (h *HTTP) call(ctx context.Context, op Op, build func() *sling.Sling) (*answer, error) {
+func (h *HTTP) call(ctx context.Context, c *Call) (*Answer, error) {
 	backoff := NewBackoff(retryBase, retryLimit)
 	for attempt := 1; ; attempt++ {
 		if err := h.budget.take(ctx); err != nil {
-			h.refused(op)
-			return nil, fmt.Errorf("store %s: budget of %g calls/s is used up: %w", op, h.opt.CallsPerSecond, err)
+			h.refused(c.Op)
+			return nil, fmt.Errorf("store %s: budget of %g calls/s is used up: %w", c.Op, h.opt.CallsPerSecond, err)
 		}
-		a, err := h.attempt(ctx, op, build())
+		a, err := h.attempt(ctx, c.Op, h.opt.Form.Request(h.base.New(), c))
 		if err == nil {
 			return a, nil
 		}
@@ -248,7 +237,7 @@
 }
 
 // attempt sends one request and classifies its result.
-func (h *HTTP) attempt(ctx context.Context, op Op, s *sling.Sling) (*answer, error) {
+func (h *HTTP) attempt(ctx context.Context, op Op, s *sling.Sling) (*Answer, error) {
 	start := time.Now()
 	h.calls.Add(1)
 	a, err := h.send(ctx, op, s)
@@ -258,10 +247,10 @@
 	return a, err
 }
 
-func (h *HTTP) send(ctx context.Context, op Op, s *sling.Sling) (*answer, error) {
+func (h *HTTP) send(ctx context.Context, op Op, s *sling.Sling) (*Answer, error) {
 	timeout := h.opt.Timeout
 	if op == OpWatch {
-		timeout = WatchTime + watchGrace
+		timeout = h.opt.WatchTime + h.opt.WatchGrace
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -287,7 +276,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("store %s: %w: %w", op, lostClass(op, true), err)
 	}
-	return &answer{header: resp.Header, body: body}, nil
+	return &Answer{Header: resp.Header, Body: body}, nil
 }
 
 func lostClass(op Op, sent bool) error {
@@ -319,43 +308,7 @@
 	}
 }
 
-type answer struct {
-	header http.Header
-	body   []byte
-}
-
-func (a *answer) object(kind, name string, value []byte) (Object, error) {
-	version, err := strconv.ParseUint(strings.Trim(a.header.Get("ETag"), `"`), 10, 64)
-	if err != nil {
-		return Object{}, unreadable(err)
-	}
-	revision, err := strconv.ParseUint(a.header.Get(RevisionHeader), 10, 64)
-	if err != nil {
-		return Object{}, unreadable(err)
-	}
-	return Object{Kind: kind, Name: name, Version: version, Revision: revision, Value: value}, nil
-}
-
 // unreadable reports an answer of the store that breaks its protocol. A write may have been applied.
 func unreadable(err error) error {
 	return fmt.Errorf("store answer unreadable: %w: %w", ErrUnknown, err)
 }
-
-func objects(kind string, forms []ObjectForm) []Object {
-	objs := make([]Object, 0, len(forms))
-	for _, f := range forms {
-		objs = append(objs, Object{Kind: kind, Name: f.Name, Version: f.Version, Revision: f.Revision, Value: f.Value, Deleted: f.Deleted})
-	}
-	return objs
-}
-
-// objectPath keeps the slashes of the name and escapes everything else.
-func objectPath(kind, name string) string {
-	parts := strings.Split(name, "/")
-	for i, p := range parts {
-		parts[i] = url.PathEscape(p)
-	}
-	return strings.TrimPrefix(ObjectsPath, "/") + url.PathEscape(kind) + "/" + strings.Join(parts, "/")
-}
-
-func quote(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
--- /dev/null
+++ b/internal/request/forward/serve.go
@@ -0,0 +1,218 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
+	"github.com/dragonflypin/dragonflypin/internal/request/place"
+	"github.com/dragonflypin/dragonflypin/internal/request/retry"
+	"github.com/dragonflypin/dragonflypin/internal/version/routes"
+)
+
+const (
+	// maxUnsent bounds the replicas that are tried without a connection for one request.
+	maxUnsent = 6
+	// minLeft is the time below which a send can't succeed: two round trips to a client and one step of an engine.
+	minLeft = 20 * time.Millisecond
+	// retryAfterFull is when to come back to full replicas; about the time in which an engine reads three long prompts.
+	retryAfterFull = 600 * time.Millisecond
+	// retryAfterLost is when to come back when no replica can be reached; about the time to a new list of replicas.
+	retryAfterLost = 300 * time.Millisecond
+)
+
+// serving is the state of one request.
+type serving struct {
+	f  *Forwarder
+	r  *Request
+	to Responder
+
+	excluded []string
+	unsent   int
+	sends    int
+	began    bool
+	// resumeAfter is the last event that the caller has.
+	resumeAfter string
+	// mayRun tells that some replica may have worked on the request.
+	mayRun bool
+
+	replica    string
+	reason     place.Reason
+	queued     time.Duration
+	first      time.Duration
+	last       time.Time
+	longestGap time.Duration
+}
+
+// step is what follows from an attempt.
+type step struct {
+	again bool
+	end   End
+}
+
+func stop(e End) step { return step{end: e} }
+
+func (s *serving) run(ctx context.Context) End {
+	for {
+		if err := ctx.Err(); err != nil {
+			return s.expired(err)
+		}
+		choice, ok := s.f.Placer.Pick(s.job(), time.Now())
+		if !ok {
+			return s.noReplica()
+		}
+		next := s.attempt(ctx, choice)
+		if !next.again {
+			return next.end
+		}
+	}
+}
+
+func (s *serving) job() *place.Job {
+	r := s.r
+	return &place.Job{
+		Service: r.Service, Route: r.Route.Name, Parts: r.Parts, Tokens: r.PromptTokens,
+		Target: r.Route.LatencyTarget, Repeatable: r.Route.Repeatable(), Excluded: s.excluded,
+	}
+}
+
+// attempt sends the request to one replica.
+func (s *serving) attempt(ctx context.Context, c place.Choice) step {
+	r, sent := s.r, time.Now()
+	left := r.Deadline.Sub(sent)
+	if left < minLeft {
+		return stop(s.expired(context.DeadlineExceeded))
+	}
+	s.replica, s.reason = c.Replica.ID, c.Reason
+	s.f.Placer.Sent(c, s.job(), sent)
+	flow := &flow{s: s, choice: c}
+	defer flow.end()
+	call := &direct.Call{
+		Address: c.Replica.Address, Method: r.Method, Target: r.Target, Host: r.Host,
+		Header: s.f.Dialect.Headers(r, c.Replica, left, s.resumeAfter),
+		Body:   r.Body, Chunked: r.Chunked, Strict: !r.Route.Repeatable(),
+		Mine: func(status int, h http.Header) bool { return s.f.Dialect.Names(r, status, h) },
+	}
+	answer, err := s.f.Pool.Do(ctx, call)
+	if s.sends == 0 {
+		s.queued = sent.Sub(r.Arrived)
+	}
+	note := Attempt{Choice: c, Number: s.sends + 1, Took: time.Since(sent), Err: err}
+	if errors.Is(err, direct.ErrNotSent) {
+		s.f.Observer.Attempted(r, note)
+		return s.notSent(ctx, c)
+	}
+	s.sends++
+	if err != nil {
+		s.f.Observer.Attempted(r, note)
+		return s.noAnswer(ctx, c, err)
+	}
+	defer answer.Close()
+	note.Status, note.Verdict = answer.Status, s.f.Dialect.Verdict(answer.Status, answer.Header)
+	if note.Verdict != Ran {
+		s.f.Observer.Attempted(r, note)
+		return s.refused(c, note.Verdict)
+	}
+	return s.deliver(ctx, flow, answer, note)
+}
+
+// notSent continues elsewhere: the replica has not received anything.
+func (s *serving) notSent(ctx context.Context, c place.Choice) step {
+	if err := ctx.Err(); err != nil {
+		return stop(s.expired(err))
+	}
+	s.f.Placer.Health.Unreachable(c.Key, time.Now())
+	s.excluded = append(s.excluded, c.Replica.ID)
+	if s.unsent++; s.unsent >= maxUnsent {
+		return stop(s.refuse(CodeUnreachable, retryAfterLost))
+	}
+	return step{again: true}
+}
+
+// refused continues elsewhere if attempts and budget allow; the replica has not run the request.
+func (s *serving) refused(c place.Choice, v Verdict) step {
+	s.excluded = append(s.excluded, c.Replica.ID)
+	if v == WrongReplica {
+		s.f.Placer.Health.Unreachable(c.Key, time.Now())
+	}
+	if code, ok := s.mayRepeat(retry.NotRun); !ok {
+		if code != CodeRetryBudget {
+			code = CodeReplicasFull
+		}
+		return stop(s.refuse(code, retryAfterFull))
+	}
+	return step{again: true}
+}
+
+// noAnswer follows a send without an answer: the replica may have worked on the request.
+func (s *serving) noAnswer(ctx context.Context, c place.Choice, err error) step {
+	if ctx.Err() != nil {
+		s.mayRun = true
+		return stop(s.expired(ctx.Err()))
+	}
+	s.f.Placer.Health.Answered(s.r.Service, c.Key, true, time.Now())
+	s.excluded = append(s.excluded, c.Replica.ID)
+	s.mayRun = true
+	if code, ok := s.mayRepeat(retry.MayHaveRun); !ok {
+		return stop(s.fail(code, http.StatusBadGateway, err))
+	}
+	return step{again: true}
+}
+
+// mayRepeat asks the budget for one more send.
+func (s *serving) mayRepeat(known retry.Known) (Code, bool) {
+	r := s.r
+	if s.sends >= r.Route.MaxAttempts {
+		return CodeUnknown, false
+	}
+	verdict := s.f.Budgets.budgets.get(r.Service).Decide(time.Now(), retry.Failure{
+		Known: known, Idempotent: r.Route.Repeatable(), Sent: s.began && r.Route.Kind != routes.Streaming,
+		Attempts: s.sends, Deadline: r.Deadline, Need: minLeft,
+	})
+	switch verdict {
+	case retry.Again:
+		return "", true
+	case retry.OverBudget:
+		return CodeRetryBudget, false
+	default:
+		return CodeUnknown, false
+	}
+}
+
+// noReplica ends a request for which no replica is left.
+func (s *serving) noReplica() End { return s.refuse(CodeNoReplica, retryAfterLost) }
+
+// refuse states that the request has not run, unless a replica may have worked on it.
+func (s *serving) refuse(code Code, retryAfter time.Duration) End {
+	if s.mayRun || s.began {
+		return s.fail(code, http.StatusBadGateway, nil)
+	}
+	s.to.Refuse(Refusal{Status: http.StatusServiceUnavailable, Code: code, RetryAfter: retryAfter})
+	return End{Outcome: OutcomeRefused, Code: code, Status: http.StatusServiceUnavailable}
+}
+
+// fail ends a request that may have run.
+func (s *serving) fail(code Code, status int, err error) End {
+	if s.began {
+		s.to.Abort()
+		return End{Outcome: OutcomeCut, Code: code, Err: err}
+	}
+	s.to.Refuse(Refusal{Status: status, Code: code})
+	return End{Outcome: OutcomeFailed, Code: code, Status: status, Err: err}
+}
+
+// expired ends a request whose caller left or whose deadline passed.
+func (s *serving) expired(err error) End {
+	if errors.Is(err, context.Canceled) {
+		if s.began {
+			s.to.Abort()
+		}
+		return End{Outcome: OutcomeAbandoned, Err: err}
+	}
+	if s.mayRun || s.began {
+		return s.fail(CodeTimeout, http.StatusGatewayTimeout, err)
+	}
+	return s.refuse(CodeDeadline, 0)
+}
--- /dev/null
+++ b/internal/request/place/board.go
@@ -0,0 +1,125 @@
+// Package place decides which replica runs a request. Time and observations are handed in; nothing here does I/O.
+//
+// Every entry knows exactly what it has outstanding at a replica, and a little later what the other entries have there.
+// A decision needs both: with two dozen entries, the own share of the traffic says nearly nothing about a replica's load.
+package place
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// reportLife is how long the report of another entry counts. Entries report several times within it, so an older one
+// belongs to an entry that stopped or is cut off.
+const reportLife = 1500 * time.Millisecond
+
+// Load is the work outstanding at a replica.
+type Load struct {
+	// Running is the number of requests that were sent and have not ended.
+	Running int
+	// Prefill is the number of prompt tokens that are sent and still to be read: those of requests without a first event.
+	Prefill int
+}
+
+func (l Load) plus(o Load) Load {
+	return Load{Running: l.Running + o.Running, Prefill: l.Prefill + o.Prefill}
+}
+
+// Key identifies a replica in reports between entries.
+type Key uint32
+
+// KeyOf returns the key of a replica ID.
+func KeyOf(replicaID string) Key { return Key(xxhash.Sum64String(replicaID)) }
+
+// Board holds the load of the replicas. It is safe for concurrent use.
+type Board struct {
+	mu   sync.Mutex
+	own  map[Key]Load
+	sum  map[Key]Load
+	from map[string]report
+	// changed counts changes of the own load.
+	changed uint64
+}
+
+type report struct {
+	loads map[Key]Load
+	at    time.Time
+}
+
+// NewBoard returns an empty Board.
+func NewBoard() *Board {
+	return &Board{own: map[Key]Load{}, sum: map[Key]Load{}, from: map[string]report{}}
+}
+
+// Add changes the own load at a replica.
+func (b *Board) Add(replica Key, running, prefill int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.changed++
+	l := b.own[replica].plus(Load{Running: running, Prefill: prefill})
+	if l == (Load{}) {
+		delete(b.own, replica)
+		return
+	}
+	b.own[replica] = l
+}
+
+// Own copies the own load of every replica that has some into dst, and returns the number of changes so far.
+func (b *Board) Own(dst map[Key]Load) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for k, l := range b.own {
+		dst[k] = l
+	}
+	return b.changed
+}
+
+// Report replaces what another entry has outstanding.
+func (b *Board) Report(entry string, loads map[Key]Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.subtract(entry)
+	for k, l := range loads {
+		b.sum[k] = b.sum[k].plus(l)
+	}
+	b.from[entry] = report{loads: loads, at: now}
+}
+
+// Expire forgets the reports of entries that have been silent for reportLife.
+func (b *Board) Expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for entry, r := range b.from {
+		if now.Sub(r.at) > reportLife {
+			b.subtract(entry)
+			delete(b.from, entry)
+		}
+	}
+}
+
+// Entries returns the number of other entries whose reports count.
+func (b *Board) Entries() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.from)
+}
+
+// Total returns the load of all entries at a replica.
+func (b *Board) Total(replica Key) Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.own[replica].plus(b.sum[replica])
+}
+
+func (b *Board) subtract(entry string) {
+	for k, l := range b.from[entry].loads {
+		rest := Load{Running: b.sum[k].Running - l.Running, Prefill: b.sum[k].Prefill - l.Prefill}
+		if rest == (Load{}) {
+			delete(b.sum, k)
+			continue
+		}
+		b.sum[k] = rest
+	}
+}
--- /dev/null
+++ b/internal/request/place/place.go
@@ -0,0 +1,298 @@
+package place
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
+)
+
+// Figures of the estimates.
+const (
+	// prefillRate is the speed at which an engine reads prompts, in tokens per millisecond; the published sheets say 56.6.
+	prefillRate = 56.6
+	// runningCost is what one running request adds to the time to a first event, in milliseconds: it lengthens each step
+	// of the engine, and it stands for work that is still to come.
+	runningCost = 2.0
+	// shortPoolShare is the share of a service's replicas that runs short prompts alone.
+	shortPoolShare = 0.22
+	// leastForPools is the number of replicas from which a service is divided.
+	leastForPools = 4
+	// homeCount is the number of replicas that are considered for a prompt before all of them are.
+	homeCount = 3
+	// sampled is the number of replicas that are compared for a request without a home.
+	sampled = 16
+)
+
+// Part is one part of a prompt. Requests with the same first parts can use the same cache.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Job is a request as the decision sees it.
+type Job struct {
+	Service string
+	Route   string
+	// Parts of the prompt in order; the last one belongs to the request alone. Empty for plain services.
+	Parts []Part
+	// Tokens is the size of the prompt.
+	Tokens int
+	// Target is the time to the first event or answer that earns full credit.
+	Target time.Duration
+	// Repeatable requests may try out replicas that are avoided.
+	Repeatable bool
+	// Excluded are the replicas that were tried before.
+	Excluded []string
+}
+
+// Reason says why a replica was chosen.
+type Reason string
+
+// Reasons of a choice.
+const (
+	// ReasonHome is the first replica of the prompt's shared parts.
+	ReasonHome Reason = "home"
+	// ReasonSecondHome is a further replica of the prompt's shared parts, because the first ones have much to read.
+	ReasonSecondHome Reason = "second_home"
+	// ReasonLeastLoaded is the replica with the least to do.
+	ReasonLeastLoaded Reason = "least_loaded"
+	// ReasonOverflow is a replica outside the pool of the request, which has no usable one.
+	ReasonOverflow Reason = "overflow"
+	// ReasonLastResort is a replica that is avoided, because there is no other one.
+	ReasonLastResort Reason = "last_resort"
+)
+
+// Choice is the outcome of a decision.
+type Choice struct {
+	Replica *replicas.Replica
+	Key     Key
+	Reason  Reason
+	// Prefill is the number of tokens that the replica is expected to read.
+	Prefill int
+	// Load is the load that the decision saw.
+	Load Load
+}
+
+// Placer chooses replicas. It is safe for concurrent use.
+type Placer struct {
+	Board  *Board
+	Health *Health
+	mix    *Mix
+	cached *cachedParts
+	zone   string
+
+	mu     sync.Mutex
+	layout atomic.Pointer[map[string]*layout]
+	view   *replicas.View
+}
+
+// New returns a Placer for an entry in the zone.
+func New(zone string) *Placer {
+	p := &Placer{Board: NewBoard(), Health: NewHealth(), mix: NewMix(), cached: newCachedParts(), zone: zone}
+	p.layout.Store(&map[string]*layout{})
+	return p
+}
+
+// layout is the division of a service's replicas. It is the same at all entries that see the same replicas.
+type layout struct {
+	all, short, long []member
+	homes            *ring
+}
+
+type member struct {
+	*replicas.Replica
+	key Key
+}
+
+// Update takes a new list of replicas.
+func (p *Placer) Update(view *replicas.View, services []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[string]*layout, len(services))
+	for _, name := range services {
+		next[name] = newLayout(view.Service(name))
+	}
+	p.view = view
+	p.layout.Store(&next)
+}
+
+func newLayout(list []*replicas.Replica) *layout {
+	l := &layout{all: make([]member, len(list))}
+	for i, r := range list {
+		l.all[i] = member{r, KeyOf(r.ID)}
+	}
+	byHash := slices.Clone(l.all)
+	slices.SortFunc(byHash, func(a, b member) int {
+		return cmpUint(xxhash.Sum64String("pool "+a.ID), xxhash.Sum64String("pool "+b.ID))
+	})
+	short := 0
+	if len(list) >= leastForPools {
+		short = max(1, int(shortPoolShare*float64(len(list))+0.5))
+	}
+	l.short, l.long = byHash[:short], byHash[short:]
+	ids := make([]string, len(l.long))
+	for i, m := range l.long {
+		ids[i] = m.ID
+	}
+	l.homes = newRing(ids)
+	return l
+}
+
+func cmpUint(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Pick chooses a replica for the job. The second result is false when the service has no replica that was not tried yet.
+func (p *Placer) Pick(job *Job, now time.Time) (Choice, bool) {
+	l := (*p.layout.Load())[job.Service]
+	if l == nil || len(l.all) == 0 {
+		return Choice{}, false
+	}
+	if len(job.Parts) == 0 {
+		return p.least(job, l.all, nil, ReasonLeastLoaded, now)
+	}
+	if p.mix.Short(job.Service, job.Route, job.Tokens, now) {
+		return p.least(job, l.short, l.long, ReasonLeastLoaded, now)
+	}
+	if c, ok := p.home(job, l, now); ok {
+		return c, true
+	}
+	return p.least(job, l.long, l.short, ReasonOverflow, now)
+}
+
+// homeKey is the deepest part that other requests share: the last one but one.
+func homeKey(parts []Part) uint64 {
+	i := max(0, len(parts)-2)
+	return xxhash.Sum64String(parts[i].ID)
+}
+
+// home chooses among the replicas that the prompt's shared parts lead to. It answers the pattern of many prompts that
+// share long parts: each of them is read once, and the replicas share the prompts evenly. A further home is used only when
+// the backlog of the one before exceeds the work of reading the shared parts again.
+func (p *Placer) home(job *Job, l *layout, now time.Time) (Choice, bool) {
+	var found [homeCount]int32
+	n := l.homes.homes(homeKey(job.Parts), found[:])
+	best, bestCost := Choice{}, 0.0
+	for i, index := range found[:n] {
+		m := l.long[index]
+		if !p.usable(job, m, now) {
+			continue
+		}
+		load := p.Board.Total(m.key)
+		c := Choice{Replica: m.Replica, Key: m.key, Prefill: p.cached.missing(m.key, job.Parts, now), Load: load, Reason: ReasonHome}
+		if i > 0 {
+			c.Reason = ReasonSecondHome
+		}
+		cost := cost(load) + 2*float64(c.Prefill)/prefillRate
+		if best.Replica == nil || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return best, best.Replica != nil
+}
+
+// cost is the expected wait before a replica begins with a further prompt, in milliseconds.
+func cost(l Load) float64 { return float64(l.Prefill)/prefillRate + runningCost*float64(l.Running) }
+
+// least chooses the replica with the least to do, among a sample when there are many. It answers bursts of short work.
+func (p *Placer) least(job *Job, pool, rest []member, reason Reason, now time.Time) (Choice, bool) {
+	for _, candidates := range [][]member{pool, rest} {
+		if c, ok := p.leastOf(job, candidates, now); ok {
+			c.Reason = reason
+			return c, true
+		}
+		reason = ReasonOverflow
+	}
+	return p.lastResort(job, pool, rest)
+}
+
+func (p *Placer) leastOf(job *Job, candidates []member, now time.Time) (Choice, bool) {
+	best, bestCost := Choice{}, 0.0
+	n := len(candidates)
+	if n == 0 {
+		return best, false
+	}
+	start := rand.IntN(n)
+	for i := range min(n, sampled) {
+		m := candidates[(start+i)%n]
+		if !p.usable(job, m, now) {
+			continue
+		}
+		load := p.Board.Total(m.key)
+		c := cost(load)
+		if m.Zone != p.zone {
+			c += otherZoneCost
+		}
+		if best.Replica == nil || c < bestCost {
+			best, bestCost = Choice{Replica: m.Replica, Key: m.key, Load: load}, c
+		}
+	}
+	if best.Replica != nil && len(job.Parts) > 0 {
+		best.Prefill = p.cached.missing(best.Key, job.Parts, now)
+	}
+	return best, best.Replica != nil
+}
+
+// otherZoneCost prefers the own availability zone between replicas that are equally loaded, in milliseconds. It is less
+// than one running request.
+const otherZoneCost = 0.8 * runningCost
+
+// lastResort chooses a replica that is avoided: a request with no other place is better tried than refused.
+func (p *Placer) lastResort(job *Job, pools ...[]member) (Choice, bool) {
+	for _, candidates := range pools {
+		n := len(candidates)
+		if n == 0 {
+			continue
+		}
+		start := rand.IntN(n)
+		for i := range n {
+			m := candidates[(start+i)%n]
+			if !slices.Contains(job.Excluded, m.ID) {
+				return Choice{Replica: m.Replica, Key: m.key, Reason: ReasonLastResort, Prefill: job.Tokens, Load: p.Board.Total(m.key)}, true
+			}
+		}
+	}
+	return Choice{}, false
+}
+
+func (p *Placer) usable(job *Job, m member, now time.Time) bool {
+	return !slices.Contains(job.Excluded, m.ID) && p.Health.Usable(job.Service, m.key, job.Repeatable, now)
+}
+
+// Sent notes that the job was sent to a replica, which now reads its prompt.
+func (p *Placer) Sent(c Choice, job *Job, now time.Time) {
+	p.cached.note(c.Key, job.Parts, now)
+	p.Board.Add(c.Key, 1, c.Prefill)
+}
+
+// FirstEvent notes that the replica has read the job's prompt.
+func (p *Placer) FirstEvent(c Choice) { p.Board.Add(c.Key, 0, -c.Prefill) }
+
+// Ended notes that the replica is done with the job. started tells whether FirstEvent was called.
+func (p *Placer) Ended(c Choice, started bool) {
+	prefill := -c.Prefill
+	if started {
+		prefill = 0
+	}
+	p.Board.Add(c.Key, -1, prefill)
+}
+
+// Tick forgets what is too old to count.
+func (p *Placer) Tick(now time.Time) {
+	p.Board.Expire(now)
+	p.Health.Forget(now)
+	p.cached.expire(now)
+}
--- /dev/null
+++ b/internal/request/place/ring.go
@@ -0,0 +1,61 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Points of each replica on a ring. More points spread keys more evenly; the total is bounded so that a change of the
+// list stays cheap with thousands of replicas.
+const (
+	mostPoints  = 96
+	leastPoints = 8
+	totalPoints = 1 << 16
+)
+
+// ring is a consistent-hash ring: every entry that sees the same replicas finds the same homes without a message, and a
+// change of the list moves only the keys of the replicas that changed.
+type ring struct {
+	points []point
+}
+
+type point struct {
+	hash    uint64
+	replica int32
+}
+
+func newRing(ids []string) *ring {
+	if len(ids) == 0 {
+		return &ring{}
+	}
+	each := min(mostPoints, max(leastPoints, totalPoints/len(ids)))
+	r := &ring{points: make([]point, 0, each*len(ids))}
+	for i, id := range ids {
+		for n := range each {
+			r.points = append(r.points, point{xxhash.Sum64String(id + "#" + strconv.Itoa(n)), int32(i)})
+		}
+	}
+	slices.SortFunc(r.points, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+	return r
+}
+
+// homes writes the first distinct replicas after the key into dst and returns how many it found.
+func (r *ring) homes(key uint64, dst []int32) int {
+	if len(r.points) == 0 {
+		return 0
+	}
+	start := sort.Search(len(r.points), func(i int) bool { return r.points[i].hash >= key })
+	found := 0
+	for i := 0; i < len(r.points) && found < len(dst); i++ {
+		replica := r.points[(start+i)%len(r.points)].replica
+		if !slices.Contains(dst[:found], replica) {
+			dst[found] = replica
+			found++
+		}
+	}
+	return found
+}
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -115,6 +115,13 @@
 	return &Budget{set: set, tokens: set.Reserve}
 }
 
+// SetReserve changes the reserve, for budgets that several processes share in a changing number.
+func (b *Budget) SetReserve(reserve float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.set.Reserve = reserve
+}
+
 // OnRequest counts a first attempt.
 func (b *Budget) OnRequest(now time.Time) {
 	b.mu.Lock()
