--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -116,9 +116,13 @@
 	observer  *observer
 
 	callers, ready, metrics net.Listener
-	draining                atomic.Bool
-	refusing                atomic.Bool
-	inFlight                atomic.Int64
+	// draining is set by the order to stop, leaving once callers are asked to go, refusing once new requests are refused.
+	draining atomic.Bool
+	leaving  atomic.Bool
+	refusing atomic.Bool
+	// ends is when the process ends at the latest; set with draining.
+	ends     atomic.Pointer[time.Time]
+	inFlight atomic.Int64
 	// updating orders the updates of the placer's view.
 	updating sync.Mutex
 }
@@ -185,22 +189,28 @@
 	}
 }
 
-func (e *Edge) collect() ([]gossip.Load, uint64) {
+func (e *Edge) collect() gossip.State {
 	own := map[place.Key]place.Load{}
-	changes := e.placer.Board.Own(own)
-	list := make([]gossip.Load, 0, len(own))
+	state := gossip.State{Changes: e.placer.Board.Own(own)}
 	for k, l := range own {
-		list = append(list, gossip.Load{Replica: uint32(k), Running: uint32(max(0, l.Running)), Prefill: uint32(max(0, l.Prefill))})
+		state.Loads = append(state.Loads, gossip.Load{Replica: uint32(k), Running: uint32(max(0, l.Running)), Prefill: uint32(max(0, l.Prefill))})
 	}
-	return list, changes
+	for _, note := range e.placer.FreshNotes() {
+		state.Notes = append(state.Notes, gossip.Note{Replica: uint32(note.Replica), Part: note.Part})
+	}
+	return state
 }
 
-func (e *Edge) report(from netip.Addr, loads []gossip.Load) {
+func (e *Edge) report(from netip.Addr, loads []gossip.Load, notes []gossip.Note) {
 	seen := make(map[place.Key]place.Load, len(loads))
 	for _, l := range loads {
 		seen[place.Key(l.Replica)] = place.Load{Running: int(l.Running), Prefill: int(l.Prefill)}
 	}
-	e.placer.Board.Report(from.String(), seen, time.Now())
+	told := make([]place.Note, 0, len(notes))
+	for _, n := range notes {
+		told = append(told, place.Note{Replica: place.Key(n.Replica), Part: n.Part})
+	}
+	e.placer.Reported(from.String(), seen, told, time.Now())
 }
 
 // Run serves until ctx ends and the drain is over.
--- a/internal/app/edge/serve.go
+++ b/internal/app/edge/serve.go
@@ -35,14 +35,14 @@
 	arrived := time.Now()
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	if e.leaving.Load() {
+		// Idle connections stay open: net/http would also close one whose next request it is reading.
+		w.Header().Set("Connection", "close")
+	}
 	id := e.deps.Front.RequestID(r)
 	to := e.deps.Front.Responder(w, id)
 	v := e.routes.Current()
-	switch {
-	case e.refusing.Load():
-		e.deny(to, id, codeDraining, forward.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterDrain})
-		return
-	case v == nil:
+	if v == nil {
 		e.deny(to, id, codeNoConfiguration, forward.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterStart})
 		return
 	}
@@ -51,6 +51,10 @@
 		e.denied(w, r, to, id, denial)
 		return
 	}
+	if e.refusing.Load() && request.Deadline.After(*e.ends.Load()) {
+		e.deny(to, id, codeDraining, forward.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterDrain})
+		return
+	}
 	e.forwarder.Serve(r.Context(), request, to)
 	if to.Aborted() {
 		panic(http.ErrAbortHandler) // net/http closes the connection, which the caller sees as a cut answer
@@ -97,9 +101,9 @@
 // Parts of the time between the order to stop and the kill.
 const (
 	// leaveTime is how long new connections may still come: the balancer asks once a second and needs two refusals.
-	leaveTime = 2500 * time.Millisecond
-	// refuseShare is the share of the grace time after which new requests are refused, because they may not end in time.
-	refuseShare = 0.6
+	leaveTime = 2100 * time.Millisecond
+	// refuseTime is the time from which a new request is refused unless its deadline is before the end of the process.
+	refuseTime = 2800 * time.Millisecond
 	// exitMargin is kept free before the kill.
 	exitMargin = 400 * time.Millisecond
 	// settledTime is how long nothing has to be in flight before the process ends.
@@ -111,27 +115,28 @@
 // to leave with each answer, refuses what could not end in time, and ends when nothing is in flight.
 func (e *Edge) drain(server *http.Server) {
 	began := time.Now()
+	end := began.Add(e.node.StopGrace - exitMargin)
+	e.ends.Store(&end)
 	e.draining.Store(true)
 	e.deps.Log.Emit(eventlog.DrainStarted, eventlog.Count(int(e.inFlight.Load())))
-	kept, idleSince := true, time.Time{}
+	idleSince := began
 	for range time.Tick(drainPoll) {
 		now := time.Now()
 		elapsed := now.Sub(began)
-		if kept && elapsed >= leaveTime {
-			server.SetKeepAlivesEnabled(false)
-			kept = false
+		if elapsed >= leaveTime {
+			e.leaving.Store(true)
 		}
-		if elapsed >= time.Duration(refuseShare*float64(e.node.StopGrace)) {
+		if elapsed >= refuseTime {
 			e.refusing.Store(true)
 		}
 		if e.inFlight.Load() > 0 {
 			idleSince = now
 		}
-		if elapsed >= e.node.StopGrace-exitMargin {
+		if now.After(end) {
 			e.deps.Log.Emit(eventlog.DrainTimedOut, eventlog.Count(int(e.inFlight.Load())))
 			break
 		}
-		if !kept && elapsed >= leaveTime+time.Second && now.Sub(idleSince) >= settledTime {
+		if elapsed >= leaveTime+time.Second && now.Sub(idleSince) >= settledTime {
 			e.deps.Log.Emit(eventlog.DrainFinished)
 			break
 		}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -53,6 +53,22 @@
 	Prefill uint32
 }
 
+// Note tells that the sender sent a part of a prompt to a replica, which now has it in its cache.
+type Note struct {
+	_       struct{} `cbor:",toarray"`
+	Replica uint32
+	// Part is the hash of the part's ID.
+	Part uint64
+}
+
+// State is what an entry tells the others.
+type State struct {
+	Loads []Load
+	Notes []Note
+	// Changes grows with every change of the state.
+	Changes uint64
+}
+
 // Report is one datagram.
 type Report struct {
 	_        struct{} `cbor:",toarray"`
@@ -61,6 +77,7 @@
 	Epoch uint64
 	Seq   uint64
 	Loads []Load
+	Notes []Note
 	// Peers are addresses of other entries, as IPv4 numbers.
 	Peers []uint32
 }
@@ -71,10 +88,10 @@
 	Listen netip.AddrPort
 	// Seeds are addresses of entries that may be down or gone.
 	Seeds []netip.Addr
-	// Collect returns the own loads and a number that changes with them.
-	Collect func() ([]Load, uint64)
-	// OnReport receives the loads of another entry.
-	OnReport func(from netip.Addr, loads []Load)
+	// Collect returns the own state.
+	Collect func() State
+	// OnReport receives the state of another entry.
+	OnReport func(from netip.Addr, loads []Load, notes []Note)
 	// OnPeer is told when an entry is heard for the first time, or after a silence (true), and when it falls silent (false).
 	OnPeer func(peer netip.Addr, heard bool)
 	// OnError receives failures of the socket. It must not block.
@@ -135,10 +152,10 @@
 		case <-ctx.Done():
 			return
 		case now := <-timer.C:
-			loads, version := n.opts.Collect()
-			if version != sentVersion || now.Sub(sentAt) >= quietInterval {
-				sentVersion, sentAt = version, now
-				n.send(loads, now)
+			state := n.opts.Collect()
+			if state.Changes != sentVersion || now.Sub(sentAt) >= quietInterval {
+				sentVersion, sentAt = state.Changes, now
+				n.send(state, now)
 			}
 			timer.Reset(n.interval())
 		}
@@ -149,13 +166,15 @@
 	return max(baseInterval, time.Duration(n.Live())*intervalPerPeer)
 }
 
-func (n *Node) send(loads []Load, now time.Time) {
+func (n *Node) send(state State, now time.Time) {
 	targets, known := n.targets(now)
 	n.seq++
-	report := Report{Protocol: protocolVersion, Epoch: n.epoch, Seq: n.seq, Loads: loads, Peers: known}
+	report := Report{Protocol: protocolVersion, Epoch: n.epoch, Seq: n.seq, Loads: state.Loads, Notes: state.Notes, Peers: known}
 	data, err := cbor.Marshal(&report)
 	for err == nil && len(data) > maxDatagram {
-		// The largest fleets: the rest of the loads goes untold, in a different choice each time.
+		// The largest fleets: the rest goes untold, in a different choice each time.
+		report.Notes = report.Notes[:len(report.Notes)/2]
+		loads := state.Loads
 		rand.Shuffle(len(loads), func(i, j int) { loads[i], loads[j] = loads[j], loads[i] })
 		report.Loads = loads[:len(report.Loads)*3/4]
 		data, err = cbor.Marshal(&report)
@@ -231,7 +250,7 @@
 			continue
 		}
 		if n.accept(from.Addr().Unmap(), &report, time.Now()) {
-			n.opts.OnReport(from.Addr().Unmap(), report.Loads)
+			n.opts.OnReport(from.Addr().Unmap(), report.Loads, report.Notes)
 		}
 	}
 }
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -290,6 +290,15 @@
 	p.Board.Add(c.Key, -1, prefill)
 }
 
+// FreshNotes returns what the other entries have to hear about the replicas' caches.
+func (p *Placer) FreshNotes() []Note { return p.cached.takeFresh() }
+
+// Reported takes the state of another entry.
+func (p *Placer) Reported(entry string, loads map[Key]Load, notes []Note, now time.Time) {
+	p.Board.Report(entry, loads, now)
+	p.cached.told(notes, now)
+}
+
 // Tick forgets what is too old to count.
 func (p *Placer) Tick(now time.Time) {
 	p.Board.Expire(now)
