place: long prompts wait at the edge for room at their replica, the urgent ones first

Change: a replica is given prompts for 0.3 of the tightest target of its long routes (0.6 for that route itself); the rest waits in a line for each replica, ordered by priority, by whether it can still be in time, and by age. Waiting tokens are part of the load that edges tell each other.

--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -51,6 +51,8 @@
 	Running uint32
 	// Prefill is the number of prompt tokens still to be read.
 	Prefill uint32
+	// Waiting is the number of prompt tokens that wait at the sender for room at the replica.
+	Waiting uint32
 }
 
 // Note tells that the sender sent a part of a prompt to a replica, which now has it in its cache.
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -34,11 +34,11 @@
 func (fl *flow) start() {
 	if !fl.started {
 		fl.started = true
-		fl.s.f.Placer.FirstEvent(fl.choice)
+		fl.s.f.Placer.FirstEvent(fl.choice, time.Now())
 	}
 }
 
-func (fl *flow) end() { fl.s.f.Placer.Ended(fl.choice, fl.started) }
+func (fl *flow) end() { fl.s.f.Placer.Ended(fl.choice, fl.started, time.Now()) }
 
 // deliver passes an answer on. A failure of the replica is repeated when that is allowed, and passed on otherwise.
 func (s *serving) deliver(ctx context.Context, fl *flow, answer *direct.Answer, note Attempt) step {
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -59,10 +59,14 @@
 		if err := ctx.Err(); err != nil {
 			return s.expired(err)
 		}
-		choice, ok := s.f.Placer.Pick(s.job(), time.Now())
+		ticket, ok := s.f.Placer.Enter(s.job(), time.Now())
 		if !ok {
 			return s.noReplica()
 		}
+		choice, granted := s.wait(ctx, ticket)
+		if !granted {
+			continue
+		}
 		next := s.attempt(ctx, choice)
 		if !next.again {
 			return next.end
@@ -70,25 +74,41 @@
 	}
 }
 
+// wait returns the choice for the ticket, or false when ctx ended before.
+func (s *serving) wait(ctx context.Context, t *place.Ticket) (place.Choice, bool) {
+	select {
+	case c := <-t.Granted:
+		return c, true
+	case <-ctx.Done():
+	}
+	s.f.Placer.Leave(t)
+	select {
+	case c := <-t.Granted: // granted in the moment in which ctx ended
+		s.f.Placer.Ended(c, false, time.Now())
+	default:
+	}
+	return place.Choice{}, false
+}
+
 func (s *serving) job() *place.Job {
 	r := s.r
 	return &place.Job{
 		Service: r.Service, Route: r.Route.Name, Parts: r.Parts, Tokens: r.PromptTokens,
 		Target: r.Route.LatencyTarget, Repeatable: r.Route.Repeatable(), Excluded: s.excluded,
+		Priority: r.Priority, Arrived: r.Arrived,
 	}
 }
 
 // attempt sends the request to one replica.
 func (s *serving) attempt(ctx context.Context, c place.Choice) step {
 	r, sent := s.r, time.Now()
+	flow := &flow{s: s, choice: c}
+	defer flow.end()
 	left := r.Deadline.Sub(sent)
 	if left < minLeft {
 		return stop(s.expired(context.DeadlineExceeded))
 	}
 	s.replica, s.reason = c.Replica.ID, c.Reason
-	s.f.Placer.Sent(c, s.job(), sent)
-	flow := &flow{s: s, choice: c}
-	defer flow.end()
 	call := &direct.Call{
 		Address: c.Replica.Address, Method: r.Method, Target: r.Target, Host: r.Host,
 		Header: s.f.Dialect.Headers(r, c.Replica, left, s.resumeAfter),
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -21,10 +21,16 @@
 	Running int
 	// Prefill is the number of prompt tokens that are sent and still to be read: those of requests without a first event.
 	Prefill int
+	// Waiting is the number of prompt tokens that wait at the entries for room at the replica.
+	Waiting int
 }
 
 func (l Load) plus(o Load) Load {
-	return Load{Running: l.Running + o.Running, Prefill: l.Prefill + o.Prefill}
+	return Load{Running: l.Running + o.Running, Prefill: l.Prefill + o.Prefill, Waiting: l.Waiting + o.Waiting}
+}
+
+func (l Load) minus(o Load) Load {
+	return Load{Running: l.Running - o.Running, Prefill: l.Prefill - o.Prefill, Waiting: l.Waiting - o.Waiting}
 }
 
 // Key identifies a replica in reports between entries.
@@ -54,11 +60,11 @@
 }
 
 // Add changes the own load at a replica.
-func (b *Board) Add(replica Key, running, prefill int) {
+func (b *Board) Add(replica Key, change Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.changed++
-	l := b.own[replica].plus(Load{Running: running, Prefill: prefill})
+	l := b.own[replica].plus(change)
 	if l == (Load{}) {
 		delete(b.own, replica)
 		return
@@ -115,7 +121,7 @@
 
 func (b *Board) subtract(entry string) {
 	for k, l := range b.from[entry].loads {
-		rest := Load{Running: b.sum[k].Running - l.Running, Prefill: b.sum[k].Prefill - l.Prefill}
+		rest := b.sum[k].minus(l)
 		if rest == (Load{}) {
 			delete(b.sum, k)
 			continue
--- /dev/null
+++ b/internal/request/place/line.go
@@ -0,0 +1,183 @@
+package place
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Bounds of the work that a replica holds.
+const (
+	// windowShare is the share of the tightest target of a service's long routes for which less urgent prompts may occupy
+	// a replica ahead of a new one. The most urgent prompts then find at most that much before them.
+	windowShare = 0.3
+	// urgentShare is the same for the prompts of the tightest route itself.
+	urgentShare = 0.6
+	// sweepPause is the shortest time between two looks at all lines.
+	sweepPause = 10 * time.Millisecond
+)
+
+// Ticket is a job that waits for room at a replica, or has got it.
+type Ticket struct {
+	job     *Job
+	profile Profile
+	choice  Choice
+	// Granted receives the choice once. The load is counted from then on, until Ended.
+	Granted chan Choice
+	waiting bool
+}
+
+// lines holds the waiting jobs of each replica.
+type lines struct {
+	mu    sync.Mutex
+	byKey map[Key][]*Ticket
+	swept time.Time
+}
+
+func newLines() lines { return lines{byKey: map[Key][]*Ticket{}} }
+
+// Enter asks for a place for the job. Its choice is on Granted at once when there is room. It answers the pattern of a
+// burst of long prompts: an engine works on all it has at once, so what waits here instead can still be ordered, and go
+// elsewhere. The result is false when the service has no replica that was not tried yet.
+func (p *Placer) Enter(job *Job, now time.Time) (*Ticket, bool) {
+	profile := Profile{}
+	if len(job.Parts) > 0 {
+		profile = p.mix.Note(job, now)
+	}
+	choice, ok := p.pick(job, profile, now)
+	if !ok {
+		return nil, false
+	}
+	t := &Ticket{job: job, profile: profile, choice: choice, Granted: make(chan Choice, 1)}
+	p.lines.mu.Lock()
+	defer p.lines.mu.Unlock()
+	if !p.gated(t) || p.open(t, now) {
+		p.grant(t, now)
+		return t, true
+	}
+	p.wait(t)
+	return t, true
+}
+
+// Leave gives up a ticket that may still wait. A choice that was granted must be ended by the caller.
+func (p *Placer) Leave(t *Ticket) {
+	p.lines.mu.Lock()
+	defer p.lines.mu.Unlock()
+	if !t.waiting {
+		return
+	}
+	line := p.lines.byKey[t.choice.Key]
+	if i := slices.Index(line, t); i >= 0 {
+		p.lines.byKey[t.choice.Key] = slices.Delete(line, i, i+1)
+	}
+	p.unwait(t)
+}
+
+// gated reports whether the job has to wait for room. Short prompts don't: they are what the room is kept for.
+func (p *Placer) gated(t *Ticket) bool {
+	return len(t.job.Parts) > 0 && !t.profile.Short && t.choice.Reason != ReasonLastResort
+}
+
+// open reports whether the replica has room for the ticket and nobody of the same rank is ahead of it.
+func (p *Placer) open(t *Ticket, now time.Time) bool {
+	if line := p.lines.byKey[t.choice.Key]; len(line) > 0 && !before(t, line[0], now) {
+		return false
+	}
+	return p.hasRoom(t)
+}
+
+func (p *Placer) hasRoom(t *Ticket) bool {
+	return float64(p.Board.Total(t.choice.Key).Prefill)/prefillRate <= t.window()
+}
+
+// window is the work, in milliseconds, that may be ahead of the ticket's prompt at its replica.
+func (t *Ticket) window() float64 {
+	share := windowShare
+	if t.job.Target <= t.profile.Tightest {
+		share = urgentShare
+	}
+	return share * float64(t.profile.Tightest.Milliseconds())
+}
+
+// before orders a line: the more urgent first; then those that can still be in time; then the oldest.
+func before(a, b *Ticket, now time.Time) bool {
+	if a.job.Priority != b.job.Priority {
+		return a.job.Priority < b.job.Priority
+	}
+	if inTimeA, inTimeB := a.inTime(now), b.inTime(now); inTimeA != inTimeB {
+		return inTimeA
+	}
+	return a.job.Arrived.Before(b.job.Arrived)
+}
+
+// inTime reports whether the job's first event can come within its target if the job is sent now.
+func (t *Ticket) inTime(now time.Time) bool {
+	work := time.Duration(float64(t.choice.Prefill) / prefillRate * float64(time.Millisecond))
+	return now.Add(work).Before(t.job.Arrived.Add(t.job.Target))
+}
+
+func (p *Placer) wait(t *Ticket) {
+	t.waiting = true
+	p.Board.Add(t.choice.Key, Load{Waiting: t.choice.Prefill})
+	p.lines.byKey[t.choice.Key] = append(p.lines.byKey[t.choice.Key], t)
+}
+
+func (p *Placer) unwait(t *Ticket) {
+	t.waiting = false
+	p.Board.Add(t.choice.Key, Load{Waiting: -t.choice.Prefill})
+}
+
+// grant counts the job at its replica. The tokens to read are looked up again, because an earlier job of the same parts
+// may have been sent while this one waited.
+func (p *Placer) grant(t *Ticket, now time.Time) {
+	if len(t.job.Parts) > 0 {
+		t.choice.Prefill = p.cached.missing(t.choice.Key, t.job.Parts, now)
+	}
+	p.cached.note(t.choice.Key, t.job.Parts, now)
+	p.Board.Add(t.choice.Key, Load{Running: 1, Prefill: t.choice.Prefill})
+	t.Granted <- t.choice
+}
+
+// room grants what fits at a replica.
+func (p *Placer) room(replica Key, now time.Time) {
+	p.lines.mu.Lock()
+	defer p.lines.mu.Unlock()
+	p.serveLine(replica, now)
+}
+
+// rooms looks at all lines, after reports of other entries.
+func (p *Placer) rooms(now time.Time) {
+	p.lines.mu.Lock()
+	defer p.lines.mu.Unlock()
+	if now.Sub(p.lines.swept) < sweepPause {
+		return
+	}
+	p.lines.swept = now
+	for replica := range p.lines.byKey {
+		p.serveLine(replica, now)
+	}
+}
+
+func (p *Placer) serveLine(replica Key, now time.Time) {
+	line := p.lines.byKey[replica]
+	for len(line) > 0 {
+		first := 0
+		for i := 1; i < len(line); i++ {
+			if before(line[i], line[first], now) {
+				first = i
+			}
+		}
+		t := line[first]
+		if !p.hasRoom(t) {
+			break
+		}
+		line = slices.Delete(line, first, first+1)
+		p.unwait(t)
+		p.grant(t, now)
+	}
+	if len(line) == 0 {
+		delete(p.lines.byKey, replica)
+		return
+	}
+	p.lines.byKey[replica] = line
+}
--- a/internal/request/place/mix.go
+++ b/internal/request/place/mix.go
@@ -26,29 +26,38 @@
 }
 
 type routeSize struct {
-	mean float64
-	at   time.Time
+	mean   float64
+	target time.Duration
+	at     time.Time
+}
+
+// Profile says how the prompts of a job's route relate to those of the other routes of its service.
+type Profile struct {
+	// Short routes have prompts that are read in a fraction of the time that the longest ones take.
+	Short bool
+	// Tightest is the shortest target to a first event among the routes that are not short.
+	Tightest time.Duration
 }
 
 // NewMix returns a Mix that knows no routes.
 func NewMix() *Mix { return &Mix{services: map[string]map[string]*routeSize{}} }
 
-// Short notes a prompt of a route and reports whether the route belongs to the short ones of its service.
-func (m *Mix) Short(service, route string, tokens int, now time.Time) bool {
+// Note counts a job and returns the profile of its route.
+func (m *Mix) Note(job *Job, now time.Time) Profile {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	sizes := m.services[service]
+	sizes := m.services[job.Service]
 	if sizes == nil {
 		sizes = map[string]*routeSize{}
-		m.services[service] = sizes
+		m.services[job.Service] = sizes
 	}
-	own := sizes[route]
+	own := sizes[job.Route]
 	if own == nil {
-		own = &routeSize{mean: float64(tokens)}
-		sizes[route] = own
+		own = &routeSize{mean: float64(job.Tokens)}
+		sizes[job.Route] = own
 	}
-	own.mean += mixWeight * (float64(tokens) - own.mean)
-	own.at = now
+	own.mean += mixWeight * (float64(job.Tokens) - own.mean)
+	own.target, own.at = job.Target, now
 	longest := 0.0
 	for name, s := range sizes {
 		if now.Sub(s.at) > mixMemory {
@@ -57,5 +66,13 @@
 		}
 		longest = max(longest, s.mean)
 	}
-	return longest >= longPrompt && own.mean <= shortShare*longest
+	profile := Profile{Short: isShort(own.mean, longest), Tightest: job.Target}
+	for _, s := range sizes {
+		if !isShort(s.mean, longest) {
+			profile.Tightest = min(profile.Tightest, s.target)
+		}
+	}
+	return profile
 }
+
+func isShort(mean, longest float64) bool { return longest >= longPrompt && mean <= shortShare*longest }
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -47,6 +47,10 @@
 	Target time.Duration
 	// Repeatable requests may try out replicas that are avoided.
 	Repeatable bool
+	// Priority is 0 for the most urgent jobs.
+	Priority int
+	// Arrived is when the caller's request came.
+	Arrived time.Time
 	// Excluded are the replicas that were tried before.
 	Excluded []string
 }
@@ -89,12 +93,13 @@
 
 	mu     sync.Mutex
 	layout atomic.Pointer[map[string]*layout]
-	view   *replicas.View
+
+	lines lines
 }
 
 // New returns a Placer for an entry in the zone.
 func New(zone string) *Placer {
-	p := &Placer{Board: NewBoard(), Health: NewHealth(), mix: NewMix(), cached: newCachedParts(), zone: zone}
+	p := &Placer{Board: NewBoard(), Health: NewHealth(), mix: NewMix(), cached: newCachedParts(), zone: zone, lines: newLines()}
 	p.layout.Store(&map[string]*layout{})
 	return p
 }
@@ -118,7 +123,6 @@
 	for _, name := range services {
 		next[name] = newLayout(view.Service(name))
 	}
-	p.view = view
 	p.layout.Store(&next)
 }
 
@@ -155,16 +159,15 @@
 	}
 }
 
-// Pick chooses a replica for the job. The second result is false when the service has no replica that was not tried yet.
-func (p *Placer) Pick(job *Job, now time.Time) (Choice, bool) {
+// pick chooses a replica for the job. The second result is false when the service has no replica that was not tried yet.
+func (p *Placer) pick(job *Job, profile Profile, now time.Time) (Choice, bool) {
 	l := (*p.layout.Load())[job.Service]
-	if l == nil || len(l.all) == 0 {
+	switch {
+	case l == nil || len(l.all) == 0:
 		return Choice{}, false
-	}
-	if len(job.Parts) == 0 {
+	case len(job.Parts) == 0:
 		return p.least(job, l.all, nil, ReasonLeastLoaded, now)
-	}
-	if p.mix.Short(job.Service, job.Route, job.Tokens, now) {
+	case profile.Short:
 		return p.least(job, l.short, l.long, ReasonLeastLoaded, now)
 	}
 	if c, ok := p.home(job, l, now); ok {
@@ -205,7 +208,9 @@
 }
 
 // cost is the expected wait before a replica begins with a further prompt, in milliseconds.
-func cost(l Load) float64 { return float64(l.Prefill)/prefillRate + runningCost*float64(l.Running) }
+func cost(l Load) float64 {
+	return float64(l.Prefill+l.Waiting)/prefillRate + runningCost*float64(l.Running)
+}
 
 // least chooses the replica with the least to do, among a sample when there are many. It answers bursts of short work.
 func (p *Placer) least(job *Job, pool, rest []member, reason Reason, now time.Time) (Choice, bool) {
@@ -272,22 +277,20 @@
 	return !slices.Contains(job.Excluded, m.ID) && p.Health.Usable(job.Service, m.key, job.Repeatable, now)
 }
 
-// Sent notes that the job was sent to a replica, which now reads its prompt.
-func (p *Placer) Sent(c Choice, job *Job, now time.Time) {
-	p.cached.note(c.Key, job.Parts, now)
-	p.Board.Add(c.Key, 1, c.Prefill)
-}
-
 // FirstEvent notes that the replica has read the job's prompt.
-func (p *Placer) FirstEvent(c Choice) { p.Board.Add(c.Key, 0, -c.Prefill) }
+func (p *Placer) FirstEvent(c Choice, now time.Time) {
+	p.Board.Add(c.Key, Load{Prefill: -c.Prefill})
+	p.room(c.Key, now)
+}
 
 // Ended notes that the replica is done with the job. started tells whether FirstEvent was called.
-func (p *Placer) Ended(c Choice, started bool) {
-	prefill := -c.Prefill
-	if started {
-		prefill = 0
+func (p *Placer) Ended(c Choice, started bool, now time.Time) {
+	change := Load{Running: -1}
+	if !started {
+		change.Prefill = -c.Prefill
 	}
-	p.Board.Add(c.Key, -1, prefill)
+	p.Board.Add(c.Key, change)
+	p.room(c.Key, now)
 }
 
 // FreshNotes returns what the other entries have to hear about the replicas' caches.
@@ -297,6 +300,7 @@
 func (p *Placer) Reported(entry string, loads map[Key]Load, notes []Note, now time.Time) {
 	p.Board.Report(entry, loads, now)
 	p.cached.told(notes, now)
+	p.rooms(now)
 }
 
 // Tick forgets what is too old to count.
@@ -304,4 +308,5 @@
 	p.Board.Expire(now)
 	p.Health.Forget(now)
 	p.cached.expire(now)
+	p.rooms(now)
 }
