place: urgent prompts of all edges go first; waiting prompts move to better places

Change: load reports tell the urgent part of what waits; other prompts leave the room to it. Every 50 ms waiting prompts are placed anew.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -194,7 +194,7 @@
 	state := gossip.State{Changes: e.placer.Board.Own(own)}
 	for k, l := range own {
 		state.Loads = append(state.Loads, gossip.Load{
-			Replica: uint32(k), Running: uint32(max(0, l.Running)), Prefill: uint32(max(0, l.Prefill)), Waiting: uint32(max(0, l.Waiting)),
+			Replica: uint32(k), Running: uint32(l.Running), Prefill: uint32(l.Prefill), Waiting: uint32(l.Waiting), Urgent: uint32(l.Urgent),
 		})
 	}
 	for _, note := range e.placer.FreshNotes() {
@@ -206,7 +206,7 @@
 func (e *Edge) report(from netip.Addr, loads []gossip.Load, notes []gossip.Note) {
 	seen := make(map[place.Key]place.Load, len(loads))
 	for _, l := range loads {
-		seen[place.Key(l.Replica)] = place.Load{Running: int(l.Running), Prefill: int(l.Prefill), Waiting: int(l.Waiting)}
+		seen[place.Key(l.Replica)] = place.Load{Running: int(l.Running), Prefill: int(l.Prefill), Waiting: int(l.Waiting), Urgent: int(l.Urgent)}
 	}
 	told := make([]place.Note, 0, len(notes))
 	for _, n := range notes {
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -53,6 +53,8 @@
 	Prefill uint32
 	// Waiting is the number of prompt tokens that wait at the sender for room at the replica.
 	Waiting uint32
+	// Urgent is the part of Waiting that others should let go first.
+	Urgent uint32
 }
 
 // Note tells that the sender sent a part of a prompt to a replica, which now has it in its cache.
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -23,14 +23,16 @@
 	Prefill int
 	// Waiting is the number of prompt tokens that wait at the entries for room at the replica.
 	Waiting int
+	// Urgent is the part of Waiting that belongs to the tightest of the service's long routes.
+	Urgent int
 }
 
 func (l Load) plus(o Load) Load {
-	return Load{Running: l.Running + o.Running, Prefill: l.Prefill + o.Prefill, Waiting: l.Waiting + o.Waiting}
+	return Load{Running: l.Running + o.Running, Prefill: l.Prefill + o.Prefill, Waiting: l.Waiting + o.Waiting, Urgent: l.Urgent + o.Urgent}
 }
 
 func (l Load) minus(o Load) Load {
-	return Load{Running: l.Running - o.Running, Prefill: l.Prefill - o.Prefill, Waiting: l.Waiting - o.Waiting}
+	return Load{Running: l.Running - o.Running, Prefill: l.Prefill - o.Prefill, Waiting: l.Waiting - o.Waiting, Urgent: l.Urgent - o.Urgent}
 }
 
 // Key identifies a replica in reports between entries.
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -15,6 +15,9 @@
 	urgentShare = 0.6
 	// sweepPause is the shortest time between two looks at all lines.
 	sweepPause = 10 * time.Millisecond
+	// movePause is the shortest time between two looks for better places for waiting jobs. A first event takes at least
+	// this long, so that less is known sooner.
+	movePause = 50 * time.Millisecond
 )
 
 // Ticket is a job that waits for room at a replica, or has got it.
@@ -32,6 +35,7 @@
 	mu    sync.Mutex
 	byKey map[Key][]*Ticket
 	swept time.Time
+	moved time.Time
 }
 
 func newLines() lines { return lines{byKey: map[Key][]*Ticket{}} }
@@ -86,14 +90,21 @@
 	return p.hasRoom(t)
 }
 
+// hasRoom reports whether the replica may get the ticket's prompt. Urgent prompts that wait at any entry go first.
 func (p *Placer) hasRoom(t *Ticket) bool {
-	return float64(p.Board.Total(t.choice.Key).Prefill)/prefillRate <= t.window()
+	load := p.Board.Total(t.choice.Key)
+	if load.Urgent > 0 && !t.urgent() {
+		return false
+	}
+	return float64(load.Prefill)/prefillRate <= t.window()
 }
 
+func (t *Ticket) urgent() bool { return t.profile.urgent(t.job) }
+
 // window is the work, in milliseconds, that may be ahead of the ticket's prompt at its replica.
 func (t *Ticket) window() float64 {
 	share := windowShare
-	if t.job.Target <= t.profile.Tightest {
+	if t.urgent() {
 		share = urgentShare
 	}
 	return share * float64(t.profile.Tightest.Milliseconds())
@@ -118,13 +129,22 @@
 
 func (p *Placer) wait(t *Ticket) {
 	t.waiting = true
-	p.Board.Add(t.choice.Key, Load{Waiting: t.choice.Prefill})
+	p.Board.Add(t.choice.Key, t.queued(1))
 	p.lines.byKey[t.choice.Key] = append(p.lines.byKey[t.choice.Key], t)
 }
 
 func (p *Placer) unwait(t *Ticket) {
 	t.waiting = false
-	p.Board.Add(t.choice.Key, Load{Waiting: -t.choice.Prefill})
+	p.Board.Add(t.choice.Key, t.queued(-1))
+}
+
+// queued is the load of the waiting ticket, times sign.
+func (t *Ticket) queued(sign int) Load {
+	l := Load{Waiting: sign * t.choice.Prefill}
+	if t.urgent() {
+		l.Urgent = l.Waiting
+	}
+	return l
 }
 
 // grant counts the job at its replica. The tokens to read are looked up again, because an earlier job of the same parts
@@ -156,6 +176,43 @@
 	for replica := range p.lines.byKey {
 		p.serveLine(replica, now)
 	}
+	p.moveOn(now)
+}
+
+// moveOn sends waiting jobs to other replicas where that has become better. It answers replicas that fall silent or slow
+// down with a line before them.
+func (p *Placer) moveOn(now time.Time) {
+	if now.Sub(p.lines.moved) < movePause {
+		return
+	}
+	p.lines.moved = now
+	for _, line := range p.lines.byKey {
+		for _, t := range slices.Clone(line) {
+			p.move(t, now)
+		}
+	}
+}
+
+// move gives the ticket a new choice. Its own tokens don't count against the replica where it waits.
+func (p *Placer) move(t *Ticket, now time.Time) {
+	old := t.choice
+	p.Board.Add(old.Key, t.queued(-1))
+	choice, ok := p.pick(t.job, t.profile, now)
+	p.Board.Add(old.Key, t.queued(1))
+	if !ok || choice.Key == old.Key {
+		return
+	}
+	line := p.lines.byKey[old.Key]
+	if i := slices.Index(line, t); i >= 0 {
+		p.lines.byKey[old.Key] = slices.Delete(line, i, i+1)
+	}
+	p.unwait(t)
+	t.choice = choice
+	if p.open(t, now) {
+		p.grant(t, now)
+		return
+	}
+	p.wait(t)
 }
 
 func (p *Placer) serveLine(replica Key, now time.Time) {
--- a/internal/request/place/mix.go
+++ b/internal/request/place/mix.go
@@ -42,6 +42,9 @@
 // NewMix returns a Mix that knows no routes.
 func NewMix() *Mix { return &Mix{services: map[string]map[string]*routeSize{}} }
 
+// urgent reports whether the job is of the tightest long route.
+func (p Profile) urgent(job *Job) bool { return job.Target <= p.Tightest }
+
 // Note counts a job and returns the profile of its route.
 func (m *Mix) Note(job *Job, now time.Time) Profile {
 	m.mu.Lock()
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -170,7 +170,7 @@
 	case profile.Short:
 		return p.least(job, l.short, l.long, ReasonLeastLoaded, now)
 	}
-	if c, ok := p.home(job, l, now); ok {
+	if c, ok := p.home(job, l, profile.urgent(job), now); ok {
 		return c, true
 	}
 	return p.least(job, l.long, l.short, ReasonOverflow, now)
@@ -185,7 +185,7 @@
 // home chooses among the replicas that the prompt's shared parts lead to. It answers the pattern of many prompts that
 // share long parts: each of them is read once, and the replicas share the prompts evenly. A further home is used only when
 // the backlog of the one before exceeds the work of reading the shared parts again.
-func (p *Placer) home(job *Job, l *layout, now time.Time) (Choice, bool) {
+func (p *Placer) home(job *Job, l *layout, urgent bool, now time.Time) (Choice, bool) {
 	var found [homeCount]int32
 	n := l.homes.homes(homeKey(job.Parts), found[:])
 	best, bestCost := Choice{}, 0.0
@@ -199,7 +199,7 @@
 		if i > 0 {
 			c.Reason = ReasonSecondHome
 		}
-		cost := cost(load) + 2*float64(c.Prefill)/prefillRate
+		cost := cost(load, urgent) + 2*float64(c.Prefill)/prefillRate
 		if best.Replica == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -207,9 +207,14 @@
 	return best, best.Replica != nil
 }
 
-// cost is the expected wait before a replica begins with a further prompt, in milliseconds.
-func cost(l Load) float64 {
-	return float64(l.Prefill+l.Waiting)/prefillRate + runningCost*float64(l.Running)
+// cost is the expected wait before a replica begins with a further prompt, in milliseconds. Urgent prompts overtake the
+// others that wait.
+func cost(l Load, urgent bool) float64 {
+	ahead := l.Prefill + l.Waiting
+	if urgent {
+		ahead = l.Prefill + l.Urgent
+	}
+	return float64(ahead)/prefillRate + runningCost*float64(l.Running)
 }
 
 // least chooses the replica with the least to do, among a sample when there are many. It answers bursts of short work.
@@ -237,7 +242,7 @@
 			continue
 		}
 		load := p.Board.Total(m.key)
-		c := cost(load)
+		c := cost(load, false)
 		if m.Zone != p.zone {
 			c += otherZoneCost
 		}
