--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -133,7 +133,7 @@
 	if node.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryBytes)))
 	}
-	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone), pool: direct.NewPool()}
+	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement), pool: direct.NewPool()}
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
 	e.forwarder = &forward.Forwarder{
 		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Observer: e.observer,
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -14,6 +14,27 @@
 	WatchTime Duration `json:"watch_time" default:"1200ms" min:"500ms" max:"30s"`
 	// WatchPace is the shortest time between two watches of a kind; writes in between arrive together. Default "200ms".
 	WatchPace Duration `json:"watch_pace" default:"200ms" min:"0s" max:"5s"`
+	// Placement sets the weights of the choice of replicas.
+	Placement Placement `json:"placement"`
 	// Log configures the event log.
 	Log Log `json:"log"`
 }
+
+// Placement are the weights of the choice of replicas. docs/design/platform.md has the runs that the defaults come from.
+type Placement struct {
+	// WindowShare is the share of the tightest target of a service's long routes for which less urgent prompts may occupy a
+	// replica ahead of a new one. Default 0.3.
+	WindowShare float64 `json:"window_share" default:"0.3" min:"0.01" max:"10" unit:"share of a target"`
+	// UrgentWindowShare is the same for the prompts of the tightest route itself. Default 0.6.
+	UrgentWindowShare float64 `json:"urgent_window_share" default:"0.6" min:"0.01" max:"10" unit:"share of a target"`
+	// ShortPoolShare is the share of a service's replicas that runs short prompts alone. Default 0.22.
+	ShortPoolShare float64 `json:"short_pool_share" default:"0.22" min:"0" max:"0.9" unit:"share of the replicas"`
+	// ReadAgainCost weighs the work of reading parts of a prompt against a wait of the same length. Default 2.
+	ReadAgainCost float64 `json:"read_again_cost" default:"2" min:"0" max:"100" unit:"factor"`
+	// RunningCost is what one running request counts in the wait before a new prompt. Default "2ms".
+	RunningCost Duration `json:"running_cost" default:"2ms" min:"1us" max:"1s"`
+	// Homes is the number of replicas that are considered for a prompt before all of them are. Default 3.
+	Homes int `json:"homes" default:"3" min:"1" max:"8" unit:"replicas"`
+	// Hold is how long a prompt waits for room before it is sent in any case. Default "1m".
+	Hold Duration `json:"hold" default:"1m" min:"10ms" max:"10m"`
+}
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -8,11 +8,6 @@
 
 // Bounds of the work that a replica holds.
 const (
-	// windowShare is the share of the tightest target of a service's long routes for which less urgent prompts may occupy
-	// a replica ahead of a new one. The most urgent prompts then find at most that much before them.
-	windowShare = 0.3
-	// urgentShare is the same for the prompts of the tightest route itself.
-	urgentShare = 0.6
 	// sweepPause is the shortest time between two looks at all lines.
 	sweepPause = 10 * time.Millisecond
 	// movePause is the shortest time between two looks for better places for waiting jobs. A first event takes at least
@@ -87,25 +82,29 @@
 	if line := p.lines.byKey[t.choice.Key]; len(line) > 0 && !before(t, line[0], now) {
 		return false
 	}
-	return p.hasRoom(t)
+	return p.hasRoom(t, now)
 }
 
 // hasRoom reports whether the replica may get the ticket's prompt. Urgent prompts that wait at any entry go first.
-func (p *Placer) hasRoom(t *Ticket) bool {
+func (p *Placer) hasRoom(t *Ticket, now time.Time) bool {
 	load := p.Board.Total(t.choice.Key)
+	if now.Sub(t.job.Arrived) >= time.Duration(p.set.Hold) {
+		return true
+	}
 	if load.Urgent > 0 && !t.urgent() {
 		return false
 	}
-	return float64(load.Prefill)/prefillRate <= t.window()
+	return float64(load.Prefill)/prefillRate <= p.window(t)
 }
 
 func (t *Ticket) urgent() bool { return t.profile.urgent(t.job) }
 
-// window is the work, in milliseconds, that may be ahead of the ticket's prompt at its replica.
-func (t *Ticket) window() float64 {
-	share := windowShare
+// window is the work, in milliseconds, that may be ahead of the ticket's prompt at its replica. The most urgent prompts find
+// at most the window of the others before them.
+func (p *Placer) window(t *Ticket) float64 {
+	share := p.set.WindowShare
 	if t.urgent() {
-		share = urgentShare
+		share = p.set.UrgentWindowShare
 	}
 	return share * float64(t.profile.Tightest.Milliseconds())
 }
@@ -225,7 +224,7 @@
 			}
 		}
 		t := line[first]
-		if !p.hasRoom(t) {
+		if !p.hasRoom(t, now) {
 			break
 		}
 		line = slices.Delete(line, first, first+1)
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -10,21 +10,17 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 )
 
 // Figures of the estimates.
 const (
 	// prefillRate is the speed at which an engine reads prompts, in tokens per millisecond; the published sheets say 56.6.
 	prefillRate = 56.6
-	// runningCost is what one running request adds to the time to a first event, in milliseconds: it lengthens each step
-	// of the engine, and it stands for work that is still to come.
-	runningCost = 2.0
-	// shortPoolShare is the share of a service's replicas that runs short prompts alone.
-	shortPoolShare = 0.22
 	// leastForPools is the number of replicas from which a service is divided.
 	leastForPools = 4
-	// homeCount is the number of replicas that are considered for a prompt before all of them are.
-	homeCount = 3
+	// maxHomes bounds the replicas that are considered for a prompt before all of them are.
+	maxHomes = 8
 	// sampled is the number of replicas that are compared for a request without a home.
 	sampled = 16
 )
@@ -90,6 +86,7 @@
 	mix    *Mix
 	cached *cachedParts
 	zone   string
+	set    settings.Placement
 
 	mu     sync.Mutex
 	layout atomic.Pointer[map[string]*layout]
@@ -98,8 +95,8 @@
 }
 
 // New returns a Placer for an entry in the zone.
-func New(zone string) *Placer {
-	p := &Placer{Board: NewBoard(), Health: NewHealth(), mix: NewMix(), cached: newCachedParts(), zone: zone, lines: newLines()}
+func New(zone string, set settings.Placement) *Placer {
+	p := &Placer{set: set, Board: NewBoard(), Health: NewHealth(), mix: NewMix(), cached: newCachedParts(), zone: zone, lines: newLines()}
 	p.layout.Store(&map[string]*layout{})
 	return p
 }
@@ -121,12 +118,12 @@
 	defer p.mu.Unlock()
 	next := make(map[string]*layout, len(services))
 	for _, name := range services {
-		next[name] = newLayout(view.Service(name))
+		next[name] = newLayout(view.Service(name), p.set.ShortPoolShare)
 	}
 	p.layout.Store(&next)
 }
 
-func newLayout(list []*replicas.Replica) *layout {
+func newLayout(list []*replicas.Replica, shortShare float64) *layout {
 	l := &layout{all: make([]member, len(list))}
 	for i, r := range list {
 		l.all[i] = member{r, KeyOf(r.ID)}
@@ -137,7 +134,7 @@
 	})
 	short := 0
 	if len(list) >= leastForPools {
-		short = max(1, int(shortPoolShare*float64(len(list))+0.5))
+		short = max(1, int(shortShare*float64(len(list))+0.5))
 	}
 	l.short, l.long = byHash[:short], byHash[short:]
 	ids := make([]string, len(l.long))
@@ -186,8 +183,8 @@
 // share long parts: each of them is read once, and the replicas share the prompts evenly. A further home is used only when
 // the backlog of the one before exceeds the work of reading the shared parts again.
 func (p *Placer) home(job *Job, l *layout, urgent bool, now time.Time) (Choice, bool) {
-	var found [homeCount]int32
-	n := l.homes.homes(homeKey(job.Parts), found[:])
+	var found [maxHomes]int32
+	n := l.homes.homes(homeKey(job.Parts), found[:min(maxHomes, p.set.Homes)])
 	best, bestCost := Choice{}, 0.0
 	for i, index := range found[:n] {
 		m := l.long[index]
@@ -199,7 +196,7 @@
 		if i > 0 {
 			c.Reason = ReasonSecondHome
 		}
-		cost := cost(load, urgent) + 2*float64(c.Prefill)/prefillRate
+		cost := p.cost(load, urgent) + p.set.ReadAgainCost*float64(c.Prefill)/prefillRate
 		if best.Replica == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -209,12 +206,12 @@
 
 // cost is the expected wait before a replica begins with a further prompt, in milliseconds. Urgent prompts overtake the
 // others that wait.
-func cost(l Load, urgent bool) float64 {
+func (p *Placer) cost(l Load, urgent bool) float64 {
 	ahead := l.Prefill + l.Waiting
 	if urgent {
 		ahead = l.Prefill + l.Urgent
 	}
-	return float64(ahead)/prefillRate + runningCost*float64(l.Running)
+	return float64(ahead)/prefillRate + p.runningCost()*float64(l.Running)
 }
 
 // least chooses the replica with the least to do, among a sample when there are many. It answers bursts of short work.
@@ -242,9 +239,9 @@
 			continue
 		}
 		load := p.Board.Total(m.key)
-		c := cost(load, false)
+		c := p.cost(load, false)
 		if m.Zone != p.zone {
-			c += otherZoneCost
+			c += otherZoneShare * p.runningCost()
 		}
 		if best.Replica == nil || c < bestCost {
 			best, bestCost = Choice{Replica: m.Replica, Key: m.key, Load: load}, c
@@ -256,9 +253,14 @@
 	return best, best.Replica != nil
 }
 
-// otherZoneCost prefers the own availability zone between replicas that are equally loaded, in milliseconds. It is less
-// than one running request.
-const otherZoneCost = 0.8 * runningCost
+// otherZoneShare prefers the own availability zone between replicas that are equally loaded. It counts as less than one
+// running request.
+const otherZoneShare = 0.8
+
+// runningCost returns the weight of a running request in milliseconds.
+func (p *Placer) runningCost() float64 {
+	return float64(time.Duration(p.set.RunningCost).Microseconds()) / 1000
+}
 
 // lastResort chooses a replica that is avoided: a request with no other place is better tried than refused.
 func (p *Placer) lastResort(job *Job, pools ...[]member) (Choice, bool) {
