place: pauses between events are shared and counted; short prompts overflow

Change: edges tell each other the recent pauses between events of each replica, which count in the expected wait; a short prompt leaves its pool for an advantage of 60 ms.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -191,10 +191,11 @@
 
 func (e *Edge) collect() gossip.State {
 	own := map[place.Key]place.Load{}
-	state := gossip.State{Changes: e.placer.Board.Own(own)}
+	state := gossip.State{Changes: e.placer.Board.Own(own, time.Now())}
 	for k, l := range own {
 		state.Loads = append(state.Loads, gossip.Load{
 			Replica: uint32(k), Running: uint32(l.Running), Prefill: uint32(l.Prefill), Waiting: uint32(l.Waiting), Urgent: uint32(l.Urgent),
+			Gaps: uint32(l.Gaps), GapTime: uint32(l.GapTime),
 		})
 	}
 	for _, note := range e.placer.FreshNotes() {
@@ -206,7 +207,10 @@
 func (e *Edge) report(from netip.Addr, loads []gossip.Load, notes []gossip.Note) {
 	seen := make(map[place.Key]place.Load, len(loads))
 	for _, l := range loads {
-		seen[place.Key(l.Replica)] = place.Load{Running: int(l.Running), Prefill: int(l.Prefill), Waiting: int(l.Waiting), Urgent: int(l.Urgent)}
+		seen[place.Key(l.Replica)] = place.Load{
+			Running: int(l.Running), Prefill: int(l.Prefill), Waiting: int(l.Waiting), Urgent: int(l.Urgent),
+			Gaps: int(l.Gaps), GapTime: int(l.GapTime),
+		}
 	}
 	told := make([]place.Note, 0, len(notes))
 	for _, n := range notes {
--- a/internal/app/edge/observe.go
+++ b/internal/app/edge/observe.go
@@ -107,7 +107,7 @@
 		return
 	}
 	o.log.Emit(eventlog.EdgeRequestEnded,
-		eventlog.Request(r.ID), eventlog.Class(r.Route.Name), eventlog.Version(r.Version), eventlog.Outcome(e.Outcome), eventlog.Status(e.Status),
+		eventlog.Request(r.ID), eventlog.Class(r.Route.Name), eventlog.Priority(r.Priority), eventlog.Version(r.Version), eventlog.Outcome(e.Outcome), eventlog.Status(e.Status),
 		eventlog.Upstream(e.Replica), eventlog.Reason(string(e.Reason)), eventlog.RefusedFor(string(e.Code)), eventlog.Attempts(e.Attempts),
 		eventlog.Queued(e.Queued), eventlog.First(e.First), eventlog.LongestGap(e.LongestGap), eventlog.Took(e.Total), eventlog.Err(e.Err))
 }
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -106,6 +106,9 @@
 // RefusedFor is the code of an answer of the router's own; empty when an upstream answered.
 func RefusedFor(code string) Field { return Field{"refused_for", cut(code)} }
 
+// Priority is 0 for the most urgent requests.
+func Priority(n int) Field { return Field{"priority", n} }
+
 // Status is an HTTP status.
 func Status(code int) Field { return Field{"status", code} }
 
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -55,6 +55,8 @@
 	Waiting uint32
 	// Urgent is the part of Waiting that others should let go first.
 	Urgent uint32
+	// Gaps and GapTime are the number of recent pauses between events of streams, and their sum in milliseconds.
+	Gaps, GapTime uint32
 }
 
 // Note tells that the sender sent a part of a prompt to a replica, which now has it in its cache.
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -33,6 +33,10 @@
 	ReadAgainCost float64 `json:"read_again_cost" default:"2" min:"0" max:"100" unit:"factor"`
 	// RunningCost is what one running request counts in the wait before a new prompt. Default "2ms".
 	RunningCost Duration `json:"running_cost" default:"2ms" min:"1us" max:"1s"`
+	// GapCost weighs the recent pause between events of a replica's streams against a wait of the same length. Default 1.
+	GapCost float64 `json:"gap_cost" default:"1" min:"0" max:"100" unit:"factor"`
+	// OverflowCost is the least advantage for which a short prompt leaves its pool. Default "60ms".
+	OverflowCost Duration `json:"overflow_cost" default:"60ms" min:"1ms" max:"1m"`
 	// Homes is the number of replicas that are considered for a prompt before all of them are. Default 3.
 	Homes int `json:"homes" default:"3" min:"1" max:"8" unit:"replicas"`
 	// Hold is how long a prompt waits for room before it is sent in any case. Default "1m".
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -29,6 +29,8 @@
 	choice place.Choice
 	// started is set once the replica has read the prompt.
 	started bool
+	// last is when the latest events arrived.
+	last time.Time
 }
 
 func (fl *flow) start() {
@@ -143,6 +145,7 @@
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			fl.start()
+			fl.event(time.Now())
 			pending = append(pending, buffer[:n]...)
 			rest, writeErr := s.events(answer, pending)
 			if writeErr != nil {
@@ -178,6 +181,14 @@
 	return data[whole:], s.write(data[:whole])
 }
 
+// event tells the placer of the pause before the events that just arrived.
+func (fl *flow) event(now time.Time) {
+	if !fl.last.IsZero() {
+		fl.s.f.Placer.Board.Paused(fl.choice.Key, now.Sub(fl.last), now)
+	}
+	fl.last = now
+}
+
 // lastID returns the ID of the last event, or "" when no event has one.
 func lastID(events []byte) string {
 	id := ""
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -5,6 +5,7 @@
 package place
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -25,14 +26,52 @@
 	Waiting int
 	// Urgent is the part of Waiting that belongs to the tightest of the service's long routes.
 	Urgent int
+	// Gaps and GapTime count the recent pauses between events of streams and their sum in milliseconds. Long pauses show a
+	// replica that is slow or that reads much, before anything else does.
+	Gaps, GapTime int
 }
 
+// Gap returns the mean pause between events, or false when too few are known.
+func (l Load) Gap() (time.Duration, bool) {
+	if l.Gaps < leastGaps {
+		return 0, false
+	}
+	return time.Duration(l.GapTime) * time.Millisecond / time.Duration(l.Gaps), true
+}
+
+// leastGaps is the number of recent pauses that a mean needs.
+const leastGaps = 2
+
+// gapMemory is the time constant with which pauses are forgotten. Replicas slow down for spells of about 600 ms.
+const gapMemory = 200 * time.Millisecond
+
 func (l Load) plus(o Load) Load {
-	return Load{Running: l.Running + o.Running, Prefill: l.Prefill + o.Prefill, Waiting: l.Waiting + o.Waiting, Urgent: l.Urgent + o.Urgent}
+	return Load{
+		Running: l.Running + o.Running, Prefill: l.Prefill + o.Prefill, Waiting: l.Waiting + o.Waiting, Urgent: l.Urgent + o.Urgent,
+		Gaps: l.Gaps + o.Gaps, GapTime: l.GapTime + o.GapTime,
+	}
 }
 
 func (l Load) minus(o Load) Load {
-	return Load{Running: l.Running - o.Running, Prefill: l.Prefill - o.Prefill, Waiting: l.Waiting - o.Waiting, Urgent: l.Urgent - o.Urgent}
+	return Load{
+		Running: l.Running - o.Running, Prefill: l.Prefill - o.Prefill, Waiting: l.Waiting - o.Waiting, Urgent: l.Urgent - o.Urgent,
+		Gaps: l.Gaps - o.Gaps, GapTime: l.GapTime - o.GapTime,
+	}
+}
+
+// gaps are the own decaying sums of one replica.
+type gaps struct {
+	count, sum float64
+	at         time.Time
+}
+
+func (g *gaps) decay(now time.Time) {
+	if age := now.Sub(g.at); age > 0 {
+		f := math.Exp(-age.Seconds() / gapMemory.Seconds())
+		g.count *= f
+		g.sum *= f
+		g.at = now
+	}
 }
 
 // Key identifies a replica in reports between entries.
@@ -47,6 +86,7 @@
 	own  map[Key]Load
 	sum  map[Key]Load
 	from map[string]report
+	gaps map[Key]*gaps
 	// changed counts changes of the own load.
 	changed uint64
 }
@@ -58,7 +98,7 @@
 
 // NewBoard returns an empty Board.
 func NewBoard() *Board {
-	return &Board{own: map[Key]Load{}, sum: map[Key]Load{}, from: map[string]report{}}
+	return &Board{own: map[Key]Load{}, sum: map[Key]Load{}, from: map[string]report{}, gaps: map[Key]*gaps{}}
 }
 
 // Add changes the own load at a replica.
@@ -74,16 +114,48 @@
 	b.own[replica] = l
 }
 
+// Paused notes a pause between two events of a stream.
+func (b *Board) Paused(replica Key, gap time.Duration, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.gaps[replica]
+	if g == nil {
+		g = &gaps{at: now}
+		b.gaps[replica] = g
+	}
+	g.decay(now)
+	g.count++
+	g.sum += float64(gap.Microseconds()) / 1000
+	b.changed++
+}
+
 // Own copies the own load of every replica that has some into dst, and returns the number of changes so far.
-func (b *Board) Own(dst map[Key]Load) uint64 {
+func (b *Board) Own(dst map[Key]Load, now time.Time) uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for k, l := range b.own {
 		dst[k] = l
 	}
+	for k := range b.gaps {
+		dst[k] = dst[k].plus(b.ownGaps(k, now))
+	}
 	return b.changed
 }
 
+// ownGaps returns the own recent pauses at a replica, and forgets them when they no longer count.
+func (b *Board) ownGaps(k Key, now time.Time) Load {
+	g := b.gaps[k]
+	if g == nil {
+		return Load{}
+	}
+	g.decay(now)
+	if g.count < 0.5 {
+		delete(b.gaps, k)
+		return Load{}
+	}
+	return Load{Gaps: int(g.count + 0.5), GapTime: int(g.sum + 0.5)}
+}
+
 // Report replaces what another entry has outstanding.
 func (b *Board) Report(entry string, loads map[Key]Load, now time.Time) {
 	b.mu.Lock()
@@ -115,10 +187,10 @@
 }
 
 // Total returns the load of all entries at a replica.
-func (b *Board) Total(replica Key) Load {
+func (b *Board) Total(replica Key, now time.Time) Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.own[replica].plus(b.sum[replica])
+	return b.own[replica].plus(b.sum[replica]).plus(b.ownGaps(replica, now))
 }
 
 func (b *Board) subtract(entry string) {
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -87,7 +87,7 @@
 
 // hasRoom reports whether the replica may get the ticket's prompt. Urgent prompts that wait at any entry go first.
 func (p *Placer) hasRoom(t *Ticket, now time.Time) bool {
-	load := p.Board.Total(t.choice.Key)
+	load := p.Board.Total(t.choice.Key, now)
 	if now.Sub(t.job.Arrived) >= time.Duration(p.set.Hold) {
 		return true
 	}
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -165,7 +165,7 @@
 	case len(job.Parts) == 0:
 		return p.least(job, l.all, nil, ReasonLeastLoaded, now)
 	case profile.Short:
-		return p.least(job, l.short, l.long, ReasonLeastLoaded, now)
+		return p.short(job, l, now)
 	}
 	if c, ok := p.home(job, l, profile.urgent(job), now); ok {
 		return c, true
@@ -173,6 +173,23 @@
 	return p.least(job, l.long, l.short, ReasonOverflow, now)
 }
 
+// short chooses for a short prompt. It goes to its own pool unless a replica of the other one has so much less to do that
+// the long prompts there disturb it less. It answers bursts of short work, and a pool that slows down or loses replicas.
+func (p *Placer) short(job *Job, l *layout, now time.Time) (Choice, bool) {
+	own, cost, ok := p.leastOf(job, l.short, now)
+	if !ok {
+		return p.least(job, l.long, nil, ReasonOverflow, now)
+	}
+	own.Reason = ReasonLeastLoaded
+	if limit := float64(time.Duration(p.set.OverflowCost).Milliseconds()); cost > limit {
+		if other, otherCost, found := p.leastOf(job, l.long, now); found && otherCost+limit < cost {
+			other.Reason = ReasonOverflow
+			return other, true
+		}
+	}
+	return own, true
+}
+
 // homeKey is the deepest part that other requests share: the last one but one.
 func homeKey(parts []Part) uint64 {
 	i := max(0, len(parts)-2)
@@ -191,7 +208,7 @@
 		if !p.usable(job, m, now) {
 			continue
 		}
-		load := p.Board.Total(m.key)
+		load := p.Board.Total(m.key, now)
 		c := Choice{Replica: m.Replica, Key: m.key, Prefill: p.cached.missing(m.key, job.Parts, now), Load: load, Reason: ReasonHome}
 		if i > 0 {
 			c.Reason = ReasonSecondHome
@@ -211,26 +228,31 @@
 	if urgent {
 		ahead = l.Prefill + l.Urgent
 	}
-	return float64(ahead)/prefillRate + p.runningCost()*float64(l.Running)
+	wait := float64(ahead)/prefillRate + p.runningCost()*float64(l.Running)
+	if gap, ok := l.Gap(); ok {
+		wait += p.set.GapCost * float64(gap.Microseconds()) / 1000
+	}
+	return wait
 }
 
 // least chooses the replica with the least to do, among a sample when there are many. It answers bursts of short work.
 func (p *Placer) least(job *Job, pool, rest []member, reason Reason, now time.Time) (Choice, bool) {
 	for _, candidates := range [][]member{pool, rest} {
-		if c, ok := p.leastOf(job, candidates, now); ok {
+		if c, _, ok := p.leastOf(job, candidates, now); ok {
 			c.Reason = reason
 			return c, true
 		}
 		reason = ReasonOverflow
 	}
-	return p.lastResort(job, pool, rest)
+	return p.lastResort(job, now, pool, rest)
 }
 
-func (p *Placer) leastOf(job *Job, candidates []member, now time.Time) (Choice, bool) {
+// leastOf returns the least loaded of the candidates, and its cost.
+func (p *Placer) leastOf(job *Job, candidates []member, now time.Time) (Choice, float64, bool) {
 	best, bestCost := Choice{}, 0.0
 	n := len(candidates)
 	if n == 0 {
-		return best, false
+		return best, 0, false
 	}
 	start := rand.IntN(n)
 	for i := range min(n, sampled) {
@@ -238,7 +260,7 @@
 		if !p.usable(job, m, now) {
 			continue
 		}
-		load := p.Board.Total(m.key)
+		load := p.Board.Total(m.key, now)
 		c := p.cost(load, false)
 		if m.Zone != p.zone {
 			c += otherZoneShare * p.runningCost()
@@ -250,7 +272,7 @@
 	if best.Replica != nil && len(job.Parts) > 0 {
 		best.Prefill = p.cached.missing(best.Key, job.Parts, now)
 	}
-	return best, best.Replica != nil
+	return best, bestCost, best.Replica != nil
 }
 
 // otherZoneShare prefers the own availability zone between replicas that are equally loaded. It counts as less than one
@@ -263,7 +285,7 @@
 }
 
 // lastResort chooses a replica that is avoided: a request with no other place is better tried than refused.
-func (p *Placer) lastResort(job *Job, pools ...[]member) (Choice, bool) {
+func (p *Placer) lastResort(job *Job, now time.Time, pools ...[]member) (Choice, bool) {
 	for _, candidates := range pools {
 		n := len(candidates)
 		if n == 0 {
@@ -273,7 +295,7 @@
 		for i := range n {
 			m := candidates[(start+i)%n]
 			if !slices.Contains(job.Excluded, m.ID) {
-				return Choice{Replica: m.Replica, Key: m.key, Reason: ReasonLastResort, Prefill: job.Tokens, Load: p.Board.Total(m.key)}, true
+				return Choice{Replica: m.Replica, Key: m.key, Reason: ReasonLastResort, Prefill: job.Tokens, Load: p.Board.Total(m.key, now)}, true
 			}
 		}
 	}
