place: half of the short pool is lent to long prompts while the other half is calm

Cause: in a burst of long prompts the replicas of the long pool read 60 to 100% of the time, those of the short pool 10 to 40%. Change: prompts whose homes have much to read may use the lent half; the choice weighs reading again 6 times.

--- a/internal/app/edge/observe.go
+++ b/internal/app/edge/observe.go
@@ -106,9 +106,12 @@
 	if !o.allowed() {
 		return
 	}
+	gap, _ := e.Choice.Load.Gap()
 	o.log.Emit(eventlog.EdgeRequestEnded,
 		eventlog.Request(r.ID), eventlog.Class(r.Route.Name), eventlog.Priority(r.Priority), eventlog.Version(r.Version), eventlog.Outcome(e.Outcome), eventlog.Status(e.Status),
-		eventlog.Upstream(e.Replica), eventlog.Reason(string(e.Reason)), eventlog.RefusedFor(string(e.Code)), eventlog.Attempts(e.Attempts),
+		eventlog.Upstream(e.Choice.ReplicaID()), eventlog.Reason(string(e.Choice.Reason)), eventlog.ReadTokens(e.Choice.Prefill),
+		eventlog.SeenLoad(e.Choice.Load.Running, e.Choice.Load.Prefill, e.Choice.Load.Waiting), eventlog.SeenGap(gap), eventlog.ReportAge(e.Choice.ReportAge),
+		eventlog.RefusedFor(string(e.Code)), eventlog.Attempts(e.Attempts),
 		eventlog.Queued(e.Queued), eventlog.First(e.First), eventlog.LongestGap(e.LongestGap), eventlog.Took(e.Total), eventlog.Err(e.Err))
 }
 
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -106,6 +106,20 @@
 // RefusedFor is the code of an answer of the router's own; empty when an upstream answered.
 func RefusedFor(code string) Field { return Field{"refused_for", cut(code)} }
 
+// ReadTokens is the number of prompt tokens that the upstream was expected to read.
+func ReadTokens(n int) Field { return Field{"read_tokens", n} }
+
+// SeenLoad is the load of the upstream that the choice saw: requests running, and prompt tokens to read and waiting.
+func SeenLoad(running, prefill, waiting int) Field {
+	return Field{"seen_load", [3]int{running, prefill, waiting}}
+}
+
+// SeenGap is the recent pause between events that the choice saw, in milliseconds; 0 when unknown.
+func SeenGap(d time.Duration) Field { return Field{"seen_gap_ms", milliseconds(d)} }
+
+// ReportAge is the age of the oldest report of another entry that the choice counted, in milliseconds.
+func ReportAge(d time.Duration) Field { return Field{"report_age_ms", milliseconds(d)} }
+
 // Priority is 0 for the most urgent requests.
 func Priority(n int) Field { return Field{"priority", n} }
 
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -29,14 +29,18 @@
 	UrgentWindowShare float64 `json:"urgent_window_share" default:"0.6" min:"0.01" max:"10" unit:"share of a target"`
 	// ShortPoolShare is the share of a service's replicas that runs short prompts alone. Default 0.22.
 	ShortPoolShare float64 `json:"short_pool_share" default:"0.22" min:"0" max:"0.9" unit:"share of the replicas"`
-	// ReadAgainCost weighs the work of reading parts of a prompt against a wait of the same length. Default 2.
-	ReadAgainCost float64 `json:"read_again_cost" default:"2" min:"0" max:"100" unit:"factor"`
+	// ReadAgainCost weighs the work of reading parts of a prompt against a wait of the same length. Default 6.
+	ReadAgainCost float64 `json:"read_again_cost" default:"6" min:"0" max:"100" unit:"factor"`
 	// RunningCost is what one running request counts in the wait before a new prompt. Default "2ms".
 	RunningCost Duration `json:"running_cost" default:"2ms" min:"1us" max:"1s"`
 	// GapCost weighs the recent pause between events of a replica's streams against a wait of the same length. Default 1.
 	GapCost float64 `json:"gap_cost" default:"1" min:"0" max:"100" unit:"factor"`
 	// OverflowCost is the least advantage for which a short prompt leaves its pool. Default "60ms".
 	OverflowCost Duration `json:"overflow_cost" default:"60ms" min:"1ms" max:"1m"`
+	// LendCost is the least advantage for which a long prompt uses a replica of the short pool. Default "100ms".
+	LendCost Duration `json:"lend_cost" default:"100ms" min:"1ms" max:"1m"`
+	// CalmCost is the mean wait in the kept half of the short pool up to which the other half is lent. Default "50ms".
+	CalmCost Duration `json:"calm_cost" default:"50ms" min:"1ms" max:"1m"`
 	// Homes is the number of replicas that are considered for a prompt before all of them are. Default 3.
 	Homes int `json:"homes" default:"3" min:"1" max:"8" unit:"replicas"`
 	// Hold is how long a prompt waits for room before it is sent in any case. Default "1m".
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -118,8 +118,8 @@
 	Status  int
 	// Attempts is the number of replicas that the request was sent to.
 	Attempts int
-	Replica  string
-	Reason   place.Reason
+	// Choice is the last choice of a replica, with what it saw.
+	Choice place.Choice
 	// Queued is the time before the first send.
 	Queued time.Duration
 	// First is the time from arrival to the first byte for the caller, or 0.
@@ -185,7 +185,7 @@
 	f.Budgets.budgets.requested(r.Service, r.Arrived)
 	end := s.run(ctx)
 	end.Total = time.Since(r.Arrived)
-	end.Attempts, end.Replica, end.Reason = s.sends, s.replica, s.reason
+	end.Attempts, end.Choice = s.sends, s.choice
 	end.Queued, end.First, end.LongestGap = s.queued, s.first, s.longestGap
 	f.Observer.Ended(r, end)
 }
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -38,8 +38,7 @@
 	// mayRun tells that some replica may have worked on the request.
 	mayRun bool
 
-	replica    string
-	reason     place.Reason
+	choice     place.Choice
 	queued     time.Duration
 	first      time.Duration
 	last       time.Time
@@ -108,7 +107,7 @@
 	if left < minLeft {
 		return stop(s.expired(context.DeadlineExceeded))
 	}
-	s.replica, s.reason = c.Replica.ID, c.Reason
+	s.choice = c
 	call := &direct.Call{
 		Address: c.Replica.Address, Method: r.Method, Target: r.Target, Host: r.Host,
 		Header: s.f.Dialect.Headers(r, c.Replica, left, s.resumeAfter),
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -186,6 +186,17 @@
 	return len(b.from)
 }
 
+// ReportAge returns the age of the oldest report that counts, or 0 without one.
+func (b *Board) ReportAge(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	oldest := time.Duration(0)
+	for _, r := range b.from {
+		oldest = max(oldest, now.Sub(r.at))
+	}
+	return oldest
+}
+
 // Total returns the load of all entries at a replica.
 func (b *Board) Total(replica Key, now time.Time) Load {
 	b.mu.Lock()
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -152,6 +152,7 @@
 	if len(t.job.Parts) > 0 {
 		t.choice.Prefill = p.cached.missing(t.choice.Key, t.job.Parts, now)
 	}
+	t.choice.Load, t.choice.ReportAge = p.Board.Total(t.choice.Key, now), p.Board.ReportAge(now)
 	p.cached.note(t.choice.Key, t.job.Parts, now)
 	p.Board.Add(t.choice.Key, Load{Running: 1, Prefill: t.choice.Prefill})
 	t.Granted <- t.choice
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -60,6 +60,8 @@
 	ReasonHome Reason = "home"
 	// ReasonSecondHome is a further replica of the prompt's shared parts, because the first ones have much to read.
 	ReasonSecondHome Reason = "second_home"
+	// ReasonLent is a replica of the short pool, which has little to do while the prompt's homes have much.
+	ReasonLent Reason = "lent"
 	// ReasonLeastLoaded is the replica with the least to do.
 	ReasonLeastLoaded Reason = "least_loaded"
 	// ReasonOverflow is a replica outside the pool of the request, which has no usable one.
@@ -75,8 +77,17 @@
 	Reason  Reason
 	// Prefill is the number of tokens that the replica is expected to read.
 	Prefill int
-	// Load is the load that the decision saw.
-	Load Load
+	// Load is the load that the decision saw, and ReportAge the age of the oldest report in it.
+	Load      Load
+	ReportAge time.Duration
+}
+
+// ReplicaID returns the ID of the chosen replica, or "" before a choice.
+func (c *Choice) ReplicaID() string {
+	if c.Replica == nil {
+		return ""
+	}
+	return c.Replica.ID
 }
 
 // Placer chooses replicas. It is safe for concurrent use.
@@ -105,6 +116,9 @@
 type layout struct {
 	all, short, long []member
 	homes            *ring
+	// lent are the members of short that long prompts may use while the rest of short, kept, is calm.
+	kept, lent []member
+	lentHomes  *ring
 }
 
 type member struct {
@@ -137,14 +151,15 @@
 		short = max(1, int(shortShare*float64(len(list))+0.5))
 	}
 	l.short, l.long = byHash[:short], byHash[short:]
-	ids := make([]string, len(l.long))
-	for i, m := range l.long {
-		ids[i] = m.ID
-	}
-	l.homes = newRing(ids)
+	kept := min(short, max(1, int(keptShare*float64(short)+0.5)))
+	l.kept, l.lent = l.short[:min(kept, short)], l.short[min(kept, short):]
+	l.homes, l.lentHomes = newRing(l.long), newRing(l.lent)
 	return l
 }
 
+// keptShare is the share of the short pool that long prompts never use.
+const keptShare = 0.5
+
 func cmpUint(a, b uint64) int {
 	switch {
 	case a < b:
@@ -200,27 +215,49 @@
 // share long parts: each of them is read once, and the replicas share the prompts evenly. A further home is used only when
 // the backlog of the one before exceeds the work of reading the shared parts again.
 func (p *Placer) home(job *Job, l *layout, urgent bool, now time.Time) (Choice, bool) {
+	key := homeKey(job.Parts)
 	var found [maxHomes]int32
-	n := l.homes.homes(homeKey(job.Parts), found[:min(maxHomes, p.set.Homes)])
 	best, bestCost := Choice{}, 0.0
-	for i, index := range found[:n] {
-		m := l.long[index]
+	consider := func(m member, reason Reason, extra float64) {
 		if !p.usable(job, m, now) {
-			continue
+			return
 		}
 		load := p.Board.Total(m.key, now)
-		c := Choice{Replica: m.Replica, Key: m.key, Prefill: p.cached.missing(m.key, job.Parts, now), Load: load, Reason: ReasonHome}
-		if i > 0 {
-			c.Reason = ReasonSecondHome
-		}
-		cost := p.cost(load, urgent) + p.set.ReadAgainCost*float64(c.Prefill)/prefillRate
+		c := Choice{Replica: m.Replica, Key: m.key, Prefill: p.cached.missing(m.key, job.Parts, now), Load: load, Reason: reason}
+		cost := p.cost(load, urgent) + p.set.ReadAgainCost*float64(c.Prefill)/prefillRate + extra
 		if best.Replica == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
+	reason := ReasonHome
+	for _, index := range found[:l.homes.homes(key, found[:min(maxHomes, p.set.Homes)])] {
+		consider(l.long[index], reason, 0)
+		reason = ReasonSecondHome
+	}
+	if lendCost := float64(time.Duration(p.set.LendCost).Milliseconds()); bestCost > lendCost && p.calm(l, now) {
+		for _, index := range found[:l.lentHomes.homes(key, found[:lentHomeCount])] {
+			consider(l.lent[index], ReasonLent, lendCost)
+		}
+	}
 	return best, best.Replica != nil
 }
 
+// lentHomeCount is the number of lent replicas that are considered for a prompt.
+const lentHomeCount = 2
+
+// calm reports whether the kept part of the short pool has little to do, so that the rest can be lent. It answers a burst
+// of long prompts while there are few short ones, and the reverse.
+func (p *Placer) calm(l *layout, now time.Time) bool {
+	if len(l.lent) == 0 {
+		return false
+	}
+	total := 0.0
+	for _, m := range l.kept[:min(len(l.kept), sampled)] {
+		total += p.cost(p.Board.Total(m.key, now), false)
+	}
+	return total/float64(min(len(l.kept), sampled)) < float64(time.Duration(p.set.CalmCost).Milliseconds())
+}
+
 // cost is the expected wait before a replica begins with a further prompt, in milliseconds. Urgent prompts overtake the
 // others that wait.
 func (p *Placer) cost(l Load, urgent bool) float64 {
--- a/internal/request/place/ring.go
+++ b/internal/request/place/ring.go
@@ -28,15 +28,15 @@
 	replica int32
 }
 
-func newRing(ids []string) *ring {
-	if len(ids) == 0 {
+func newRing(members []member) *ring {
+	if len(members) == 0 {
 		return &ring{}
 	}
-	each := min(mostPoints, max(leastPoints, totalPoints/len(ids)))
-	r := &ring{points: make([]point, 0, each*len(ids))}
-	for i, id := range ids {
+	each := min(mostPoints, max(leastPoints, totalPoints/len(members)))
+	r := &ring{points: make([]point, 0, each*len(members))}
+	for i, m := range members {
 		for n := range each {
-			r.points = append(r.points, point{xxhash.Sum64String(id + "#" + strconv.Itoa(n)), int32(i)})
+			r.points = append(r.points, point{xxhash.Sum64String(m.ID + "#" + strconv.Itoa(n)), int32(i)})
 		}
 	}
 	slices.SortFunc(r.points, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
