forward: a prompt that waits too long for room is refused as not run, with the time to come back

Change: the wait for room ends after 'patience' targets of the route with 503 and Retry-After, the time to read what waits.

--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -43,6 +43,6 @@
 	CalmCost Duration `json:"calm_cost" default:"50ms" min:"1ms" max:"1m"`
 	// Homes is the number of replicas that are considered for a prompt before all of them are. Default 3.
 	Homes int `json:"homes" default:"3" min:"1" max:"8" unit:"replicas"`
-	// Hold is how long a prompt waits for room before it is sent in any case. Default "1m".
-	Hold Duration `json:"hold" default:"1m" min:"10ms" max:"10m"`
+	// Patience is how long a prompt waits for room, in targets of its route, before it is refused. Default 2.5.
+	Patience float64 `json:"patience" default:"2.5" min:"0.1" max:"100" unit:"targets"`
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -103,6 +103,7 @@
 const (
 	CodeNoReplica    Code = "no_replica"
 	CodeUnreachable  Code = "unreachable"
+	CodeNoRoom       Code = "no_room"
 	CodeReplicasFull Code = "replicas_full"
 	CodeDeadline     Code = "deadline"
 	CodeTimeout      Code = "timeout"
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -62,9 +63,12 @@
 		if !ok {
 			return s.noReplica()
 		}
-		choice, granted := s.wait(ctx, ticket)
-		if !granted {
+		choice, waited := s.wait(ctx, ticket)
+		switch waited {
+		case waitEnded:
 			continue
+		case waitImpatient:
+			return s.refuse(CodeNoRoom, s.f.Placer.ReturnAfter(ticket, time.Now()))
 		}
 		next := s.attempt(ctx, choice)
 		if !next.again {
@@ -73,20 +77,48 @@
 	}
 }
 
-// wait returns the choice for the ticket, or false when ctx ended before.
-func (s *serving) wait(ctx context.Context, t *place.Ticket) (place.Choice, bool) {
+// waited is how a wait for room ended.
+type waited uint8
+
+const (
+	waitGranted waited = iota
+	// waitEnded means that the request's context ended.
+	waitEnded
+	// waitImpatient means that there was no room for too long.
+	waitImpatient
+)
+
+// wait returns the choice for the ticket. A request that some replica may have worked on waits to its deadline, because it
+// can't be refused as not run.
+func (s *serving) wait(ctx context.Context, t *place.Ticket) (place.Choice, waited) {
 	select {
 	case c := <-t.Granted:
-		return c, true
+		return c, waitGranted
+	default:
+	}
+	patience := time.NewTimer(time.Until(t.Patience))
+	defer patience.Stop()
+	if s.mayRun || s.began {
+		patience.Stop()
+	}
+	why := waitEnded
+	select {
+	case c := <-t.Granted:
+		return c, waitGranted
+	case <-patience.C:
+		why = waitImpatient
 	case <-ctx.Done():
 	}
 	s.f.Placer.Leave(t)
 	select {
-	case c := <-t.Granted: // granted in the moment in which ctx ended
+	case c := <-t.Granted: // granted in the moment in which the wait ended
+		if why == waitImpatient {
+			return c, waitGranted
+		}
 		s.f.Placer.Ended(c, false, time.Now())
 	default:
 	}
-	return place.Choice{}, false
+	return place.Choice{}, why
 }
 
 func (s *serving) job() *place.Job {
@@ -208,10 +240,15 @@
 	if s.mayRun || s.began {
 		return s.fail(code, http.StatusBadGateway, nil)
 	}
-	s.to.Refuse(Refusal{Status: http.StatusServiceUnavailable, Code: code, RetryAfter: retryAfter})
+	s.to.Refuse(Refusal{Status: http.StatusServiceUnavailable, Code: code, RetryAfter: spread(retryAfter)})
 	return End{Outcome: OutcomeRefused, Code: code, Status: http.StatusServiceUnavailable}
 }
 
+// spread varies the time to come back by a quarter, so that callers who were refused together don't return together.
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + rand.Float64()/2))
+}
+
 // fail ends a request that may have run.
 func (s *serving) fail(code Code, status int, err error) End {
 	if s.began {
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -22,7 +22,9 @@
 	choice  Choice
 	// Granted receives the choice once. The load is counted from then on, until Ended.
 	Granted chan Choice
-	waiting bool
+	// Patience ends the wait for room: the first event could then come only long after the job's target.
+	Patience time.Time
+	waiting  bool
 }
 
 // lines holds the waiting jobs of each replica.
@@ -47,7 +49,10 @@
 	if !ok {
 		return nil, false
 	}
-	t := &Ticket{job: job, profile: profile, choice: choice, Granted: make(chan Choice, 1)}
+	t := &Ticket{
+		job: job, profile: profile, choice: choice, Granted: make(chan Choice, 1),
+		Patience: job.Arrived.Add(time.Duration(p.set.Patience * float64(job.Target))),
+	}
 	p.lines.mu.Lock()
 	defer p.lines.mu.Unlock()
 	if !p.gated(t) || p.open(t, now) {
@@ -72,6 +77,12 @@
 	p.unwait(t)
 }
 
+// ReturnAfter returns when a job that was refused for lack of room should come back: when what waits now has been read.
+func (p *Placer) ReturnAfter(t *Ticket, now time.Time) time.Duration {
+	ahead := p.Board.Total(t.choice.Key, now)
+	return time.Duration(float64(ahead.Prefill+ahead.Waiting) / prefillRate * float64(time.Millisecond))
+}
+
 // gated reports whether the job has to wait for room. Short prompts don't: they are what the room is kept for.
 func (p *Placer) gated(t *Ticket) bool {
 	return len(t.job.Parts) > 0 && !t.profile.Short && t.choice.Reason != ReasonLastResort
@@ -88,9 +99,6 @@
 // hasRoom reports whether the replica may get the ticket's prompt. Urgent prompts that wait at any entry go first.
 func (p *Placer) hasRoom(t *Ticket, now time.Time) bool {
 	load := p.Board.Total(t.choice.Key, now)
-	if now.Sub(t.job.Arrived) >= time.Duration(p.set.Hold) {
-		return true
-	}
 	if load.Urgent > 0 && !t.urgent() {
 		return false
 	}
