place: a prompt that would wait longer than its patience is refused at once; patience is half a target

Cause: a refusal after a wait costs the caller the wait; what waits ahead is known when the request comes. Change: the tokens that wait ahead at all edges have to fit into the patience; the default patience is 0.5 targets.

--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -43,6 +43,8 @@
 	CalmCost Duration `json:"calm_cost" default:"50ms" min:"1ms" max:"1m"`
 	// Homes is the number of replicas that are considered for a prompt before all of them are. Default 3.
 	Homes int `json:"homes" default:"3" min:"1" max:"8" unit:"replicas"`
-	// Patience is how long a prompt waits for room, in targets of its route, before it is refused. Default 2.5.
-	Patience float64 `json:"patience" default:"2.5" min:"0.1" max:"100" unit:"targets"`
+	// Patience is how long a prompt waits for room, in targets of its route, before it is refused. Default 0.5.
+	Patience float64 `json:"patience" default:"0.5" min:"0.1" max:"100" unit:"targets"`
+	// HopelessShare is the share of what waits that has to fit into the patience of a new prompt. Default 1.
+	HopelessShare float64 `json:"hopeless_share" default:"1" min:"0.0001" max:"100" unit:"share"`
 }
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -59,10 +59,26 @@
 		p.grant(t, now)
 		return t, true
 	}
+	if p.hopeless(t, now) {
+		t.Patience = now
+		return t, true
+	}
 	p.wait(t)
 	return t, true
 }
 
+// hopeless reports whether the job would wait longer than its patience for what is ahead of it, so that it is better told
+// at once.
+func (p *Placer) hopeless(t *Ticket, now time.Time) bool {
+	load := p.Board.Total(t.choice.Key, now)
+	ahead := load.Waiting
+	if t.urgent() {
+		ahead = load.Urgent
+	}
+	wait := time.Duration(p.set.HopelessShare * float64(ahead) / prefillRate * float64(time.Millisecond))
+	return now.Add(wait).After(t.Patience)
+}
+
 // Leave gives up a ticket that may still wait. A choice that was granted must be ended by the caller.
 func (p *Placer) Leave(t *Ticket) {
 	p.lines.mu.Lock()
