--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -117,6 +117,9 @@
 		}
 		s.f.Placer.Ended(c, false, time.Now())
 	default:
+		if why == waitImpatient && s.f.Placer.Insist(t, time.Now()) {
+			return <-t.Granted, waitGranted
+		}
 	}
 	return place.Choice{}, why
 }
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -67,6 +67,32 @@
 	return t, true
 }
 
+// Insist places a job whose patience ended anywhere, and reports whether it did. Only urgent jobs may insist: they would
+// otherwise get nothing while larger and less urgent ones begin elsewhere. It answers homes that are blocked by a few very
+// long prompts.
+func (p *Placer) Insist(t *Ticket, now time.Time) bool {
+	if !t.urgent() {
+		return false
+	}
+	l := (*p.layout.Load())[t.job.Service]
+	if l == nil {
+		return false
+	}
+	p.lines.mu.Lock()
+	defer p.lines.mu.Unlock()
+	if t.waiting || len(t.Granted) > 0 {
+		return len(t.Granted) > 0
+	}
+	choice, ok := p.least(t.job, l.long, l.lent, ReasonInsisted, now)
+	if !ok {
+		return false
+	}
+	choice.Reason = ReasonInsisted
+	t.choice = choice
+	p.grant(t, now)
+	return true
+}
+
 // hopeless reports whether the job would wait longer than its patience for what is ahead of it, so that it is better told
 // at once.
 func (p *Placer) hopeless(t *Ticket, now time.Time) bool {
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -66,6 +66,8 @@
 	ReasonLeastLoaded Reason = "least_loaded"
 	// ReasonOverflow is a replica outside the pool of the request, which has no usable one.
 	ReasonOverflow Reason = "overflow"
+	// ReasonInsisted is the least loaded replica for an urgent request whose homes have had no room for long.
+	ReasonInsisted Reason = "insisted"
 	// ReasonLastResort is a replica that is avoided, because there is no other one.
 	ReasonLastResort Reason = "last_resort"
 )
