place: short prompts keep to half of their pool, and only replicas without them are lent

Change: short prompts use the lent half only for an advantage of 10 ms; a replica is lent while at most one short prompt runs there.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -194,7 +194,7 @@
 	state := gossip.State{Changes: e.placer.Board.Own(own, time.Now())}
 	for k, l := range own {
 		state.Loads = append(state.Loads, gossip.Load{
-			Replica: uint32(k), Running: uint32(l.Running), Prefill: uint32(l.Prefill), Waiting: uint32(l.Waiting), Urgent: uint32(l.Urgent),
+			Replica: uint32(k), Running: uint32(l.Running), Short: uint32(l.Short), Prefill: uint32(l.Prefill), Waiting: uint32(l.Waiting), Urgent: uint32(l.Urgent),
 			Gaps: uint32(l.Gaps), GapTime: uint32(l.GapTime),
 		})
 	}
@@ -208,7 +208,7 @@
 	seen := make(map[place.Key]place.Load, len(loads))
 	for _, l := range loads {
 		seen[place.Key(l.Replica)] = place.Load{
-			Running: int(l.Running), Prefill: int(l.Prefill), Waiting: int(l.Waiting), Urgent: int(l.Urgent),
+			Running: int(l.Running), Short: int(l.Short), Prefill: int(l.Prefill), Waiting: int(l.Waiting), Urgent: int(l.Urgent),
 			Gaps: int(l.Gaps), GapTime: int(l.GapTime),
 		}
 	}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -49,6 +49,8 @@
 	Replica uint32
 	// Running is the number of requests.
 	Running uint32
+	// Short is the number of those with short prompts.
+	Short uint32
 	// Prefill is the number of prompt tokens still to be read.
 	Prefill uint32
 	// Waiting is the number of prompt tokens that wait at the sender for room at the replica.
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -37,8 +37,10 @@
 	GapCost float64 `json:"gap_cost" default:"1" min:"0" max:"100" unit:"factor"`
 	// OverflowCost is the least advantage for which a short prompt leaves its pool. Default "60ms".
 	OverflowCost Duration `json:"overflow_cost" default:"60ms" min:"1ms" max:"1m"`
-	// LendCost is the least advantage for which a long prompt uses a replica of the short pool. Default "100ms".
-	LendCost Duration `json:"lend_cost" default:"100ms" min:"1ms" max:"1m"`
+	// PackCost is the least advantage for which a short prompt uses the half of its pool that may be lent. Default "10ms".
+	PackCost Duration `json:"pack_cost" default:"10ms" min:"1us" max:"1m"`
+	// LendCost is the least advantage for which a long prompt uses a replica of the short pool. Default "50ms".
+	LendCost Duration `json:"lend_cost" default:"50ms" min:"1ms" max:"1m"`
 	// CalmCost is the mean wait in the kept half of the short pool up to which the other half is lent. Default "50ms".
 	CalmCost Duration `json:"calm_cost" default:"50ms" min:"1ms" max:"1m"`
 	// Homes is the number of replicas that are considered for a prompt before all of them are. Default 3.
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -20,6 +20,8 @@
 type Load struct {
 	// Running is the number of requests that were sent and have not ended.
 	Running int
+	// Short is the part of Running with short prompts.
+	Short int
 	// Prefill is the number of prompt tokens that are sent and still to be read: those of requests without a first event.
 	Prefill int
 	// Waiting is the number of prompt tokens that wait at the entries for room at the replica.
@@ -47,14 +49,14 @@
 
 func (l Load) plus(o Load) Load {
 	return Load{
-		Running: l.Running + o.Running, Prefill: l.Prefill + o.Prefill, Waiting: l.Waiting + o.Waiting, Urgent: l.Urgent + o.Urgent,
+		Running: l.Running + o.Running, Short: l.Short + o.Short, Prefill: l.Prefill + o.Prefill, Waiting: l.Waiting + o.Waiting, Urgent: l.Urgent + o.Urgent,
 		Gaps: l.Gaps + o.Gaps, GapTime: l.GapTime + o.GapTime,
 	}
 }
 
 func (l Load) minus(o Load) Load {
 	return Load{
-		Running: l.Running - o.Running, Prefill: l.Prefill - o.Prefill, Waiting: l.Waiting - o.Waiting, Urgent: l.Urgent - o.Urgent,
+		Running: l.Running - o.Running, Short: l.Short - o.Short, Prefill: l.Prefill - o.Prefill, Waiting: l.Waiting - o.Waiting, Urgent: l.Urgent - o.Urgent,
 		Gaps: l.Gaps - o.Gaps, GapTime: l.GapTime - o.GapTime,
 	}
 }
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -204,7 +204,8 @@
 	}
 	t.choice.Load, t.choice.ReportAge = p.Board.Total(t.choice.Key, now), p.Board.ReportAge(now)
 	p.cached.note(t.choice.Key, t.job.Parts, now)
-	p.Board.Add(t.choice.Key, Load{Running: 1, Prefill: t.choice.Prefill})
+	t.choice.Short = t.profile.Short
+	p.Board.Add(t.choice.Key, t.choice.running(1).plus(Load{Prefill: t.choice.Prefill}))
 	t.Granted <- t.choice
 }
 
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -79,11 +79,22 @@
 	Reason  Reason
 	// Prefill is the number of tokens that the replica is expected to read.
 	Prefill int
+	// Short tells that the prompt is short compared with others of its service.
+	Short bool
 	// Load is the load that the decision saw, and ReportAge the age of the oldest report in it.
 	Load      Load
 	ReportAge time.Duration
 }
 
+// running is the load of the request while it runs, times sign.
+func (c *Choice) running(sign int) Load {
+	l := Load{Running: sign}
+	if c.Short {
+		l.Short = sign
+	}
+	return l
+}
+
 // ReplicaID returns the ID of the chosen replica, or "" before a choice.
 func (c *Choice) ReplicaID() string {
 	if c.Replica == nil {
@@ -193,7 +204,12 @@
 // short chooses for a short prompt. It goes to its own pool unless a replica of the other one has so much less to do that
 // the long prompts there disturb it less. It answers bursts of short work, and a pool that slows down or loses replicas.
 func (p *Placer) short(job *Job, l *layout, now time.Time) (Choice, bool) {
-	own, cost, ok := p.leastOf(job, l.short, now)
+	own, cost, ok := p.leastOf(job, l.kept, now)
+	if pack := float64(time.Duration(p.set.PackCost).Microseconds()) / 1000; !ok || cost > pack {
+		if lent, lentCost, found := p.leastOf(job, l.lent, now); found && (!ok || lentCost+pack < cost) {
+			own, cost, ok = lent, lentCost, true
+		}
+	}
 	if !ok {
 		return p.least(job, l.long, nil, ReasonOverflow, now)
 	}
@@ -238,12 +254,17 @@
 	}
 	if lendCost := float64(time.Duration(p.set.LendCost).Milliseconds()); bestCost > lendCost && p.calm(l, now) {
 		for _, index := range found[:l.lentHomes.homes(key, found[:lentHomeCount])] {
-			consider(l.lent[index], ReasonLent, lendCost)
+			if p.Board.Total(l.lent[index].key, now).Short <= lentShort {
+				consider(l.lent[index], ReasonLent, lendCost)
+			}
 		}
 	}
 	return best, best.Replica != nil
 }
 
+// lentShort is the number of short prompts that may run on a replica that is lent. Long prompts there make them late.
+const lentShort = 1
+
 // lentHomeCount is the number of lent replicas that are considered for a prompt.
 const lentHomeCount = 2
 
@@ -353,7 +374,7 @@
 
 // Ended notes that the replica is done with the job. started tells whether FirstEvent was called.
 func (p *Placer) Ended(c Choice, started bool, now time.Time) {
-	change := Load{Running: -1}
+	change := c.running(-1)
 	if !started {
 		change.Prefill = -c.Prefill
 	}
