edge: answers of the store are shared between edges

Change: watches are held for 10 s; the edge that hears first that the freshest answer of any edge is 0.7 to 1.2 s old asks again, and tells the others; a newer configuration or a late finding makes the others ask.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -88,7 +88,7 @@
 
 const (
 	// tickInterval is the time between two runs of the periodic work.
-	tickInterval = 250 * time.Millisecond
+	tickInterval = 100 * time.Millisecond
 	// readHeaderTimeout and idleTimeout are above what configurations allow, so that they end only connections that are
 	// of no use: a caller's connection that is closed early costs the caller a request.
 	readHeaderTimeout = 30 * time.Second
@@ -114,6 +114,9 @@
 	forwarder *forward.Forwarder
 	gossip    *gossip.Node
 	observer  *observer
+	fresh     *freshness
+	// configurationFeed and replicaFeed follow the store.
+	configurationFeed, replicaFeed *store.Feed
 
 	callers, ready, metrics net.Listener
 	// draining is set by the order to stop, leaving once callers are asked to go, refusing once new requests are refused.
@@ -134,6 +137,8 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryBytes)))
 	}
 	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement), pool: direct.NewPool()}
+	e.fresh = newFreshness(deps.Source.ConfigurationKind, deps.Source.ReplicaKind)
+	e.configurationFeed, e.replicaFeed = e.followConfiguration(), e.followReplicas()
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
 	e.forwarder = &forward.Forwarder{
 		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Observer: e.observer,
@@ -191,7 +196,8 @@
 
 func (e *Edge) collect() gossip.State {
 	own := map[place.Key]place.Load{}
-	state := gossip.State{Changes: e.placer.Board.Own(own, time.Now())}
+	now := time.Now()
+	state := gossip.State{Changes: e.placer.Board.Own(own, now), Freshness: e.fresh.tell(e.version(), now)}
 	for k, l := range own {
 		state.Loads = append(state.Loads, gossip.Load{
 			Replica: uint32(k), Running: uint32(l.Running), Short: uint32(l.Short), Prefill: uint32(l.Prefill), Waiting: uint32(l.Waiting), Urgent: uint32(l.Urgent),
@@ -204,19 +210,29 @@
 	return state
 }
 
-func (e *Edge) report(from netip.Addr, loads []gossip.Load, notes []gossip.Note) {
-	seen := make(map[place.Key]place.Load, len(loads))
-	for _, l := range loads {
+func (e *Edge) report(from netip.Addr, r *gossip.Report) {
+	now := time.Now()
+	if e.fresh.hear(from, r.Fresh, e.version(), now) {
+		e.ask()
+	}
+	seen := make(map[place.Key]place.Load, len(r.Loads))
+	for _, l := range r.Loads {
 		seen[place.Key(l.Replica)] = place.Load{
 			Running: int(l.Running), Short: int(l.Short), Prefill: int(l.Prefill), Waiting: int(l.Waiting), Urgent: int(l.Urgent),
 			Gaps: int(l.Gaps), GapTime: int(l.GapTime),
 		}
 	}
-	told := make([]place.Note, 0, len(notes))
-	for _, n := range notes {
+	told := make([]place.Note, 0, len(r.Notes))
+	for _, n := range r.Notes {
 		told = append(told, place.Note{Replica: place.Key(n.Replica), Part: n.Part})
 	}
-	e.placer.Reported(from.String(), seen, told, time.Now())
+	e.placer.Reported(from.String(), seen, told, now)
+}
+
+// ask asks the store for what its watches may have missed.
+func (e *Edge) ask() {
+	e.configurationFeed.Refresh()
+	e.replicaFeed.Refresh()
 }
 
 // Run serves until ctx ends and the drain is over.
@@ -224,7 +240,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var work sync.WaitGroup
-	for _, run := range []func(context.Context){e.followConfiguration, e.followReplicas, e.gossip.Run, e.pool.Run, e.tick, e.observer.run} {
+	for _, run := range []func(context.Context){e.configurationFeed.Run, e.replicaFeed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run} {
 		work.Go(func() { run(background) })
 	}
 	server := &http.Server{
@@ -269,6 +285,9 @@
 			e.reload()
 		case now := <-ticker.C:
 			e.placer.Tick(now)
+			if e.fresh.due(now) {
+				e.ask()
+			}
 			if gone := e.registry.Expire(now); len(gone) > 0 {
 				e.listChanged("lapsed")
 			}
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -11,9 +11,9 @@
 	"github.com/dragonflypin/dragonflypin/internal/version/routes"
 )
 
-// storeRetryLimit bounds the wait between calls to a store that fails. It is a fifth of the bound within which a
-// configuration has to be in force (2 s).
-const storeRetryLimit = 400 * time.Millisecond
+// storeRetryLimit bounds the wait between calls to a store that fails. Every call is paid for, and after an outage the
+// bounds hold again only after the contact time (3 s and more).
+const storeRetryLimit = 800 * time.Millisecond
 
 // pageSize is the number of objects that are asked for at once; the platform decides how many it sends.
 const pageSize = 500
@@ -30,13 +30,18 @@
 			}
 			e.observer.troubled(eventlog.StoreUnavailable, err)
 		},
-		OnContact:  func() { e.registry.StoreAnswered(time.Now()) },
+		OnContact: func() {
+			now := time.Now()
+			e.registry.StoreAnswered(now)
+			e.fresh.onAnswer(kind, now)
+		},
+		OnLate:     e.fresh.onLate,
 		RetryLimit: storeRetryLimit,
 		Pace:       time.Duration(e.cfg.WatchPace),
 	}
 }
 
-func (e *Edge) followConfiguration(ctx context.Context) {
+func (e *Edge) followConfiguration() *store.Feed {
 	source := &e.deps.Source
 	accept := func(o store.Object) {
 		if o.Name != source.ConfigurationName || o.Deleted {
@@ -49,7 +54,7 @@
 		}
 		e.configured(v)
 	}
-	e.feed(source.ConfigurationKind,
+	return e.feed(source.ConfigurationKind,
 		func(objects []store.Object) {
 			for _, o := range objects {
 				accept(o)
@@ -65,7 +70,7 @@
 			}
 			accept(o)
 			return nil
-		}).Run(ctx)
+		})
 }
 
 func (e *Edge) configured(v *routes.Version) {
@@ -77,9 +82,9 @@
 	e.deps.Log.Emit(eventlog.EdgeConfigured, eventlog.Version(v.Number), eventlog.Count(len(v.Routes)))
 }
 
-func (e *Edge) followReplicas(ctx context.Context) {
+func (e *Edge) followReplicas() *store.Feed {
 	kind := e.deps.Source.ReplicaKind
-	e.feed(kind,
+	return e.feed(kind,
 		func(objects []store.Object) {
 			e.registry.Apply(e.changes(objects), time.Now())
 			e.listChanged("changed")
@@ -99,7 +104,7 @@
 			e.registry.Replace(e.changes(all), time.Now())
 			e.listChanged("listed")
 			return nil
-		}).Run(ctx)
+		})
 }
 
 func (e *Edge) changes(objects []store.Object) []replicas.Change {
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -69,10 +69,22 @@
 	Part uint64
 }
 
+// Freshness tells how well the sender knows what the store holds.
+type Freshness struct {
+	_ struct{} `cbor:",toarray"`
+	// Configuration is the version in force at the sender.
+	Configuration uint64
+	// AgeMs is the time since the sender last heard from the store on all kinds that it follows, in milliseconds.
+	AgeMs uint32
+	// Late counts the writes that the sender found only by asking again.
+	Late uint32
+}
+
 // State is what an entry tells the others.
 type State struct {
-	Loads []Load
-	Notes []Note
+	Freshness Freshness
+	Loads     []Load
+	Notes     []Note
 	// Changes grows with every change of the state.
 	Changes uint64
 }
@@ -84,6 +96,7 @@
 	// Epoch is the start of the sender's process, in Unix milliseconds. It separates the parts of two processes.
 	Epoch uint64
 	Seq   uint64
+	Fresh Freshness
 	Loads []Load
 	Notes []Note
 	// Peers are addresses of other entries, as IPv4 numbers.
@@ -99,7 +112,7 @@
 	// Collect returns the own state.
 	Collect func() State
 	// OnReport receives the state of another entry.
-	OnReport func(from netip.Addr, loads []Load, notes []Note)
+	OnReport func(from netip.Addr, report *Report)
 	// OnPeer is told when an entry is heard for the first time, or after a silence (true), and when it falls silent (false).
 	OnPeer func(peer netip.Addr, heard bool)
 	// OnError receives failures of the socket. It must not block.
@@ -177,7 +190,7 @@
 func (n *Node) send(state State, now time.Time) {
 	targets, known := n.targets(now)
 	n.seq++
-	report := Report{Protocol: protocolVersion, Epoch: n.epoch, Seq: n.seq, Loads: state.Loads, Notes: state.Notes, Peers: known}
+	report := Report{Protocol: protocolVersion, Epoch: n.epoch, Seq: n.seq, Fresh: state.Freshness, Loads: state.Loads, Notes: state.Notes, Peers: known}
 	data, err := cbor.Marshal(&report)
 	for err == nil && len(data) > maxDatagram {
 		// The largest fleets: the rest goes untold, in a different choice each time.
@@ -258,7 +271,7 @@
 			continue
 		}
 		if n.accept(from.Addr().Unmap(), &report, time.Now()) {
-			n.opts.OnReport(from.Addr().Unmap(), report.Loads, report.Notes)
+			n.opts.OnReport(from.Addr().Unmap(), &report)
 		}
 	}
 }
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -9,11 +9,10 @@
 	LogLinesPerSecond int `json:"log_lines_per_second" default:"400" min:"1" max:"100000" unit:"lines"`
 	// StoreCallsPerSecond is the budget of calls to the object store, a pending watch counting as one. Default 10.
 	StoreCallsPerSecond float64 `json:"store_calls_per_second" default:"10" min:"1" max:"1000" unit:"calls/s"`
-	// WatchTime is how long the store may hold a watch. A watch may miss writes without an error until it ends, so it is
-	// below the bound within which a configuration has to be in force (2 s). Default "1200ms".
-	WatchTime Duration `json:"watch_time" default:"1200ms" min:"500ms" max:"30s"`
-	// WatchPace is the shortest time between two watches of a kind; writes in between arrive together. Default "200ms".
-	WatchPace Duration `json:"watch_pace" default:"200ms" min:"0s" max:"5s"`
+	// WatchTime is how long the store may hold a watch. Edges ask in between, together about once a second. Default "10s".
+	WatchTime Duration `json:"watch_time" default:"10s" min:"500ms" max:"30s"`
+	// WatchPace is the shortest time between two watches of a kind; writes in between arrive together. Default "400ms".
+	WatchPace Duration `json:"watch_pace" default:"400ms" min:"0s" max:"5s"`
 	// Placement sets the weights of the choice of replicas.
 	Placement Placement `json:"placement"`
 	// Log configures the event log.
--- a/internal/process/store/http.go
+++ b/internal/process/store/http.go
@@ -187,7 +187,7 @@
 
 // Watch implements Client. A watch that the platform ends without writes is not an error.
 func (h *HTTP) Watch(ctx context.Context, kind string, after uint64) ([]Object, uint64, error) {
-	c := &Call{Op: OpWatch, Kind: kind, After: after, Wait: h.opt.WatchTime}
+	c := &Call{Op: OpWatch, Kind: kind, After: after, Wait: waitOf(ctx, h.opt.WatchTime)}
 	a, err := h.call(ctx, c)
 	if err != nil {
 		return nil, after, err
@@ -199,6 +199,20 @@
 	return objs, max(after, revision), nil
 }
 
+type waitKey struct{}
+
+// WithWait bounds the time for which the platform may hold the watches of a context.
+func WithWait(ctx context.Context, wait time.Duration) context.Context {
+	return context.WithValue(ctx, waitKey{}, wait)
+}
+
+func waitOf(ctx context.Context, wait time.Duration) time.Duration {
+	if shorter, ok := ctx.Value(waitKey{}).(time.Duration); ok {
+		return min(shorter, wait)
+	}
+	return wait
+}
+
 // one makes a call whose answer is one object.
 func (h *HTTP) one(ctx context.Context, c *Call) (Object, error) {
 	a, err := h.call(ctx, c)
@@ -250,7 +264,7 @@
 func (h *HTTP) send(ctx context.Context, op Op, s *sling.Sling) (*Answer, error) {
 	timeout := h.opt.Timeout
 	if op == OpWatch {
-		timeout = h.opt.WatchTime + h.opt.WatchGrace
+		timeout = waitOf(ctx, h.opt.WatchTime) + h.opt.WatchGrace
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
