--- /dev/null
+++ b/internal/app/edge/edge_test.go
@@ -0,0 +1,382 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/platform/platformtest"
+)
+
+// Guards against answers that differ from the replica's, and against headers that reach the wrong side.
+func TestAnswerIsTheReplicasOwn(t *testing.T) {
+	r := newReplica(t, "r-1")
+	f := newFleet(t, config(1), r).waitReady()
+	got := f.send(t.Context(), request{method: http.MethodPost, path: "/plain/x?q=1", id: id(1), body: "page", header: map[string]string{
+		"X-Tenant": "somebody-else", "X-Hold": "h", "X-Pin-Ms": "9", "X-Kv-Backup": "1.2.3.4:5", "Kv-From": "1.2.3.4:5/6",
+		"X-Expect-Instance": "other", "Connection": "close, X-Private", "X-Private": "1", "X-Kept": "yes",
+	}})
+	if got.status != http.StatusOK || got.body != platformtest.Body(id(1)) || got.err != nil {
+		t.Fatalf("got %+v", got)
+	}
+	if s := got.header.Get("X-Response-Signature"); s != platformtest.Signature("r-1", id(1)) {
+		t.Errorf("signature %q", s)
+	}
+	run := r.Runs()[0]
+	if run.Target != "/plain/x?q=1" || run.Body != "page" || run.Method != http.MethodPost {
+		t.Errorf("replica got %s %s %q", run.Method, run.Target, run.Body)
+	}
+	for name, want := range map[string]string{
+		"X-Tenant": testTenant, "X-Expect-Instance": "r-1", "X-Kept": "yes", "X-Api-Key": "", "X-Hold": "", "X-Pin-Ms": "",
+		"X-Kv-Backup": "", "Kv-From": "", "X-Private": "",
+	} {
+		if v := run.Header.Get(name); v != want {
+			t.Errorf("replica got %s %q, want %q", name, v, want)
+		}
+	}
+}
+
+// Guards against a second run of an order whose answer was lost, and against an answer that says it has not run.
+func TestLostOrderIsNeitherRepeatedNorDenied(t *testing.T) {
+	a, b := newReplica(t, "r-1"), newReplica(t, "r-2")
+	f := newFleet(t, config(1), a, b).waitReady()
+	a.SetFault(platformtest.ReplicaFault{ResetAfter: 1})
+	b.SetFault(platformtest.ReplicaFault{ResetAfter: 1})
+	for n := range 10 {
+		got := f.send(t.Context(), request{method: http.MethodPost, path: "/order/x", id: id(n)})
+		if got.status != http.StatusBadGateway {
+			t.Errorf("status %d for an order that ran", got.status)
+		}
+		if runs := runsOf(id(n), a, b); runs != 1 {
+			t.Errorf("order ran %d times", runs)
+		}
+	}
+}
+
+// Guards against failures that another replica could have avoided: an idempotent request is repeated, an order that was
+// provably not run as well.
+func TestRepeatsElsewhereWhereAllowed(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault platformtest.ReplicaFault
+		path  string
+	}{
+		"idempotent, answer lost":  {platformtest.ReplicaFault{ResetAfter: 1}, "/plain/x"},
+		"idempotent, cut body":     {platformtest.ReplicaFault{Truncate: true}, "/plain/x"},
+		"idempotent, server error": {platformtest.ReplicaFault{FailStatus: 500}, "/plain/x"},
+		"order, replica full":      {platformtest.ReplicaFault{Full: true}, "/order/x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newReplica(t, "r-1"), newReplica(t, "r-2")
+			f := newFleet(t, config(1), a, b).waitReady()
+			a.SetFault(c.fault)
+			for n := range 6 {
+				got := f.send(t.Context(), request{path: c.path, id: id(n)})
+				if got.status != http.StatusOK || got.body != platformtest.Body(id(n)) || got.err != nil {
+					t.Errorf("got %+v", got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against refusals that don't say when to come back, or promise what is not so.
+func TestFullReplicasAreATrueRefusal(t *testing.T) {
+	a := newReplica(t, "r-1")
+	f := newFleet(t, config(1), a).waitReady()
+	a.SetFault(platformtest.ReplicaFault{Full: true})
+	got := f.send(t.Context(), request{method: http.MethodPost, path: "/order/x", id: id(1)})
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || got.header.Get("X-Response-Signature") != "" {
+		t.Errorf("got %+v", got)
+	}
+	if runsOf(id(1), a) != 0 {
+		t.Error("the order ran")
+	}
+}
+
+// Guards against a stream with missing, repeated or joined pieces after its replica broke off, also inside an event.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	for _, midEvent := range []bool{false, true} {
+		a, b := newReplica(t, "r-1"), newReplica(t, "r-2")
+		a.Events, b.Events = 9, 9
+		f := newFleet(t, config(1), a, b).waitReady()
+		a.SetFault(platformtest.ReplicaFault{ResetAfter: 3, MidEvent: midEvent})
+		for n := range 6 {
+			got := f.send(t.Context(), request{path: "/stream/again/x", id: id(n)})
+			if got.status != http.StatusOK || got.err != nil || got.body != streamBody(9) {
+				t.Errorf("cut inside an event %t: got %+v", midEvent, got)
+			}
+		}
+	}
+}
+
+// Guards against a cut stream that may not go on and looks complete.
+func TestCutStreamDoesNotLookComplete(t *testing.T) {
+	a, b := newReplica(t, "r-1"), newReplica(t, "r-2")
+	f := newFleet(t, config(1), a, b).waitReady()
+	a.SetFault(platformtest.ReplicaFault{ResetAfter: 3})
+	b.SetFault(platformtest.ReplicaFault{ResetAfter: 3})
+	got := f.send(t.Context(), request{path: "/stream/once/x", id: id(1)})
+	if got.err == nil {
+		t.Errorf("the cut answer looks complete: %+v", got)
+	}
+	if runs := runsOf(id(1), a, b); runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+}
+
+// Guards against a second answer on a connection that reaches the next caller.
+func TestExtraAnswersReachNobody(t *testing.T) {
+	a := newReplica(t, "r-1")
+	f := newFleet(t, config(1), a).waitReady()
+	a.SetFault(platformtest.ReplicaFault{Extra: true})
+	for n := range 20 {
+		got := f.send(t.Context(), request{path: "/plain/x", id: id(n)})
+		if got.status == http.StatusOK && got.body != platformtest.Body(id(n)) {
+			t.Fatalf("request %d got %+v", n, got)
+		}
+	}
+}
+
+// Guards against requests that wait beyond the route's timeout, and against a refusal for one that was sent.
+func TestTimeoutIsAnsweredOnTime(t *testing.T) {
+	a := newReplica(t, "r-1")
+	f := newFleet(t, config(1), a).waitReady()
+	a.SetFault(platformtest.ReplicaFault{Hang: true})
+	began := time.Now()
+	got := f.send(t.Context(), request{method: http.MethodPost, path: "/order/x", id: id(1)})
+	if took := time.Since(began); got.status != http.StatusGatewayTimeout || took > 1700*time.Millisecond {
+		t.Errorf("got status %d after %s, want 504 after 1.2 s", got.status, took)
+	}
+	eventually(t, "the replica is left", func() bool { return a.Open() == 0 })
+}
+
+// Guards against work that goes on after its caller left.
+func TestWorkStopsWhenTheCallerLeaves(t *testing.T) {
+	a := newReplica(t, "r-1")
+	a.Events, a.Pause = 1000, 20*time.Millisecond
+	f := newFleet(t, config(1), a).waitReady()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		eventually(t, "the stream runs", func() bool { return a.Open() == 1 })
+		cancel()
+	}()
+	f.send(ctx, request{path: "/stream/again/x", id: id(1)})
+	left := time.Now()
+	eventually(t, "the replica stops", func() bool { return a.Open() == 0 })
+	if took := time.Since(left); took > 500*time.Millisecond {
+		t.Errorf("the replica worked on for %s", took)
+	}
+}
+
+// Guards against requests that a replica gets by its address alone: addresses are used again by other services.
+func TestAddressUsedAgainRunsNothing(t *testing.T) {
+	a, b := newReplica(t, "r-new"), newReplica(t, "r-2")
+	f := newFleet(t, config(1), b).waitReady()
+	entry := a.Entry("ready")
+	f.store.Put("servers", "r-old", entry)
+	t.Cleanup(a.Close)
+	sent := 0
+	eventually(t, "a request reaches the address", func() bool {
+		sent++
+		if got := f.send(t.Context(), request{path: "/plain/x", id: id(sent)}); got.status != http.StatusOK {
+			t.Errorf("got %+v", got)
+		}
+		return a.Misdirected()+len(a.Runs()) > 0
+	})
+	if len(a.Runs()) != 0 {
+		t.Errorf("another replica ran %d requests", len(a.Runs()))
+	}
+}
+
+// Guards against routes, keys and services of an old version, and against a step back.
+func TestConfigurationIsInForceAndNeverReverts(t *testing.T) {
+	a := newReplica(t, "r-1")
+	f := newFleet(t, config(5), a).waitReady()
+	status := func(path string, key string) int {
+		return f.send(t.Context(), request{path: path, id: id(1), header: map[string]string{"X-Api-Key": key}}).status
+	}
+	if got := status("/plain/x", "unknown"); got != http.StatusUnauthorized {
+		t.Errorf("unknown key: status %d", got)
+	}
+	if got := status("/nowhere/x", testKey); got != http.StatusNotFound {
+		t.Errorf("unknown route: status %d", got)
+	}
+	f.store.Put("config", "main", config(7, func(r []route) { r[0]["path_prefix"] = "/moved/" }))
+	eventually(t, "version 7 is in force", func() bool { return status("/moved/x", testKey) == http.StatusOK })
+	f.store.Put("config", "main", config(6))
+	time.Sleep(time.Second)
+	if got := status("/moved/x", testKey); got != http.StatusOK {
+		t.Errorf("version 6 replaced version 7: status %d", got)
+	}
+}
+
+// Guards against changes that a watch never tells of: the edge asks in between, within the bound of a configuration.
+func TestDeafWatchIsFoundWithinTheBound(t *testing.T) {
+	a := newReplica(t, "r-1")
+	f := newFleet(t, config(1), a).waitReady()
+	f.store.SetFault(platformtest.StoreFault{Deaf: true})
+	time.Sleep(300 * time.Millisecond)
+	f.store.Put("config", "main", config(2, func(r []route) { r[0]["path_prefix"] = "/moved/" }))
+	f.store.Compact()
+	began := time.Now()
+	eventually(t, "version 2 is in force", func() bool {
+		return f.send(t.Context(), request{path: "/moved/x", id: id(1)}).status == http.StatusOK
+	})
+	if took := time.Since(began); took > f.node.ApplyBound {
+		t.Errorf("in force after %s, want %s", took, f.node.ApplyBound)
+	}
+}
+
+// Guards against an edge that denies requests, or says it is ready, before it knows a configuration.
+func TestWithoutConfigurationNothingIsDenied(t *testing.T) {
+	a := newReplica(t, "r-1")
+	f := newFleet(t, nil, a)
+	eventually(t, "the edge answers", func() bool {
+		got := f.send(t.Context(), request{path: "/plain/x", id: id(1)})
+		return got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != ""
+	})
+	if f.ready() {
+		t.Error("ready without a configuration")
+	}
+	f.store.Put("config", "main", config(1))
+	f.waitReady()
+}
+
+// Guards against work for a replica that leaves, and against losing all replicas to one unreadable entry.
+func TestDrainingReplicaGetsNoNewWork(t *testing.T) {
+	a, b := newReplica(t, "r-1"), newReplica(t, "r-2")
+	f := newFleet(t, config(1), a, b).waitReady()
+	f.store.PutRaw("servers", "other-writer", `{"service": 7, "address": [], "state": "asleep"}`)
+	f.store.PutRaw("servers", "other-writer-2", `"words"`)
+	f.store.Put("servers", a.ID, a.Entry("draining"))
+	time.Sleep(f.node.DrainBound)
+	before := len(a.Runs())
+	for n := range 10 {
+		if got := f.send(t.Context(), request{path: "/plain/x", id: id(n)}); got.status != http.StatusOK {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if after := len(a.Runs()); after != before {
+		t.Errorf("the draining replica ran %d requests", after-before)
+	}
+}
+
+// Guards against replicas that are dropped because their entries lapsed while the store was away.
+func TestLapsedEntriesSurviveAnOutage(t *testing.T) {
+	a := newReplica(t, "r-1")
+	f := newFleet(t, config(1), a).waitReady()
+	f.store.SetFault(platformtest.StoreFault{Busy: true})
+	time.Sleep(1500 * time.Millisecond)
+	f.store.Remove("servers", a.ID)
+	f.store.Compact()
+	f.store.SetFault(platformtest.StoreFault{})
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if got := f.send(t.Context(), request{path: "/plain/x", id: id(1)}); got.status != http.StatusOK {
+			t.Fatalf("got %+v while the entry may still come back", got)
+		}
+	}
+	eventually(t, "the entry that did not come back is dropped", func() bool {
+		return f.send(t.Context(), request{path: "/plain/x", id: id(1)}).status == http.StatusServiceUnavailable
+	})
+}
+
+// Guards against requests that a planned stop cuts, and against a stopping edge that says it is ready.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	a := newReplica(t, "r-1")
+	a.Events, a.Pause = 60, 50*time.Millisecond
+	f := newStoppingFleet(t, stopGrace, config(1), a).waitReady()
+	var streams sync.WaitGroup
+	for n := range 4 {
+		streams.Go(func() {
+			if got := f.send(t.Context(), request{path: "/stream/again/x", id: id(n)}); got.err != nil || got.body != streamBody(60) {
+				t.Errorf("stream %d: %+v", n, got)
+			}
+		})
+	}
+	eventually(t, "all streams run", func() bool { return a.Open() == 4 })
+	f.stop()
+	eventually(t, "not ready", func() bool { return !f.ready() })
+	if got := f.send(t.Context(), request{path: "/plain/x", id: "late"}); got.status != http.StatusOK {
+		t.Errorf("a request right after the order to stop got %+v", got)
+	}
+	streams.Wait()
+	<-f.done
+}
+
+// Guards against a connection that is closed under a request: a caller on an open connection is asked to go with its answer.
+func TestStoppingEdgeAsksCallersToGo(t *testing.T) {
+	a := newReplica(t, "r-1")
+	f := newStoppingFleet(t, stopGrace, config(1), a).waitReady()
+	conn, err := net.Dial("tcp4", f.node.CallerListen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	ask := func() *http.Response {
+		_, _ = fmt.Fprintf(conn, "GET /plain/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a\r\nX-Api-Key: %s\r\n\r\n", testKey)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("no answer on an open connection: %v", err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return resp
+	}
+	if ask().Close {
+		t.Error("asked to go before the stop")
+	}
+	f.stop()
+	time.Sleep(2500 * time.Millisecond)
+	if resp := ask(); !resp.Close || resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d, asked to go %t", resp.StatusCode, resp.Close)
+	}
+}
+
+// Guards against a reset in place of the refusal for a caller that is still sending a body over the bound.
+func TestCallerReadsTheRefusalOfALargeBody(t *testing.T) {
+	a := newReplica(t, "r-1")
+	f := newFleet(t, config(1), a).waitReady()
+	conn, err := net.Dial("tcp4", f.node.CallerListen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	const size = 64 << 20
+	head := fmt.Sprintf("POST /plain/x HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: %s\r\nContent-Length: %d\r\n\r\n", testKey, size)
+	if _, err := io.Copy(conn, io.MultiReader(strings.NewReader(head), strings.NewReader(strings.Repeat("x", size)))); err != nil {
+		t.Fatalf("the body could not be sent: %v", err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("got %v, error %v", resp, err)
+	}
+}
+
+// Guards against a failure that on-call engineers can't explain: each request leaves a line with its inputs.
+func TestLinesExplainARequest(t *testing.T) {
+	a := newReplica(t, "r-1")
+	f := newFleet(t, config(3), a).waitReady()
+	f.send(t.Context(), request{path: "/plain/x", id: "one"})
+	a.SetFault(platformtest.ReplicaFault{FailStatus: 500})
+	f.send(t.Context(), request{path: "/plain/x", id: "two"})
+	f.send(t.Context(), request{path: "/nowhere/x", id: "three"})
+	eventually(t, "all lines are written", func() bool { return strings.Contains(f.log.String(), `"request_id":"three"`) })
+	for _, want := range []string{
+		`"event":"edge_request_ended"`, `"request_id":"one"`, `"upstream":"r-1"`, `"version":3`, `"seen_load":[0,0,0]`,
+		`"event":"edge_attempt_failed"`, `"status":500`, `"refused_for":"no_route"`,
+	} {
+		if !strings.Contains(f.log.String(), want) {
+			t.Errorf("no %s in the log", want)
+		}
+	}
+	if strings.Contains(f.log.String(), testKey) {
+		t.Error("a key is in the log")
+	}
+}
--- /dev/null
+++ b/internal/app/edge/fixture_test.go
@@ -0,0 +1,277 @@
+package edge_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/app/edge"
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
+	"github.com/dragonflypin/dragonflypin/internal/process/metrics"
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/platform"
+	"github.com/dragonflypin/dragonflypin/platform/platformtest"
+)
+
+const (
+	testKey    = "key-of-workspace-one"
+	testTenant = "workspace-one"
+	// quickStop ends edges of tests that are not about the stop; stopGrace is what the platform gives.
+	quickStop = 500 * time.Millisecond
+	stopGrace = 8 * time.Second
+	// soon bounds waits for what should happen at once.
+	soon = 5 * time.Second
+)
+
+// fleet is a store, replicas and one edge on loopback.
+type fleet struct {
+	t     *testing.T
+	store *platformtest.Store
+	node  settings.Node
+	log   *syncBuffer
+	stop  context.CancelFunc
+	done  chan struct{}
+	grace time.Duration
+}
+
+// syncBuffer is a log that tests read while it is written.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+// String returns what was written so far.
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+func freePort(t *testing.T, network string) uint16 {
+	t.Helper()
+	if network == "udp4" {
+		c, err := net.ListenPacket(network, "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		return netip.MustParseAddrPort(c.LocalAddr().String()).Port()
+	}
+	l, err := net.Listen(network, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String()).Port()
+}
+
+// newFleet starts a store with the configuration and replicas, and an edge. The edge is not yet ready.
+func newFleet(t *testing.T, configuration map[string]any, replicas ...*platformtest.Replica) *fleet {
+	t.Helper()
+	return newStoppingFleet(t, quickStop, configuration, replicas...)
+}
+
+// newStoppingFleet is newFleet with another time between the order to stop and the end.
+func newStoppingFleet(t *testing.T, grace time.Duration, configuration map[string]any, replicas ...*platformtest.Replica) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: platformtest.NewStore(), grace: grace}
+	t.Cleanup(f.store.Close)
+	if configuration != nil {
+		f.store.Put("config", "main", configuration)
+	}
+	for _, r := range replicas {
+		f.store.Put("servers", r.ID, r.Entry("ready"))
+		t.Cleanup(r.Close)
+	}
+	f.start()
+	return f
+}
+
+func (f *fleet) start() {
+	f.t.Helper()
+	loopback := netip.MustParseAddr("127.0.0.1")
+	f.node = settings.Node{
+		Name: "edge-1", Role: "edge", Zone: "z1", Address: loopback,
+		CallerListen: netip.AddrPortFrom(loopback, freePort(f.t, "tcp4")),
+		ReadyListen:  netip.AddrPortFrom(loopback, freePort(f.t, "tcp4")),
+		PeerPort:     freePort(f.t, "udp4"),
+		StoreAddress: netip.MustParseAddrPort(f.store.Address()),
+		StopGrace:    f.grace, SettleTime: 3 * time.Second, ApplyBound: 2 * time.Second, DrainBound: 2 * time.Second,
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryReserve: 54,
+	}
+	cfg := settings.Edge{MetricsPort: int(freePort(f.t, "tcp4"))}
+	settings.ApplyDefaults(&cfg)
+	client, err := store.NewHTTP(store.Options{
+		BaseURL: f.store.URL, Form: platform.StoreForm{}, CallsPerSecond: 100, Attempts: 1,
+		Timeout: time.Second, WatchTime: time.Duration(cfg.WatchTime), WatchGrace: time.Second,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	m, err := metrics.New("edge", "edge-1", "z1")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.log = &syncBuffer{}
+	e, err := edge.New(f.node, cfg, edge.Deps{
+		Store: client, Source: platform.Source(), Front: platform.Front{}, Dialect: platform.Dialect{},
+		Log: eventlog.New(f.log, "info", "edge", "edge-1"), Metrics: m,
+		Reload: func() (settings.Node, error) { return f.node, nil },
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop, f.done = cancel, make(chan struct{})
+	go func() {
+		defer close(f.done)
+		if err := e.Run(ctx); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	f.t.Cleanup(func() {
+		cancel()
+		<-f.done
+	})
+}
+
+func (f *fleet) ready() bool {
+	resp, err := http.Get("http://" + f.node.ReadyListen.String() + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// waitReady waits until the edge takes callers.
+func (f *fleet) waitReady() *fleet {
+	f.t.Helper()
+	eventually(f.t, "the edge is ready", f.ready)
+	return f
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(soon); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", soon, what)
+}
+
+// request is one call of a client.
+type request struct {
+	method, path, id string
+	header           map[string]string
+	body             string
+}
+
+// result is what the client got.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	// err is set when the answer broke off.
+	err error
+}
+
+func (f *fleet) send(ctx context.Context, r request) result {
+	f.t.Helper()
+	if r.method == "" {
+		r.method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+f.node.CallerListen.String()+r.path, strings.NewReader(r.body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = "shop.example"
+	req.Header.Set("X-Attempt-Id", r.id)
+	req.Header.Set("X-Api-Key", testKey)
+	req.Header.Set("X-Deadline-Ms", "4000")
+	for name, value := range r.header {
+		req.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// route describes a route of the sample configuration.
+type route map[string]any
+
+// config returns a configuration with a plain, an order and two streaming routes.
+func config(version int, change ...func(routes []route)) map[string]any {
+	routes := []route{
+		{"name": "plain", "path_prefix": "/plain/", "kind": "idempotent", "service": "orders", "timeout_ms": 1200, "max_attempts": 2},
+		{"name": "order", "path_prefix": "/order/", "kind": "non_idempotent", "service": "orders", "timeout_ms": 1200, "max_attempts": 2},
+		{"name": "stream", "path_prefix": "/stream/again/", "kind": "streaming", "service": "orders", "timeout_ms": 4000, "max_attempts": 2, "resumable": true},
+		{"name": "once", "path_prefix": "/stream/once/", "kind": "streaming", "service": "orders", "timeout_ms": 4000, "max_attempts": 1},
+	}
+	for _, r := range routes {
+		r["hostname"], r["target_latency_ms"], r["priority"] = "shop.example", 150, 2
+	}
+	for _, c := range change {
+		c(routes)
+	}
+	return map[string]any{
+		"version": version, "routes": routes,
+		"services": []any{map[string]any{"name": "orders", "health_path": "/healthz", "max_conns": 100}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": testTenant, "api_keys": []string{testKey}}},
+	}
+}
+
+func newReplica(t *testing.T, id string) *platformtest.Replica {
+	t.Helper()
+	r, err := platformtest.NewReplica("127.0.0.1:0", id, "orders")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// runsOf returns how often the attempt ran, on all replicas.
+func runsOf(attempt string, replicas ...*platformtest.Replica) int {
+	n := 0
+	for _, r := range replicas {
+		for _, run := range r.Runs() {
+			if run.Attempt == attempt {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func streamBody(events int) string {
+	var b strings.Builder
+	for n := 1; n <= events; n++ {
+		b.WriteString(platformtest.Event(n))
+	}
+	return b.String()
+}
+
+func id(n int) string { return fmt.Sprintf("attempt-%04d", n) }
--- /dev/null
+++ b/internal/connection/direct/direct_test.go
@@ -0,0 +1,237 @@
+package direct_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
+)
+
+// script is a server that answers the n-th request of each connection with raw bytes.
+type script struct {
+	net.Listener
+	connections, requests atomic.Int32
+}
+
+func serve(t *testing.T, answer func(conn net.Conn, request *http.Request, n int) (keep bool)) *script {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.connection(conn, answer)
+		}
+	}()
+	return s
+}
+
+func (s *script) connection(conn net.Conn, answer func(net.Conn, *http.Request, int) bool) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for n := 1; ; n++ {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		s.requests.Add(1)
+		if !answer(conn, request, n) {
+			return
+		}
+	}
+}
+
+func plain(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func call(s *script, id string) *direct.Call {
+	return &direct.Call{
+		Address: s.Addr().String(), Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"X-Attempt": {id}},
+		Mine: func(_ int, h http.Header) bool { return h.Get("X-Attempt") == id },
+	}
+}
+
+func do(t *testing.T, p *direct.Pool, c *direct.Call) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	answer, err := p.Do(ctx, c)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return string(body), err
+}
+
+// Guards against a request that the pool sends twice by itself: a kept connection that the server closes at the next
+// request may have carried it to a run.
+func TestNothingIsRepeated(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *http.Request, n int) bool {
+		if n > 1 {
+			return false // the second request on a connection is read and never answered
+		}
+		_, err := io.WriteString(conn, plain(r.Header.Get("X-Attempt"), "ok"))
+		return err == nil
+	})
+	p := direct.NewPool()
+	if body, err := do(t, p, call(s, "1")); body != "ok" || err != nil {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	if _, err := do(t, p, call(s, "2")); !errors.Is(err, direct.ErrNoAnswer) {
+		t.Errorf("got %v, want ErrNoAnswer", err)
+	}
+	if n := s.requests.Load(); n != 2 {
+		t.Errorf("the server got %d requests", n)
+	}
+}
+
+// Guards against a refused connection that counts as a request that may have run.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	s := serve(t, func(net.Conn, *http.Request, int) bool { return false })
+	_ = s.Close()
+	if _, err := do(t, direct.NewPool(), call(s, "1")); !errors.Is(err, direct.ErrNotSent) {
+		t.Errorf("got %v, want ErrNotSent", err)
+	}
+}
+
+// Guards against bytes after an answer that become the answer to the next request.
+func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		id := r.Header.Get("X-Attempt")
+		_, err := io.WriteString(conn, plain(id, "own")+plain("1", "extra"))
+		return err == nil
+	})
+	p := direct.NewPool()
+	for n := 1; n <= 3; n++ {
+		if body, err := do(t, p, call(s, "1")); body != "own" || err != nil {
+			t.Errorf("request %d got %q, %v", n, body, err)
+		}
+	}
+	if n := s.connections.Load(); n != 3 {
+		t.Errorf("%d connections for 3 requests with extra answers", n)
+	}
+}
+
+// Guards against a late extra answer that is taken for the answer to the next request.
+func TestForeignAnswerIsSkipped(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(conn, plain("somebody", "theirs")+plain(r.Header.Get("X-Attempt"), "own"))
+		return err == nil
+	})
+	if body, err := do(t, direct.NewPool(), call(s, "1")); body != "own" || err != nil {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
+// Guards against cut answers that look complete, in each way in which a body can end.
+func TestCutAnswersAreErrors(t *testing.T) {
+	for name, raw := range map[string]string{
+		"length":     "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nContent-Length: 10\r\n\r\n12345",
+		"chunked":    "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
+		"head":       "HTTP/1.1 200 OK\r\nX-Att",
+		"no answer":  "",
+		"other text": "this is no answer\r\n\r\n",
+	} {
+		s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(conn, raw)
+			return false
+		})
+		if body, err := do(t, direct.NewPool(), call(s, "1")); err == nil {
+			t.Errorf("%s: the cut answer %q looks complete", name, body)
+		}
+	}
+}
+
+// Guards against a body without a length that a reset cut.
+func TestResetIsNotTheEndOfABody(t *testing.T) {
+	s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n\r\n12345")
+		time.Sleep(50 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	if body, err := do(t, direct.NewPool(), call(s, "1")); err == nil {
+		t.Errorf("the reset answer %q looks complete", body)
+	}
+}
+
+// Guards against the rest of a body on a connection whose replica answered before it had read it.
+func TestConnectionWithAnUnsentBodyIsNotReused(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	connections := make(chan net.Conn, 4)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections <- conn
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, plain("1", "early"))
+			}
+		}
+	}()
+	p := direct.NewPool()
+	c := &direct.Call{
+		Address: l.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{},
+		Body: []byte(strings.Repeat("x", 16<<20)),
+	}
+	for range 2 {
+		if body, err := do(t, p, c); body != "early" || err != nil {
+			t.Fatalf("got %q, %v", body, err)
+		}
+	}
+	if p.Opened() != 2 {
+		t.Errorf("%d connections for 2 requests whose bodies were not read", p.Opened())
+	}
+}
+
+// Guards against orders on connections that their replica may have dropped without a word.
+func TestStrictRequestsUseNoOldConnection(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(conn, plain(r.Header.Get("X-Attempt"), "ok"))
+		return err == nil
+	})
+	p := direct.NewPool()
+	for _, c := range []struct {
+		strict bool
+		after  time.Duration
+		want   int64
+	}{{true, 0, 1}, {true, 0, 1}, {false, 600 * time.Millisecond, 1}, {true, 600 * time.Millisecond, 2}} {
+		time.Sleep(c.after)
+		request := call(s, "1")
+		request.Strict = c.strict
+		if _, err := do(t, p, request); err != nil {
+			t.Fatal(err)
+		}
+		if p.Opened() != c.want {
+			t.Errorf("strict %t after %s: %d connections, want %d", c.strict, c.after, p.Opened(), c.want)
+		}
+	}
+}
--- a/internal/request/place/mix.go
+++ b/internal/request/place/mix.go
@@ -13,6 +13,8 @@
 	// longPrompt is the mean prompt, in tokens, from which the longest route disturbs others: reading it stalls the other
 	// requests of its engine for about 70 ms.
 	longPrompt = 4000
+	// urgentTarget is the largest target of an urgent route, as a share of the longest target of its service.
+	urgentTarget = 0.5
 	// mixWeight is the weight of a new prompt in a route's mean.
 	mixWeight = 0.02
 	// mixMemory is how long a route without requests counts.
@@ -35,6 +37,8 @@
 type Profile struct {
 	// Short routes have prompts that are read in a fraction of the time that the longest ones take.
 	Short bool
+	// Longest is the longest target to a first event of all routes of the service.
+	Longest time.Duration
 	// Tightest is the shortest target to a first event among the routes that are not short.
 	Tightest time.Duration
 }
@@ -42,8 +46,11 @@
 // NewMix returns a Mix that knows no routes.
 func NewMix() *Mix { return &Mix{services: map[string]map[string]*routeSize{}} }
 
-// urgent reports whether the job is of the tightest long route.
-func (p Profile) urgent(job *Job) bool { return job.Target <= p.Tightest }
+// urgent reports whether the job's target is the tightest of the long routes, or far below the longest one. The second
+// holds as soon as one request of the longest route was seen, also before the sizes of the prompts are known.
+func (p Profile) urgent(job *Job) bool {
+	return job.Target <= p.Tightest || float64(job.Target) <= urgentTarget*float64(p.Longest)
+}
 
 // Note counts a job and returns the profile of its route.
 func (m *Mix) Note(job *Job, now time.Time) Profile {
@@ -71,6 +78,7 @@
 	}
 	profile := Profile{Short: isShort(own.mean, longest), Tightest: job.Target}
 	for _, s := range sizes {
+		profile.Longest = max(profile.Longest, s.target)
 		if !isShort(s.mean, longest) {
 			profile.Tightest = min(profile.Tightest, s.target)
 		}
