--- /dev/null
+++ b/internal/process/gossip/gossip_test.go
@@ -0,0 +1,127 @@
+package gossip_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
+)
+
+func freePort(t *testing.T) uint16 {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	return netip.MustParseAddrPort(c.LocalAddr().String()).Port()
+}
+
+// entry is one node on a loopback address of its own.
+type entry struct {
+	*gossip.Node
+	heard atomic.Int64
+	stop  context.CancelFunc
+}
+
+func start(t *testing.T, address string, port uint16, seeds ...string) *entry {
+	t.Helper()
+	e := &entry{}
+	var list []netip.Addr
+	for _, s := range seeds {
+		list = append(list, netip.MustParseAddr(s))
+	}
+	var changes atomic.Uint64
+	node, err := gossip.New(gossip.Options{
+		Listen: netip.AddrPortFrom(netip.MustParseAddr(address), port), Seeds: list,
+		Collect: func() gossip.State {
+			return gossip.State{Changes: changes.Add(1), Loads: []gossip.Load{{Replica: 7, Running: 3}}}
+		},
+		OnReport: func(_ netip.Addr, r *gossip.Report) {
+			if len(r.Loads) == 1 && r.Loads[0].Running == 3 {
+				e.heard.Add(1)
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Node = node
+	ctx, cancel := context.WithCancel(t.Context())
+	e.stop = cancel
+	go node.Run(ctx)
+	t.Cleanup(cancel)
+	return e
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	t.Fatalf("not in 5 s: %s", what)
+}
+
+// Guards against entries that never meet although a seed knows both, and against silent ones that still count.
+func TestEntriesMeetThroughASeed(t *testing.T) {
+	port := freePort(t)
+	seed := start(t, "127.0.0.1", port, "127.0.0.1", "127.0.0.99")
+	second := start(t, "127.0.0.2", port, "127.0.0.1")
+	third := start(t, "127.0.0.3", port, "127.0.0.1")
+	eventually(t, "all entries hear two others", func() bool {
+		return seed.Live() == 2 && second.Live() == 2 && third.Live() == 2 && second.heard.Load() > 0 && third.heard.Load() > 0
+	})
+	third.stop()
+	eventually(t, "the stopped entry no longer counts", func() bool { return seed.Live() == 1 && second.Live() == 1 })
+}
+
+// Guards against reports that were overtaken, and against datagrams of anything else on the port.
+func TestOldAndForeignDatagramsAreDropped(t *testing.T) {
+	port := freePort(t)
+	e := start(t, "127.0.0.1", port)
+	from, err := net.DialUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 5), Port: int(port)}, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: int(port)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = from.Close() }()
+	send := func(protocol uint8, epoch, seq uint64) {
+		data, err := cbor.Marshal(&gossip.Report{Protocol: protocol, Epoch: epoch, Seq: seq, Loads: []gossip.Load{{Replica: 1, Running: 3}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = from.Write(data)
+	}
+	send(1, 10, 2)
+	eventually(t, "the first report counts", func() bool { return e.heard.Load() == 1 })
+	send(1, 10, 1)
+	send(1, 9, 50)
+	send(2, 10, 3)
+	_, _ = from.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	send(1, 11, 1)
+	eventually(t, "the report of a new start counts", func() bool { return e.heard.Load() == 2 })
+	time.Sleep(50 * time.Millisecond)
+	if n := e.heard.Load(); n != 2 {
+		t.Errorf("%d reports counted, want 2", n)
+	}
+}
+
+// Guards against a report that does not fit into one datagram at the size of the target.
+func FuzzReport(f *testing.F) {
+	data, err := cbor.Marshal(&gossip.Report{Protocol: 1, Seq: 1, Loads: []gossip.Load{{Replica: 1}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var r gossip.Report
+		_ = cbor.Unmarshal(data, &r)
+	})
+}
--- /dev/null
+++ b/internal/process/replicas/replicas_test.go
@@ -0,0 +1,83 @@
+package replicas_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
+)
+
+func entry(id string, draining bool) replicas.Change {
+	return replicas.Change{ID: id, Replica: &replicas.Replica{ID: id, Service: "s", Address: "10.0.0.1:1", Draining: draining}}
+}
+
+// Guards against replicas that leave and get work, and against lapsed entries that are dropped in an outage or kept after it.
+func TestRegistry(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := replicas.NewRegistry()
+	usable := func(want ...string) {
+		t.Helper()
+		if r.View().Len() != len(want) {
+			t.Fatalf("%d replicas, want %v", r.View().Len(), want)
+		}
+		for _, id := range want {
+			if _, ok := r.View().Get(id); !ok {
+				t.Fatalf("%s is missing", id)
+			}
+		}
+	}
+	r.Replace([]replicas.Change{entry("a", false), entry("b", false), entry("c", true), {ID: "garbage"}}, now)
+	usable("a", "b")
+	r.Apply([]replicas.Change{{ID: "a"}}, now)
+	usable("b")
+	r.StoreFailed()
+	r.Apply([]replicas.Change{{ID: "b"}}, now)
+	usable("b")
+	r.StoreAnswered(now)
+	r.Expire(now.Add(2 * time.Second))
+	usable("b")
+	r.Expire(now.Add(3 * time.Second))
+	usable()
+	r.StoreFailed()
+	r.StoreAnswered(now.Add(4 * time.Second))
+	r.Replace([]replicas.Change{entry("c", true)}, now.Add(4*time.Second))
+	r.Apply([]replicas.Change{{ID: "c"}}, now.Add(4*time.Second))
+	usable()
+}
+
+// Guards against a view that depends on the way in which entries arrived: a list and the changes that lead to it agree.
+func TestListAndChangesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		byChange, byList := replicas.NewRegistry(), replicas.NewRegistry()
+		state := map[string]replicas.Change{}
+		for _, step := range rapid.SliceOf(rapid.IntRange(0, 29)).Draw(t, "steps") {
+			id := string(rune('a' + step%10))
+			c := replicas.Change{ID: id}
+			if step >= 10 {
+				c = entry(id, step >= 20)
+			}
+			state[id] = c
+			byChange.Apply([]replicas.Change{c}, now)
+		}
+		var list []replicas.Change
+		for _, c := range state {
+			if c.Replica != nil {
+				list = append(list, c)
+			}
+		}
+		byList.Replace(list, now)
+		if byChange.View().Len() != byList.View().Len() {
+			t.Fatalf("%d by changes, %d by list", byChange.View().Len(), byList.View().Len())
+		}
+		for id := range state {
+			_, a := byChange.View().Get(id)
+			_, b := byList.View().Get(id)
+			if a != b {
+				t.Fatalf("%s: %t by changes, %t by list", id, a, b)
+			}
+		}
+	})
+}
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -11,8 +11,8 @@
 	StoreCallsPerSecond float64 `json:"store_calls_per_second" default:"10" min:"1" max:"1000" unit:"calls/s"`
 	// WatchTime is how long the store may hold a watch. Edges ask in between, together about once a second. Default "10s".
 	WatchTime Duration `json:"watch_time" default:"10s" min:"500ms" max:"30s"`
-	// WatchPace is the shortest time between two watches of a kind; writes in between arrive together. Default "400ms".
-	WatchPace Duration `json:"watch_pace" default:"400ms" min:"0s" max:"5s"`
+	// WatchPace is the shortest time between two watches of a kind; writes in between arrive together. Default "700ms".
+	WatchPace Duration `json:"watch_pace" default:"700ms" min:"0s" max:"5s"`
 	// Placement sets the weights of the choice of replicas.
 	Placement Placement `json:"placement"`
 	// Log configures the event log.
@@ -28,6 +28,8 @@
 	UrgentWindowShare float64 `json:"urgent_window_share" default:"0.6" min:"0.01" max:"10" unit:"share of a target"`
 	// ShortPoolShare is the share of a service's replicas that runs short prompts alone. Default 0.22.
 	ShortPoolShare float64 `json:"short_pool_share" default:"0.22" min:"0" max:"0.9" unit:"share of the replicas"`
+	// KeptShare is the share of the short pool that long prompts never use. Default 0.5.
+	KeptShare float64 `json:"kept_share" default:"0.5" min:"0.01" max:"1" unit:"share of the pool"`
 	// ReadAgainCost weighs the work of reading parts of a prompt against a wait of the same length. Default 6.
 	ReadAgainCost float64 `json:"read_again_cost" default:"6" min:"0" max:"100" unit:"factor"`
 	// RunningCost is what one running request counts in the wait before a new prompt. Default "2ms".
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -145,12 +145,12 @@
 	defer p.mu.Unlock()
 	next := make(map[string]*layout, len(services))
 	for _, name := range services {
-		next[name] = newLayout(view.Service(name), p.set.ShortPoolShare)
+		next[name] = newLayout(view.Service(name), &p.set)
 	}
 	p.layout.Store(&next)
 }
 
-func newLayout(list []*replicas.Replica, shortShare float64) *layout {
+func newLayout(list []*replicas.Replica, set *settings.Placement) *layout {
 	l := &layout{all: make([]member, len(list))}
 	for i, r := range list {
 		l.all[i] = member{r, KeyOf(r.ID)}
@@ -161,18 +161,15 @@
 	})
 	short := 0
 	if len(list) >= leastForPools {
-		short = max(1, int(shortShare*float64(len(list))+0.5))
+		short = max(1, int(set.ShortPoolShare*float64(len(list))+0.5))
 	}
 	l.short, l.long = byHash[:short], byHash[short:]
-	kept := min(short, max(1, int(keptShare*float64(short)+0.5)))
+	kept := min(short, max(1, int(set.KeptShare*float64(short)+0.5)))
 	l.kept, l.lent = l.short[:min(kept, short)], l.short[min(kept, short):]
 	l.homes, l.lentHomes = newRing(l.long), newRing(l.lent)
 	return l
 }
 
-// keptShare is the share of the short pool that long prompts never use.
-const keptShare = 0.5
-
 func cmpUint(a, b uint64) int {
 	switch {
 	case a < b:
