--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -68,6 +68,7 @@
 		case waitEnded:
 			continue
 		case waitImpatient:
+			s.choice = s.f.Placer.Considered(ticket, time.Now())
 			return s.refuse(CodeNoRoom, s.f.Placer.ReturnAfter(ticket, time.Now()))
 		}
 		next := s.attempt(ctx, choice)
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -119,6 +119,13 @@
 	p.unwait(t)
 }
 
+// Considered returns the choice that the ticket waits for, with the load that is seen now, for logs.
+func (p *Placer) Considered(t *Ticket, now time.Time) Choice {
+	c := t.choice
+	c.Load, c.ReportAge = p.Board.Total(c.Key, now), p.Board.ReportAge(now)
+	return c
+}
+
 // ReturnAfter returns when a job that was refused for lack of room should come back: when what waits now has been read.
 func (p *Placer) ReturnAfter(t *Ticket, now time.Time) time.Duration {
 	ahead := p.Board.Total(t.choice.Key, now)
