--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -136,8 +137,8 @@
 	if node.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryBytes)))
 	}
-	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement), pool: direct.NewPool()}
-	e.fresh = newFreshness(deps.Source.ConfigurationKind, deps.Source.ReplicaKind)
+	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement, rand.Uint64()), pool: direct.NewPool()}
+	e.fresh = newFreshness(node.ApplyBound, deps.Source.ConfigurationKind, deps.Source.ReplicaKind)
 	e.configurationFeed, e.replicaFeed = e.followConfiguration(), e.followReplicas()
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
 	e.forwarder = &forward.Forwarder{
--- a/internal/app/edge/fresh.go
+++ b/internal/app/edge/fresh.go
@@ -21,19 +21,26 @@
 	// late counts own late findings; peers holds the counts of the others.
 	late  uint32
 	peers map[netip.Addr]uint32
-	// limit is the age of the freshest knowledge at which this edge asks.
-	limit time.Duration
+	// limit is the age of the freshest knowledge at which this edge asks; most bounds it.
+	limit, most time.Duration
 }
 
-// Bounds of the age of the freshest knowledge among the edges. The longest, with the time of a report and of a call, stays
-// below the bound within which a configuration has to be in force (2 s and more).
 const (
-	askAgeLeast = 700 * time.Millisecond
-	askAgeMost  = 1200 * time.Millisecond
+	// askAge bounds the age of the freshest knowledge among the edges. With the pace of watches, the time of a report and
+	// that of a call it stays below the tightest bound of a configuration (2 s).
+	askAge = 1200 * time.Millisecond
+	// askShare is the same as a share of the platform's bound, for tighter ones.
+	askShare = 0.6
+	// askSpread is the part of the age over which the limits of the edges are spread.
+	askSpread = 0.4
 )
 
-func newFreshness(kinds ...string) *freshness {
-	f := &freshness{answered: map[string]time.Time{}, peers: map[netip.Addr]uint32{}}
+// newFreshness returns the freshness of an edge whose configurations have to be in force within the bound.
+func newFreshness(bound time.Duration, kinds ...string) *freshness {
+	f := &freshness{answered: map[string]time.Time{}, peers: map[netip.Addr]uint32{}, most: askAge}
+	if bound > 0 {
+		f.most = min(askAge, time.Duration(askShare*float64(bound)))
+	}
 	for _, kind := range kinds {
 		f.answered[kind] = time.Time{}
 	}
@@ -42,7 +49,10 @@
 }
 
 // draw spreads the limits of the edges, so that usually one of them asks first and the others hear of it.
-func (f *freshness) draw() { f.limit = askAgeLeast + rand.N(askAgeMost-askAgeLeast) }
+func (f *freshness) draw() {
+	spread := time.Duration(askSpread * float64(f.most))
+	f.limit = f.most - spread + rand.N(spread)
+}
 
 // onAnswer notes an answer of the store.
 func (f *freshness) onAnswer(kind string, now time.Time) {
--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -34,7 +34,6 @@
 	reusable time.Time
 	// idleSince is the end of the last answer.
 	idleSince time.Time
-	used      bool
 }
 
 func newConn(c net.Conn, address string) *conn {
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -58,8 +58,6 @@
 	Header http.Header
 	// Length of the body, or -1 when it is not known.
 	Length int64
-	// Reused is true when the request went out on a connection that had carried another one.
-	Reused bool
 
 	body    io.ReadCloser
 	exch    *exchange
@@ -185,7 +183,7 @@
 
 func (p *Pool) put(c *conn, keep time.Duration) {
 	now := time.Now()
-	c.used, c.idleSince, c.reusable = true, now, now.Add(keep)
+	c.idleSince, c.reusable = now, now.Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || keep <= 0 || len(p.idle[c.address]) >= maxIdle {
@@ -210,6 +208,7 @@
 
 func (x *exchange) read(call *Call) (*Answer, error) {
 	for foreign := 0; ; {
+		//nolint:bodyclose // Answer.Close closes the body, and discard reads what belongs to nobody
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: call.Method})
 		if err != nil {
 			return nil, err
@@ -219,7 +218,7 @@
 		}
 		if call.Mine == nil || call.Mine(resp.StatusCode, resp.Header) {
 			return &Answer{
-				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: x.conn.used,
+				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 				body: resp.Body, exch: x, invalid: resp.Close,
 			}, nil
 		}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -134,7 +134,6 @@
 
 type peer struct {
 	heard time.Time
-	sent  time.Time
 	epoch uint64
 	seq   uint64
 	live  bool
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -27,12 +27,8 @@
 	MemoryBytes int64
 	// StopGrace is the time between the order to stop and the kill.
 	StopGrace time.Duration
-	// SettleTime is the calm time after a disruption from which bounds hold again.
-	SettleTime time.Duration
 	// ApplyBound is the time within which an accepted configuration is in force.
 	ApplyBound time.Duration
-	// DrainBound is the time within which a replica that leaves gets no new work.
-	DrainBound time.Duration
 	// RetryRatio, RetryWindow and RetryReserve are the budget of repeated sends that all entries share, for each service:
 	// within a window, the ratio of its requests and the reserve.
 	RetryRatio   float64
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -5,7 +5,6 @@
 package place
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -61,21 +60,6 @@
 	}
 }
 
-// gaps are the own decaying sums of one replica.
-type gaps struct {
-	count, sum float64
-	at         time.Time
-}
-
-func (g *gaps) decay(now time.Time) {
-	if age := now.Sub(g.at); age > 0 {
-		f := math.Exp(-age.Seconds() / gapMemory.Seconds())
-		g.count *= f
-		g.sum *= f
-		g.at = now
-	}
-}
-
 // Key identifies a replica in reports between entries.
 type Key uint32
 
@@ -88,7 +72,8 @@
 	own  map[Key]Load
 	sum  map[Key]Load
 	from map[string]report
-	gaps map[Key]*gaps
+	// gaps are the own recent pauses at each replica, in milliseconds.
+	gaps map[Key]*decaying
 	// changed counts changes of the own load.
 	changed uint64
 }
@@ -100,7 +85,7 @@
 
 // NewBoard returns an empty Board.
 func NewBoard() *Board {
-	return &Board{own: map[Key]Load{}, sum: map[Key]Load{}, from: map[string]report{}, gaps: map[Key]*gaps{}}
+	return &Board{own: map[Key]Load{}, sum: map[Key]Load{}, from: map[string]report{}, gaps: map[Key]*decaying{}}
 }
 
 // Add changes the own load at a replica.
@@ -122,12 +107,10 @@
 	defer b.mu.Unlock()
 	g := b.gaps[replica]
 	if g == nil {
-		g = &gaps{at: now}
+		g = &decaying{at: now}
 		b.gaps[replica] = g
 	}
-	g.decay(now)
-	g.count++
-	g.sum += float64(gap.Microseconds()) / 1000
+	g.add(float64(gap.Microseconds())/1000, now, gapMemory)
 	b.changed++
 }
 
@@ -150,7 +133,7 @@
 	if g == nil {
 		return Load{}
 	}
-	g.decay(now)
+	g.decay(now, gapMemory)
 	if g.count < 0.5 {
 		delete(b.gaps, k)
 		return Load{}
--- a/internal/request/place/health.go
+++ b/internal/request/place/health.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -27,11 +26,12 @@
 type Health struct {
 	mu       sync.Mutex
 	replicas map[Key]*record
-	services map[string]*rate
+	services map[string]*decaying
 }
 
 type record struct {
-	rate
+	// failures counts requests, with 1 for a failed one.
+	failures decaying
 	// refused counts failed connections in a row.
 	refused int
 	// until is the time before which no work is sent.
@@ -39,39 +39,9 @@
 	probed time.Time
 }
 
-// rate is a pair of decaying sums.
-type rate struct {
-	failed, all float64
-	at          time.Time
-}
-
-func (r *rate) decay(now time.Time) {
-	if age := now.Sub(r.at); age > 0 {
-		f := math.Exp(-age.Seconds() / failureMemory.Seconds())
-		r.failed *= f
-		r.all *= f
-		r.at = now
-	}
-}
-
-func (r *rate) add(now time.Time, failed bool) {
-	r.decay(now)
-	r.all++
-	if failed {
-		r.failed++
-	}
-}
-
-func (r *rate) share() float64 {
-	if r.all == 0 {
-		return 0
-	}
-	return r.failed / r.all
-}
-
 // NewHealth returns a Health that knows of no failures.
 func NewHealth() *Health {
-	return &Health{replicas: map[Key]*record{}, services: map[string]*rate{}}
+	return &Health{replicas: map[Key]*record{}, services: map[string]*decaying{}}
 }
 
 // Answered notes the outcome of a request that reached the replica. A failure is an answer that no caller can use, or none.
@@ -79,16 +49,20 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.record(replica)
-	r.add(now, failed)
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	r.failures.add(outcome, now, failureMemory)
 	if !failed {
 		r.refused, r.until = 0, time.Time{}
 	}
 	s := h.services[service]
 	if s == nil {
-		s = &rate{}
+		s = &decaying{}
 		h.services[service] = s
 	}
-	s.add(now, failed)
+	s.add(outcome, now, failureMemory)
 }
 
 // Unreachable notes that the replica accepted no connection or fell silent. It gets no work for a while that doubles with
@@ -114,9 +88,9 @@
 	if now.Before(r.until) {
 		return false
 	}
-	r.decay(now)
+	r.failures.decay(now, failureMemory)
 	s := h.services[service]
-	if r.all < failureEvidence || s == nil || r.share() < s.share()+failureShare {
+	if r.failures.count < failureEvidence || s == nil || r.failures.mean() < s.mean()+failureShare {
 		return true
 	}
 	if repeatable && now.Sub(r.probed) >= probeInterval {
@@ -131,7 +105,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for k, r := range h.replicas {
-		if now.Sub(r.at) > 10*failureMemory && now.After(r.until) {
+		if now.Sub(r.failures.at) > 10*failureMemory && now.After(r.until) {
 			delete(h.replicas, k)
 		}
 	}
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -37,6 +38,9 @@
 
 func newLines() lines { return lines{byKey: map[Key][]*Ticket{}} }
 
+// keys returns the replicas with lines in a fixed order, so that the same load gives the same decisions.
+func (l *lines) keys() []Key { return slices.Sorted(maps.Keys(l.byKey)) }
+
 // Enter asks for a place for the job. Its choice is on Granted at once when there is room. It answers the pattern of a
 // burst of long prompts: an engine works on all it has at once, so what waits here instead can still be ordered, and go
 // elsewhere. The result is false when the service has no replica that was not tried yet.
@@ -231,7 +235,7 @@
 		return
 	}
 	p.lines.swept = now
-	for replica := range p.lines.byKey {
+	for _, replica := range p.lines.keys() {
 		p.serveLine(replica, now)
 	}
 	p.moveOn(now)
@@ -244,8 +248,8 @@
 		return
 	}
 	p.lines.moved = now
-	for _, line := range p.lines.byKey {
-		for _, t := range slices.Clone(line) {
+	for _, replica := range p.lines.keys() {
+		for _, t := range slices.Clone(p.lines.byKey[replica]) {
 			p.move(t, now)
 		}
 	}
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -116,11 +116,22 @@
 	layout atomic.Pointer[map[string]*layout]
 
 	lines lines
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+}
+
+// below returns a random number below n.
+func (p *Placer) below(n int) int {
+	p.randomMu.Lock()
+	defer p.randomMu.Unlock()
+	return p.random.IntN(n)
 }
 
-// New returns a Placer for an entry in the zone.
-func New(zone string, set settings.Placement) *Placer {
-	p := &Placer{set: set, Board: NewBoard(), Health: NewHealth(), mix: NewMix(), cached: newCachedParts(), zone: zone, lines: newLines()}
+// New returns a Placer for an entry in the zone. The seed spreads the choices between replicas that are equally good, so that
+// entries which decide at the same time decide differently.
+func New(zone string, set settings.Placement, seed uint64) *Placer {
+	p := &Placer{set: set, random: rand.New(rand.NewPCG(seed, seed)), Board: NewBoard(), Health: NewHealth(), mix: NewMix(), cached: newCachedParts(), zone: zone, lines: newLines()}
 	p.layout.Store(&map[string]*layout{})
 	return p
 }
@@ -311,7 +322,7 @@
 	if n == 0 {
 		return best, 0, false
 	}
-	start := rand.IntN(n)
+	start := p.below(n)
 	for i := range min(n, sampled) {
 		m := candidates[(start+i)%n]
 		if !p.usable(job, m, now) {
@@ -348,7 +359,7 @@
 		if n == 0 {
 			continue
 		}
-		start := rand.IntN(n)
+		start := p.below(n)
 		for i := range n {
 			m := candidates[(start+i)%n]
 			if !slices.Contains(job.Excluded, m.ID) {
