place: repeated requests don't wait for room

Cause: a repeated request can't be refused as not run, so one whose new homes had no room waited to its deadline. Change: a request that was sent before is granted at once; the retry budget bounds their number.

--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -89,8 +89,7 @@
 	waitImpatient
 )
 
-// wait returns the choice for the ticket. A request that some replica may have worked on waits to its deadline, because it
-// can't be refused as not run.
+// wait returns the choice for the ticket. A request that some replica may have worked on is granted at once.
 func (s *serving) wait(ctx context.Context, t *place.Ticket) (place.Choice, waited) {
 	select {
 	case c := <-t.Granted:
@@ -99,9 +98,6 @@
 	}
 	patience := time.NewTimer(time.Until(t.Patience))
 	defer patience.Stop()
-	if s.mayRun || s.began {
-		patience.Stop()
-	}
 	why := waitEnded
 	select {
 	case c := <-t.Granted:
@@ -130,7 +126,7 @@
 	return &place.Job{
 		Service: r.Service, Route: r.Route.Name, Parts: r.Parts, Tokens: r.PromptTokens,
 		Target: r.Route.LatencyTarget, Repeatable: r.Route.Repeatable(), Excluded: s.excluded,
-		Priority: r.Priority, Arrived: r.Arrived,
+		Repeated: s.sends > 0, Priority: r.Priority, Arrived: r.Arrived,
 	}
 }
 
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -136,9 +136,10 @@
 	return time.Duration(float64(ahead.Prefill+ahead.Waiting) / prefillRate * float64(time.Millisecond))
 }
 
-// gated reports whether the job has to wait for room. Short prompts don't: they are what the room is kept for.
+// gated reports whether the job has to wait for room. Short prompts don't: they are what the room is kept for. Repeated ones
+// don't either.
 func (p *Placer) gated(t *Ticket) bool {
-	return len(t.job.Parts) > 0 && !t.profile.Short && t.choice.Reason != ReasonLastResort
+	return len(t.job.Parts) > 0 && !t.profile.Short && !t.job.Repeated && t.choice.Reason != ReasonLastResort
 }
 
 // open reports whether the replica has room for the ticket and nobody of the same rank is ahead of it.
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -43,6 +43,9 @@
 	Target time.Duration
 	// Repeatable requests may try out replicas that are avoided.
 	Repeatable bool
+	// Repeated jobs were sent to a replica before. They don't wait for room: they have waited once, can't be refused as not
+	// run, and the retry budget bounds their number.
+	Repeated bool
 	// Priority is 0 for the most urgent jobs.
 	Priority int
 	// Arrived is when the caller's request came.
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -78,6 +78,30 @@
 	}
 }
 
+// Guards against repeated requests that hang until their deadline before replicas without room: they can't be refused.
+func TestRepeatedJobsDoNotWait(t *testing.T) {
+	p := newPlacer(t, 6)
+	refused := 0
+	for n := range 200 {
+		job := prompt(fmt.Sprint("subject", n))
+		job.Repeated = n%2 == 1
+		ticket, ok := p.Enter(job, epoch)
+		if !ok {
+			t.Fatal("no replica")
+		}
+		switch {
+		case len(ticket.Granted) == 1:
+		case job.Repeated:
+			t.Fatalf("repeated request %d waits", n)
+		default:
+			refused++
+		}
+	}
+	if refused == 0 {
+		t.Error("the load was too small to make anybody wait")
+	}
+}
+
 // Guards against load that stays counted after requests ended or entries fell silent.
 func TestBoardReturnsToZero(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
