forward: a deadline that nothing read is gone

Cause: reading the change again; the caller's own deadline was written and never read, and a comment said that an address is bound which is not. Change: one deadline a request; two comments say what is so. Behaviour is the same.

--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -15,7 +15,8 @@
 	Address netip.Addr
 	// CallerListen serves callers, ReadyListen the balancer's question whether the process takes callers.
 	CallerListen, ReadyListen netip.AddrPort
-	// ControlListen is bound only so that others find this process in the seeds; the zero value stands for none.
+	// ControlListen is the address by which the platform names this process in the seeds; nothing listens there. The zero value
+	// stands for none.
 	ControlListen netip.AddrPort
 	// PeerPort is the port of datagrams between entries, the same on all machines.
 	PeerPort uint16
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -39,8 +39,6 @@
 	Arrived  time.Time
 	// Deadline is the earlier one of the caller's deadline and the route's timeout.
 	Deadline time.Time
-	// CallerDeadline is the caller's own deadline, or zero.
-	CallerDeadline time.Time
 	// Parts of the prompt in order, and its size in tokens.
 	Parts        []place.Part
 	PromptTokens int
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -91,7 +91,7 @@
 	if !ok {
 		return false
 	}
-	choice.Reason = ReasonInsisted
+	choice.Reason = ReasonInsisted // least names its second pool an overflow
 	t.choice = choice
 	p.grant(t, now)
 	return true
