route: slow upstreams are probed by short prompts, and less often

Change: any unprotected request may probe unless its prompt is much longer than the mean; one whose prefix the upstream holds goes first; a report of streams at the slow pace postpones the next probe; the gap between probes is drawn; and while the fast upstreams are nearly full, an upstream that may have recovered is asked sooner.

--- a/internal/app/entry/fleet.go
+++ b/internal/app/entry/fleet.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// probeTarget is the latency target below which a request is not used as a probe of a slow upstream.
-	probeTarget = 3 * time.Second
 	// probeEvery and probeMax space the probes of a slow upstream, because every probe is a request served slowly.
 	probeEvery, probeMax = 10 * time.Second, time.Minute
 	// zonePenalty multiplies the cost of an upstream in another availability zone.
@@ -254,7 +252,7 @@
 	query := route.Request{
 		Model: r.Ask.Model, PrefixHash: r.Ask.PrefixHash, Tokens: max(1, int(r.Ask.PromptTokens+r.Ask.MaxTokens)),
 		PrefixTokens: int(r.Ask.PromptTokens),
-		Protected:    r.Ask.Policy.Protected || time.Duration(r.Ask.Policy.TTFTTargetMs)*time.Millisecond < probeTarget,
+		Protected:    r.Ask.Policy.Protected,
 	}
 	n := 0
 	for _, name := range failed {
--- a/internal/measure/production.go
+++ b/internal/measure/production.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// probeTarget is the latency target below which a request is not used as a probe of a slow upstream.
-	probeTarget = 3 * time.Second
 	// probeEvery and probeMax space the probes of a slow upstream, because every probe is a request served slowly.
 	probeEvery, probeMax = 10 * time.Second, time.Minute
 	// zonePenalty is the picker's default.
@@ -281,7 +279,7 @@
 	row := &p.w.classes[r.class]
 	out := &route.Request{
 		Service: serviceNames[r.service], PrefixHash: r.prefix, Tokens: p.expected(d, r),
-		PrefixTokens: r.prompt / promptPerToken, Protected: row.Protected || row.TTFTTarget < probeTarget, Exclude: d.tried,
+		PrefixTokens: r.prompt / promptPerToken, Protected: row.Protected, Exclude: d.tried,
 	}
 	for i, a := range asks {
 		if a != nil {
--- a/internal/request/route/index.go
+++ b/internal/request/route/index.go
@@ -18,6 +18,8 @@
 	inflight int
 	// meanOthers and meanTokens are running means over the group's upstreams and requests.
 	meanOthers, meanTokens float64
+	// meanPrefix is the running mean of Request.PrefixTokens.
+	meanPrefix float64
 	// reportGap is a running mean of the time between reports of an upstream, in nanoseconds.
 	reportGap float64
 	// perToken is the median time per token in nanoseconds; 0 means unknown.
--- a/internal/request/route/pace.go
+++ b/internal/request/route/pace.go
@@ -21,6 +21,14 @@
 	medianSample             = 33
 	// minPeers is the number of known paces below which no upstream is called slow.
 	minPeers = 3
+	// probeSteps is the resolution of the time drawn around a probe's gap.
+	probeSteps = 1024
+	// probeSpread is the length of the interval that the time is drawn from, in gaps. With 1, three entries whose
+	// reports take 5 s made nearly three probes for each one that was needed.
+	probeSpread = 2
+	// heavyPrompt is the length of a prompt, relative to the group's mean, above which its request is not used as a probe.
+	// It is above 1 so that requests with prompts of one length stay eligible.
+	heavyPrompt = 1.5
 	// stallAfter is the silence of all own streams after which it is taken as the pace.
 	stallAfter = int64(time.Second)
 )
@@ -32,8 +40,10 @@
 	countedAt  int64
 	strikes    int
 	slow       bool
-	nextProbe  int64
-	probeGap   int64
+	// slowSeen is when the upstream was last asked or reported while slow.
+	slowSeen  int64
+	nextProbe int64
+	probeGap  int64
 }
 
 // observe takes in the time per token of one own stream.
@@ -90,7 +100,7 @@
 func (p *Picker) setSlow(u *upstream, at int64, slow bool) {
 	u.slow, u.strikes = slow, 0
 	u.probeGap = int64(p.set.ProbeEvery)
-	u.nextProbe = at + u.probeGap
+	u.nextProbe, u.slowSeen = at+p.spread(u.probeGap), at
 	p.reindex(u)
 }
 
@@ -127,18 +137,57 @@
 	return p.get(g.slow.ids[i-len(g.fast.ids)])
 }
 
-// dueProbe returns a slow upstream whose probe is due, or nil. It looks at a bounded number of them.
-func (p *Picker) dueProbe(g *group, at int64, r *Request) *upstream {
+// spread draws a time around gap, because all entries call an upstream slow at about the same time and would otherwise
+// probe it at the same time.
+func (p *Picker) spread(gap int64) int64 {
+	return gap/2 + int64(p.random(probeSteps))*probeSpread*gap/probeSteps
+}
+
+// stillSlow postpones the next probe when a report shows streams at a slow pace: another entry's probe or an older stream
+// has told what a probe would.
+func (p *Picker) stillSlow(u *upstream, at int64, r *Report) {
+	median := u.home.perToken
+	if !u.slow || median == 0 || r.Running == 0 || r.TokensPerSecond <= 0 {
+		return
+	}
+	if median*r.TokensPerSecond < p.set.FastAbove*float64(time.Second) {
+		u.nextProbe, u.slowSeen = max(u.nextProbe, at+p.spread(u.probeGap)), at
+	}
+}
+
+// heavy tells whether the request's prompt is much longer than the group's mean, so that reading it at a slow upstream
+// takes longer than most requests need.
+func (g *group) heavy(r *Request) bool { return float64(r.PrefixTokens) > heavyPrompt*g.meanPrefix }
+
+// holds tells whether the upstream is remembered to hold the prefix.
+func (p *Picker) holds(id ID, prefix uint64) bool {
+	if prefix == 0 {
+		return false
+	}
+	a, b := p.prefix.find(prefix)
+	return a == id || b == id
+}
+
+// dueProbe returns a slow upstream whose probe is due, or nil. It looks at a bounded number of them. While the fast ones
+// are full, an upstream that may have recovered is asked sooner. A request whose prefix the upstream holds is taken first,
+// because it waits least for a slow read of its prompt.
+func (p *Picker) dueProbe(g *group, at int64, r *Request, full bool) *upstream {
 	for range min(len(g.slow.ids), maxSample) {
 		g.probeNext = (g.probeNext + 1) % len(g.slow.ids)
 		u := p.get(g.slow.ids[g.probeNext])
 		due := u.nextProbe
-		if r.Protected {
+		if full {
+			due = min(due, u.slowSeen+int64(p.set.ProbeEvery)/2)
+		}
+		switch {
+		case r.Protected || g.heavy(r):
 			due += 2 * int64(p.set.ProbeMax)
+		case !p.holds(u.id, r.PrefixHash):
+			due += int64(p.set.ProbeEvery)
 		}
 		if at >= due && !excluded(u.id, r) {
 			u.probeGap = min(2*u.probeGap, int64(p.set.ProbeMax))
-			u.nextProbe = at + u.probeGap
+			u.nextProbe, u.slowSeen = at+p.spread(u.probeGap), at
 			return u
 		}
 	}
--- a/internal/request/route/pick.go
+++ b/internal/request/route/pick.go
@@ -8,6 +8,10 @@
 // commitLoad is the load up to which the body is sent with the ask: above it, another entry may take the last slot.
 const commitLoad = 0.75
 
+// fullLoad is the mean load of the sample from which slow upstreams are probed sooner. At 1, waits had already grown
+// fourfold before upstreams that had recovered were asked.
+const fullLoad = 0.92
+
 // paceTolerance is the difference to the median pace that does not count.
 const paceTolerance = 0.2
 
@@ -20,6 +24,7 @@
 		return Choice{}
 	}
 	at := p.nanos(now)
+	g.meanPrefix += meanAlpha * (float64(r.PrefixTokens) - g.meanPrefix)
 	n := p.gather(g, at, r, &g.fast)
 	if len(g.slow.ids) > 0 {
 		if c, ok := p.probe(g, at, r, n); ok {
@@ -47,7 +52,7 @@
 
 // probe sends the request to a slow upstream whose probe is due, together with the cheapest fast one.
 func (p *Picker) probe(g *group, at int64, r *Request, n int) (Choice, bool) {
-	u := p.dueProbe(g, at, r)
+	u := p.dueProbe(g, at, r, full(p.sample[:n]))
 	if u == nil {
 		return Choice{}, false
 	}
@@ -58,6 +63,15 @@
 	return c, true
 }
 
+// full tells whether the candidates have few free slots left.
+func full(cs []Candidate) bool {
+	load := 0.0
+	for i := range cs {
+		load += cs[i].Load()
+	}
+	return load >= fullLoad*float64(len(cs))
+}
+
 // gather fills the sample from the list, the own zone and the upstreams that hold the prefix.
 func (p *Picker) gather(g *group, at int64, r *Request, from *list) int {
 	n := 0
--- a/internal/request/route/picker.go
+++ b/internal/request/route/picker.go
@@ -55,7 +55,8 @@
 	Tokens int
 	// PrefixTokens is the part of Tokens that a cached prefix saves.
 	PrefixTokens int
-	// Protected requests are used as probes of slow upstreams only when no others come.
+	// Protected requests, and those with a much longer prompt than most, are used as probes of slow upstreams only when no
+	// others come.
 	Protected bool
 	// Exclude lists upstreams already tried.
 	Exclude [MaxExclude]ID
@@ -294,6 +295,7 @@
 	p.setFlag(u, Draining, r.Draining)
 	p.setFlag(u, Unhealthy, !r.Healthy)
 	p.reportedPace(u, r.TokensPerSecond)
+	p.stillSlow(u, at, &r)
 }
 
 // Begin records that an ask is sent; tokens is its expected work.
