edge: one edge reads the list for all that hear of it

A log of the calls showed that most were questions of all edges at once: whenever a question found a write that its watch had not told of, or a list was read anew, all edges asked, three calls each; and the limits at which edges ask by themselves were drawn within 0.5 s, shorter than the time until others heard. Watches of the list also returned to every edge for renewals that change nothing.

Change: edges tell each other how far they have read the list without a change. Others take that over (Feed.Advance), or ask at once for what was found (Feed.Hurry), and ask by rank. The registry says whether a write changed anything, so that renewals no longer rebuild the placer's view or write a log line.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -116,6 +116,7 @@
 	gossip    *gossip.Node
 	observer  *observer
 	fresh     *freshness
+	coverage  coverage
 	// configurationFeed and replicaFeed follow the store.
 	configurationFeed, replicaFeed *store.Feed
 
@@ -198,7 +199,9 @@
 func (e *Edge) collect() gossip.State {
 	own := map[place.Key]place.Load{}
 	now := time.Now()
-	state := gossip.State{Changes: e.placer.Board.Own(own, now), Freshness: e.fresh.tell(e.version(), now)}
+	fresh, answers := e.fresh.tell(e.version(), now)
+	fresh.Replicas = e.coverage.tell(now)
+	state := gossip.State{Changes: e.placer.Board.Own(own, now) + answers, Freshness: fresh}
 	for k, l := range own {
 		state.Loads = append(state.Loads, gossip.Load{
 			Replica: uint32(k), Running: uint32(l.Running), Short: uint32(l.Short), Prefill: uint32(l.Prefill), Waiting: uint32(l.Waiting), Urgent: uint32(l.Urgent),
@@ -213,9 +216,8 @@
 
 func (e *Edge) report(from netip.Addr, r *gossip.Report) {
 	now := time.Now()
-	if e.fresh.hear(from, r.Fresh, e.version(), now) {
-		e.ask()
-	}
+	e.fresh.hear(r.Fresh, now)
+	e.heardCoverage(r.Fresh.Replicas, now)
 	seen := make(map[place.Key]place.Load, len(r.Loads))
 	for _, l := range r.Loads {
 		seen[place.Key(l.Replica)] = place.Load{
@@ -230,6 +232,12 @@
 	e.placer.Reported(from.String(), seen, told, now)
 }
 
+// heardCoverage spares this edge a call for what another one has read, or makes it ask for what another one has found.
+func (e *Edge) heardCoverage(c gossip.Coverage, now time.Time) {
+	e.replicaFeed.Hurry(c.Found)
+	e.replicaFeed.Advance(c.From, c.To, now.Add(-time.Duration(c.AgeMs)*time.Millisecond))
+}
+
 // ask asks the store for what its watches may have missed.
 func (e *Edge) ask() {
 	e.configurationFeed.Refresh()
@@ -286,7 +294,7 @@
 			e.reload()
 		case now := <-ticker.C:
 			e.placer.Tick(now)
-			if e.fresh.due(now) {
+			if e.fresh.due(now, e.gossip.Rank(), turnStep(e.gossip.Interval())) || e.fresh.behind(e.version(), e.replicaFeed.Revision(), now) {
 				e.ask()
 			}
 			if gone := e.registry.Expire(now); len(gone) > 0 {
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -35,7 +35,6 @@
 			e.registry.StoreAnswered(now)
 			e.fresh.onAnswer(kind, now)
 		},
-		OnLate:     e.fresh.onLate,
 		RetryLimit: storeRetryLimit,
 		Pace:       time.Duration(e.cfg.WatchPace),
 	}
@@ -84,10 +83,12 @@
 
 func (e *Edge) followReplicas() *store.Feed {
 	kind := e.deps.Source.ReplicaKind
-	return e.feed(kind,
+	feed := e.feed(kind,
 		func(objects []store.Object) {
-			e.registry.Apply(e.changes(objects), time.Now())
-			e.listChanged("changed")
+			if e.registry.Apply(e.changes(objects), time.Now()) {
+				e.coverage.onChange()
+				e.listChanged("changed")
+			}
 		},
 		func(ctx context.Context) error {
 			var all []store.Object
@@ -101,10 +102,16 @@
 				}
 				all, after = append(all, objects...), objects[len(objects)-1].Name
 			}
-			e.registry.Replace(e.changes(all), time.Now())
-			e.listChanged("listed")
+			changed := e.registry.Replace(e.changes(all), time.Now())
+			e.coverage.onList(changed)
+			if changed {
+				e.listChanged("listed")
+			}
 			return nil
 		})
+	feed.OnRead = e.coverage.onRead
+	feed.Turn = func() time.Duration { return turn(e.gossip.Rank(), turnStep(e.gossip.Interval()), e.node.DrainBound) }
+	return feed
 }
 
 func (e *Edge) changes(objects []store.Object) []replicas.Change {
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -40,7 +40,7 @@
 )
 
 // protocolVersion is raised with every incompatible change; other versions are ignored.
-const protocolVersion = 1
+const protocolVersion = 2
 
 // Load is the work that the sender has outstanding at a replica.
 type Load struct {
@@ -76,8 +76,20 @@
 	Configuration uint64
 	// AgeMs is the time since the sender last heard from the store on all kinds that it follows, in milliseconds.
 	AgeMs uint32
-	// Late counts the writes that the sender found only by asking again.
-	Late uint32
+	// Replicas tells how far the sender has read the list of replicas.
+	Replicas Coverage
+}
+
+// Coverage tells what the sender has read of a kind itself, so that others need not.
+type Coverage struct {
+	_ struct{} `cbor:",toarray"`
+	// From and To are revisions of the store: the writes after From up to To change nothing that the sender holds.
+	From, To uint64
+	// Found is the revision up to which the sender had read when a write last changed what it holds; 0 means none since
+	// its start.
+	Found uint64
+	// AgeMs is the time since the sender's last call for the kind began, in milliseconds.
+	AgeMs uint32
 }
 
 // State is what an entry tells the others.
@@ -158,6 +170,20 @@
 	n.seeds = seeds
 }
 
+// Rank returns the number of other live entries whose address is before the own one. Entries that hear each other have
+// different ranks.
+func (n *Node) Rank() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	rank := 0
+	for addr, p := range n.peers {
+		if p.live && addr.Less(n.opts.Listen.Addr()) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Run exchanges reports until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() })
@@ -177,12 +203,13 @@
 				sentVersion, sentAt = state.Changes, now
 				n.send(state, now)
 			}
-			timer.Reset(n.interval())
+			timer.Reset(n.Interval())
 		}
 	}
 }
 
-func (n *Node) interval() time.Duration {
+// Interval returns the current time between two reports of one entry.
+func (n *Node) Interval() time.Duration {
 	return max(baseInterval, time.Duration(n.Live())*intervalPerPeer)
 }
 
--- a/internal/process/gossip/gossip_test.go
+++ b/internal/process/gossip/gossip_test.go
@@ -99,13 +99,13 @@
 		}
 		_, _ = from.Write(data)
 	}
-	send(1, 10, 2)
+	send(2, 10, 2)
 	eventually(t, "the first report counts", func() bool { return e.heard.Load() == 1 })
-	send(1, 10, 1)
-	send(1, 9, 50)
-	send(2, 10, 3)
+	send(2, 10, 1)
+	send(2, 9, 50)
+	send(3, 10, 3)
 	_, _ = from.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
-	send(1, 11, 1)
+	send(2, 11, 1)
 	eventually(t, "the report of a new start counts", func() bool { return e.heard.Load() == 2 })
 	time.Sleep(50 * time.Millisecond)
 	if n := e.heard.Load(); n != 2 {
@@ -115,7 +115,7 @@
 
 // Guards against a report that does not fit into one datagram at the size of the target.
 func FuzzReport(f *testing.F) {
-	data, err := cbor.Marshal(&gossip.Report{Protocol: 1, Seq: 1, Loads: []gossip.Load{{Replica: 1}}})
+	data, err := cbor.Marshal(&gossip.Report{Protocol: 2, Seq: 1, Loads: []gossip.Load{{Replica: 1}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -117,33 +117,42 @@
 	}
 }
 
-// Replace takes a complete list. Entries that are missing from it are removed, or kept for lapseGrace when the store was
-// away until shortly before.
-func (r *Registry) Replace(list []Change, now time.Time) {
+// Replace takes a complete list and reports whether it changed anything. Entries that are missing from it are removed, or
+// kept for lapseGrace when the store was away until shortly before.
+func (r *Registry) Replace(list []Change, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	present := make(map[string]bool, len(list))
+	changed := false
 	for _, c := range list {
 		present[c.ID] = c.Replica != nil
-		r.apply(c, now)
+		changed = r.apply(c, now) || changed
 	}
 	for id := range r.entries {
 		if !present[id] {
-			r.remove(id, now)
+			changed = r.remove(id, now) || changed
 		}
 	}
 	r.listed = true
-	r.publish()
+	if changed {
+		r.publish()
+	}
+	return changed
 }
 
-// Apply takes changes in the order of the store's revisions.
-func (r *Registry) Apply(changes []Change, now time.Time) {
+// Apply takes changes in the order of the store's revisions and reports whether they changed anything: most writes to the
+// list only renew an entry.
+func (r *Registry) Apply(changes []Change, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	changed := false
 	for _, c := range changes {
-		r.apply(c, now)
+		changed = r.apply(c, now) || changed
 	}
-	r.publish()
+	if changed {
+		r.publish()
+	}
+	return changed
 }
 
 // Expire drops entries that are still missing after lapseGrace and returns their IDs.
@@ -163,26 +172,32 @@
 	return gone
 }
 
-func (r *Registry) apply(c Change, now time.Time) {
+func (r *Registry) apply(c Change, now time.Time) bool {
 	if c.Replica == nil {
-		r.remove(c.ID, now)
-		return
+		return r.remove(c.ID, now)
+	}
+	next := entry{Replica: *c.Replica}
+	if old, ok := r.entries[c.ID]; ok && old == next {
+		return false
 	}
-	r.entries[c.ID] = entry{Replica: *c.Replica}
+	r.entries[c.ID] = next
+	return true
 }
 
 // remove keeps an entry that may have lapsed only because its replica could not reach the store. A replica that was
 // draining is gone at once.
-func (r *Registry) remove(id string, now time.Time) {
+func (r *Registry) remove(id string, now time.Time) bool {
 	e, ok := r.entries[id]
 	switch {
 	case !ok:
+		return false
 	case e.Draining || !r.mayLapse(now):
 		delete(r.entries, id)
 	case e.missing.IsZero():
 		e.missing = now
 		r.entries[id] = e
 	}
+	return true
 }
 
 // mayLapse reports whether the store was away until shortly before now.
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -30,6 +30,8 @@
 	StopGrace time.Duration
 	// ApplyBound is the time within which an accepted configuration is in force.
 	ApplyBound time.Duration
+	// DrainBound is the time within which a replica that leaves gets no more work.
+	DrainBound time.Duration
 	// RetryRatio, RetryWindow and RetryReserve are the budget of repeated sends that all entries share, for each service:
 	// within a window, the ratio of its requests and the reserve.
 	RetryRatio   float64
--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -28,15 +28,27 @@
 	OnContact func()
 	// RetryLimit bounds the wait after a failed call. Default 3 s.
 	RetryLimit time.Duration
-	// OnLate is told when a Refresh found writes or a gap that the interrupted watch had not told of; it may be nil.
-	OnLate func()
 	// Pace is the shortest time between two watches, so that writes in quick succession arrive together. Default 0.
 	Pace time.Duration
+	// Turn returns how much longer to wait than Pace, so that another process that follows the same kind may ask first
+	// and tell by Advance; it may be nil.
+	Turn func() time.Duration
+	// OnRead is told, after OnObjects or OnGap, up to which revision the state is known, and when the call for it began;
+	// it may be nil.
+	OnRead func(revision uint64, began time.Time)
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
 	// refreshing is set while a watch runs that replaces an interrupted one.
 	refreshing bool
+	// revision is where the next watch continues; 0 means that the state has to be read again.
+	revision uint64
+	// known is the time from which on writes may be missing, and resting whether Run waits for the next watch.
+	known   time.Time
+	resting bool
+	hurried bool
+	// moved receives a value when known, or hurried, changes during a rest.
+	moved chan struct{}
 }
 
 // errRefreshed ends a watch that Refresh interrupts.
@@ -56,7 +68,7 @@
 
 // Run watches until the context ends.
 func (f *Feed) Run(ctx context.Context) {
-	var revision uint64
+	f.moved = make(chan struct{}, 1)
 	limit := f.RetryLimit
 	if limit <= 0 {
 		limit = feedLimit
@@ -64,11 +76,11 @@
 	backoff := NewBackoff(feedBase, limit)
 	for ctx.Err() == nil {
 		began := time.Now()
-		next, err := f.step(ctx, revision)
-		revision = next
+		next, err := f.step(ctx, f.Revision(), began)
+		f.continueAt(next, began)
 		if err == nil && next > 0 {
 			backoff.Reset()
-			if !f.refreshPending() && !sleep(ctx, f.Pace-time.Since(began)) {
+			if !f.refreshPending() && !f.rest(ctx) {
 				return
 			}
 			continue
@@ -83,6 +95,87 @@
 	}
 }
 
+// Revision returns the revision from which the next watch continues; 0 means that the state has to be read again.
+func (f *Feed) Revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+func (f *Feed) continueAt(revision uint64, known time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision, f.known = revision, known
+}
+
+// rest waits until the next watch is due and returns false when the context ended.
+func (f *Feed) rest(ctx context.Context) bool {
+	wait := f.Pace
+	if f.Turn != nil {
+		wait += f.Turn()
+	}
+	defer f.setResting(false)
+	for left := f.setResting(true) + wait; left > 0; left = f.untilDue(wait) {
+		timer := time.NewTimer(left)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		case <-timer.C:
+		case <-f.moved:
+			timer.Stop()
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// setResting returns the time from now until known, which is negative.
+func (f *Feed) setResting(on bool) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.resting, f.hurried = on, false
+	return -time.Since(f.known)
+}
+
+func (f *Feed) untilDue(wait time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.hurried {
+		return 0
+	}
+	return wait - time.Since(f.known)
+}
+
+// Advance tells that another process read up to the revision to with a call that began at the given time, and that no
+// write after the revision from matters. A Feed that waits for its next watch and knows all up to from continues at to.
+func (f *Feed) Advance(from, to uint64, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.resting || f.revision < from || f.revision > to || !at.After(f.known) {
+		return
+	}
+	f.revision, f.known = to, at
+	f.wake()
+}
+
+// Hurry tells that a write at the revision matters. A Feed that waits for its next watch and does not know the write asks
+// at once.
+func (f *Feed) Hurry(revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.resting && revision > f.revision {
+		f.hurried = true
+		f.wake()
+	}
+}
+
+func (f *Feed) wake() {
+	select {
+	case f.moved <- struct{}{}:
+	default: // a value is waiting already
+	}
+}
+
 func (f *Feed) refreshPending() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -90,7 +183,7 @@
 }
 
 // step returns the revision to continue from; 0 means that the state has to be read again.
-func (f *Feed) step(ctx context.Context, revision uint64) (uint64, error) {
+func (f *Feed) step(ctx context.Context, revision uint64, began time.Time) (uint64, error) {
 	objs, next, err := f.watch(ctx, revision)
 	if errors.Is(err, errRefreshed) {
 		return revision, nil
@@ -98,9 +191,7 @@
 	if err == nil && f.OnContact != nil {
 		f.OnContact()
 	}
-	if f.refreshed() && f.OnLate != nil && (errors.Is(err, ErrGap) || len(objs) > 0) {
-		f.OnLate()
-	}
+	f.refreshed()
 	switch {
 	case errors.Is(err, ErrGap):
 		return 0, err
@@ -114,6 +205,9 @@
 	case len(objs) > 0:
 		f.OnObjects(objs)
 	}
+	if f.OnRead != nil {
+		f.OnRead(next, began)
+	}
 	return next, nil
 }
 
@@ -141,11 +235,9 @@
 	return objs, next, err
 }
 
-// refreshed reports whether the watch that just ended replaced an interrupted one.
-func (f *Feed) refreshed() bool {
+// refreshed notes that the watch that replaced an interrupted one has ended.
+func (f *Feed) refreshed() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	was := f.refreshing
 	f.refreshing = false
-	return was
 }
