--- a/internal/app/cli/commands.go
+++ b/internal/app/cli/commands.go
@@ -55,6 +55,9 @@
 			"straight to the replicas. What differs between machines is read from the file that DRAGONFLYPIN_NODE_FILE names. " +
 			"SIGTERM finishes what is in flight within the platform's grace time, SIGHUP reads the machine's settings again. " +
 			"Events go to stdout.\n\n" + settings.Help[settings.Edge](), data: &edgeCommand{roleOptions{env: env}}},
+		{name: "day", short: "Plot what edges logged", long: "Reads the lines of edges and writes a page with plots: the share of requests in " +
+			"time by class, refusals by code, requests by the reason for the choice of their replica, and the replicas in use. " +
+			"What stands before a line's first brace is left out.", data: &dayCommand{env: env}},
 		{name: "standin", short: "Run one of the platform's stand-ins", long: "Runs a stand-in for a part of the platform. " +
 			"PUT /faults sets its faults as JSON: delay_ms and stale_ms in milliseconds, slow_factor as a factor, and outage, " +
 			"lose_answers and crash as true or a number of calls.", commands: standinCommands(env)},
--- /dev/null
+++ b/internal/app/day/page.go
@@ -0,0 +1,155 @@
+package day
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"os"
+	"path/filepath"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	// leastShare is the share of the requests below which a class is only in the table: its line would jump between 0 and 1.
+	leastShare = 0.01
+)
+
+// chart is one plot of the page.
+type chart struct {
+	Name, Title, axis string
+	// share is set when the values are between 0 and 1.
+	share  bool
+	series Series
+}
+
+// classRow is a line of the page's table.
+type classRow struct {
+	Class                  string
+	Requests, InTime       int
+	Refused, OtherwiseLost int
+}
+
+// Write writes index.html and one SVG file for each plot to the directory, with bins of the given length. It returns the
+// files' names.
+func (d *Day) Write(dir string, length time.Duration) ([]string, error) {
+	if len(d.Requests) == 0 {
+		return nil, fmt.Errorf("the lines hold no ended request")
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("create %s: %w", dir, err)
+	}
+	charts := []chart{
+		{"attainment.svg", "Share of the requests in time, by class", "share", true, d.frequent(d.Attainment(length))},
+		{"refusals.svg", "Requests refused as not run, by code", "requests", false, d.Refusals(length)},
+		{"choices.svg", "Requests by the reason for the choice of their replica", "requests", false, d.Choices(length)},
+		{"replicas.svg", "Replicas in use, by the reason for the choice", "replicas", false, d.Replicas(length)},
+	}
+	var files []string
+	for _, c := range charts {
+		if err := c.save(filepath.Join(dir, c.Name), length); err != nil {
+			return nil, err
+		}
+		files = append(files, c.Name)
+	}
+	var page bytes.Buffer
+	if err := pageTemplate.Execute(&page, map[string]any{"Charts": charts, "Rows": d.rows(), "Bin": length, "Unreadable": d.Unreadable}); err != nil {
+		return nil, fmt.Errorf("write page: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "index.html"), page.Bytes(), 0o600); err != nil {
+		return nil, fmt.Errorf("write page: %w", err)
+	}
+	return append(files, "index.html"), nil
+}
+
+func (c *chart) save(path string, length time.Duration) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.Title, "seconds", c.axis
+	p.Y.Min, p.Legend.Top = 0, true
+	if c.share {
+		p.Y.Max, p.Legend.Top = 1.02, false
+	}
+	p.Add(plotter.NewGrid())
+	for i, name := range c.series.Names() {
+		points := make(plotter.XYs, len(c.series[name]))
+		for bin, v := range c.series[name] {
+			points[bin] = plotter.XY{X: float64(bin) * length.Seconds(), Y: v}
+		}
+		drawn, err := plotter.NewLine(points)
+		if err != nil {
+			return fmt.Errorf("plot %s of %s: %w", name, path, err)
+		}
+		drawn.Color, drawn.Dashes = plotutil.Color(i), plotutil.Dashes(i/len(plotutil.DefaultColors))
+		p.Add(drawn)
+		p.Legend.Add(name, drawn)
+	}
+	if err := p.Save(plotWidth, plotHeight, path); err != nil {
+		return fmt.Errorf("save %s: %w", path, err)
+	}
+	return nil
+}
+
+// frequent leaves out the classes with few requests.
+func (d *Day) frequent(s Series) Series {
+	kept := Series{}
+	for _, row := range d.rows() {
+		if float64(row.Requests) >= leastShare*float64(len(d.Requests)) {
+			kept[row.Class] = s[row.Class]
+		}
+	}
+	return kept
+}
+
+func (d *Day) rows() []classRow {
+	byClass := map[string]*classRow{}
+	names := Series{}
+	for i := range d.Requests {
+		r := &d.Requests[i]
+		row := byClass[r.Class]
+		if row == nil {
+			row = &classRow{Class: r.Class}
+			byClass[r.Class], names[r.Class] = row, nil
+		}
+		row.Requests++
+		switch {
+		case r.InTime:
+			row.InTime++
+		case r.Refused != "":
+			row.Refused++
+		default:
+			row.OtherwiseLost++
+		}
+	}
+	rows := make([]classRow, 0, len(byClass))
+	for _, name := range names.Names() {
+		rows = append(rows, *byClass[name])
+	}
+	return rows
+}
+
+var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en">
+<head><meta charset="utf-8"><title>dragonflypin: a day</title></head>
+<body>
+<h1>A day</h1>
+<table>
+<tr><th>class</th><th>requests</th><th>in time</th><th>refused as not run</th><th>late, failed or left</th></tr>
+{{- range .Rows}}
+<tr><td>{{.Class}}</td><td>{{.Requests}}</td><td>{{.InTime}}</td><td>{{.Refused}}</td><td>{{.OtherwiseLost}}</td></tr>
+{{- end}}
+</table>
+<p>Bins of {{.Bin}}.{{if .Unreadable}} {{.Unreadable}} lines could not be read.{{end}}</p>
+{{- range .Charts}}
+<h2>{{.Title}}</h2>
+<img src="{{.Name}}" alt="{{.Title}}">
+{{- end}}
+</body>
+</html>
+`))
--- a/internal/app/edge/observe.go
+++ b/internal/app/edge/observe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	stdlog "log"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -109,6 +110,7 @@
 	gap, _ := e.Choice.Load.Gap()
 	fields := []eventlog.Field{
 		eventlog.Request(r.ID), eventlog.Class(r.Route.Name), eventlog.Priority(r.Priority), eventlog.Version(r.Version), eventlog.Outcome(e.Outcome), eventlog.Status(e.Status),
+		eventlog.InTime(inTime(r, &e)),
 		eventlog.Upstream(e.Choice.ReplicaID()), eventlog.Reason(string(e.Choice.Reason)), eventlog.ReadTokens(e.Choice.Prefill),
 		eventlog.SeenLoad(e.Choice.Load.Running, e.Choice.Load.Prefill, e.Choice.Load.Waiting), eventlog.SeenGap(gap), eventlog.ReportAge(e.Choice.ReportAge),
 		eventlog.RefusedFor(string(e.Code)), eventlog.Attempts(e.Attempts),
@@ -120,6 +122,11 @@
 	o.log.Emit(eventlog.EdgeRequestEnded, fields...)
 }
 
+// inTime reports whether a replica's success reached the caller within the targets of its route.
+func inTime(r *forward.Request, e *forward.End) bool {
+	return e.Outcome == forward.OutcomeDelivered && e.Status < http.StatusBadRequest && r.Route.InTime(e.First, e.LongestGap, e.Total)
+}
+
 // outcomeOf names the outcome as the metrics of the other roles do.
 func outcomeOf(e forward.End) string {
 	if e.Outcome == forward.OutcomeRefused {
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -106,6 +106,9 @@
 // RefusedFor is the code of an answer of the router's own; empty when an upstream answered.
 func RefusedFor(code string) Field { return Field{"refused_for", cut(code)} }
 
+// InTime is whether the answer was delivered within its route's targets.
+func InTime(ok bool) Field { return Field{"in_time", ok} }
+
 // ReadTokens is the number of prompt tokens that the upstream was expected to read.
 func ReadTokens(n int) Field { return Field{"read_tokens", n} }
 
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -69,6 +69,15 @@
 	Resumable bool
 }
 
+// InTime reports whether a delivered answer earns full credit: first is the time to its first event, gap the longest pause
+// between two, and total the time to its end.
+func (r *Route) InTime(first, gap, total time.Duration) bool {
+	if r.Kind != Streaming {
+		return total <= r.LatencyTarget
+	}
+	return first <= r.LatencyTarget && (r.GapTarget <= 0 || gap <= r.GapTarget)
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
