--- a/internal/measure/prompts/engine.go
+++ b/internal/measure/prompts/engine.go
@@ -18,6 +18,9 @@
 	slots       = 64
 	// memoryTokens is shared by running requests and cached parts.
 	memoryTokens = 659_492
+	// smallMemoryTokens makes the parts of one replica's requests compete, as on the large deployments, where each replica
+	// sees more different parts. With 200,000 the ranking of homes was that of full memory.
+	smallMemoryTokens = 120_000
 	// A fetch takes 8 ms and more: 18,432 bytes a token over 180 Gbit/s.
 	fetchSetupMs = 8
 	fetchedPerMs = 1220
@@ -47,9 +50,10 @@
 // engine reads prompts in chunks between the tokens of other requests. What it has read stays in its memory until other
 // requests need the room; when running requests need it all, the newest is put back and read again.
 type engine struct {
-	id   string
-	slow float64
-	lost bool
+	id     string
+	slow   float64
+	lost   bool
+	memory int
 	// cached holds the parts that were read, the least recently used first, and size the tokens of each.
 	cached  []string
 	size    map[string]int
@@ -61,7 +65,9 @@
 	spellEnd time.Time
 }
 
-func newEngine(id string) *engine { return &engine{id: id, slow: 1, size: map[string]int{}} }
+func newEngine(id string) *engine {
+	return &engine{id: id, slow: 1, memory: memoryTokens, size: map[string]int{}}
+}
 
 // holds reports whether the part is in memory.
 func (e *engine) holds(part string) bool { _, ok := e.size[part]; return ok }
@@ -104,7 +110,7 @@
 	inUse := func(part string) bool {
 		return slices.ContainsFunc(e.running, func(r *request) bool { return r.job.Parts[0].ID == part })
 	}
-	for i := 0; used > memoryTokens && i < len(e.cached); {
+	for i := 0; used > e.memory && i < len(e.cached); {
 		part := e.cached[i]
 		if inUse(part) {
 			i++
@@ -114,7 +120,7 @@
 		delete(e.size, part)
 		e.cached = slices.Delete(e.cached, i, i+1)
 	}
-	for used > memoryTokens && len(e.running) > 1 {
+	for used > e.memory && len(e.running) > 1 {
 		newest := e.running[len(e.running)-1]
 		e.running = e.running[:len(e.running)-1]
 		used -= newest.job.Parts[1].Tokens
--- a/internal/measure/prompts/load.go
+++ b/internal/measure/prompts/load.go
@@ -55,6 +55,8 @@
 	// Lost engines end at LostAt, with what they run.
 	Lost   int
 	LostAt time.Duration
+	// Memory of each engine in tokens.
+	Memory int
 	// Returns is how often a refused caller comes back after the time that it was told.
 	Returns int
 	// Quiet leaves out the slow spells.
@@ -68,7 +70,7 @@
 func Standard() Load {
 	cfg := settings.Edge{}
 	settings.ApplyDefaults(&cfg)
-	return Load{Name: "standard", Classes: Classes(), Entries: 4, Replicas: 18, Length: 12 * time.Second, Report: 30 * time.Millisecond, Set: cfg.Placement}
+	return Load{Name: "standard", Classes: Classes(), Entries: 4, Replicas: 18, Length: 12 * time.Second, Report: 30 * time.Millisecond, Memory: memoryTokens, Set: cfg.Placement}
 }
 
 // burst multiplies the rate of a class for a time.
@@ -102,6 +104,7 @@
 		named("lost_replicas", func(l *Load) { l.Lost, l.LostAt = 6, 4*s }),
 		named("slow_replicas", func(l *Load) { l.Slow, l.SlowBy = 4, 4.6 }),
 		named("mix_shift", func(l *Load) { l.burst(long, 2.2, 0, 5*s); l.burst(short, 4, 6*s, 11*s) }),
+		named("small_memory", func(l *Load) { l.Memory, l.Length = smallMemoryTokens, 24*s; l.burst(long, 1.6, 3*s, 23*s) }),
 		named("all_return", func(l *Load) { l.burst(long, 6, 2*s, 3500*time.Millisecond); l.Returns = 3 }),
 	}
 }
--- a/internal/measure/prompts/prompts_test.go
+++ b/internal/measure/prompts/prompts_test.go
@@ -107,6 +107,23 @@
 	}
 }
 
+// Guards against more homes for a prompt than memory allows: on the large deployments 3 and 8 homes read more shared parts
+// again than 2, and served fewer requests in time.
+func TestFewHomesWhereMemoryIsSmall(t *testing.T) {
+	t.Parallel()
+	for _, l := range Patterns() {
+		if l.Name != "small_memory" {
+			continue
+		}
+		many := l
+		many.Set.Homes = 8
+		few, more := credit(l.Classes, l.Sum(reportSeeds)), credit(l.Classes, many.Sum(reportSeeds))
+		if few <= more {
+			t.Errorf("credit %.3f with %d homes, %.3f with 8", few, l.Set.Homes, more)
+		}
+	}
+}
+
 func promptOf(id string, shared, own int) *request {
 	return &request{class: &Class{events: 1}, tokens: eventTokens, job: &place.Job{Parts: []place.Part{{ID: id, Tokens: shared}, {ID: id + "-own", Tokens: own}}}}
 }
--- a/internal/measure/prompts/run.go
+++ b/internal/measure/prompts/run.go
@@ -54,6 +54,7 @@
 	x.now = x.start
 	for n := range l.Replicas {
 		e := newEngine(fmt.Sprintf("replica-%02d", n))
+		e.memory = l.Memory
 		if n < l.Slow {
 			e.slow = l.SlowBy
 		}
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -44,8 +44,9 @@
 	LendCost Duration `json:"lend_cost" default:"50ms" min:"1ms" max:"1m"`
 	// CalmCost is the mean wait in the kept half of the short pool up to which the other half is lent. Default "50ms".
 	CalmCost Duration `json:"calm_cost" default:"50ms" min:"1ms" max:"1m"`
-	// Homes is the number of replicas that are considered for a prompt before all of them are. Default 3.
-	Homes int `json:"homes" default:"3" min:"1" max:"8" unit:"replicas"`
+	// Homes is the number of replicas that are considered for a prompt before all of them are. With more, the shared parts
+	// fill the memory of more replicas: 3 and 8 read more of them again on the large deployments. Default 2.
+	Homes int `json:"homes" default:"2" min:"1" max:"8" unit:"replicas"`
 	// FetchCost is what it counts, in the wait before a prompt, that a replica fetches the prompt's shared parts from another
 	// one instead of reading them. A fetch of 13,300 tokens takes about 20 ms and fills the memory of a second replica; with
 	// 100 ms prompts moved more often than they gained, 600 ms gained less. Default "300ms".
