forward: the line of an attempt names the deadline, not the connection closed for it

Cause: when a route's timeout or the caller's leave ended an attempt, its line said "use of closed network connection", the consequence of the edge's own close.

Change: the line has the cause of the context.

--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -151,6 +151,10 @@
 		s.queued = sent.Sub(r.Arrived)
 	}
 	note := Attempt{Choice: c, Number: s.sends + 1, Took: time.Since(sent), Err: err}
+	if err != nil && ctx.Err() != nil {
+		// The connection was closed for this; the error of the closed connection tells nothing.
+		note.Err = context.Cause(ctx)
+	}
 	if errors.Is(err, direct.ErrNotSent) {
 		s.f.Observer.Attempted(r, note)
 		return s.notSent(ctx, c)
