edge: the pace of watches follows the platform's bounds; a lapse that is known is no news

The pace of 700 ms and the wait for other edges fit into bounds of 2 s and more; a deployment with a tighter bound would hear of leaving replicas too late. And an entry that lapsed in an outage counted as changed each time that it was found missing, which made the other edges ask.

Change: the pace is at most 0.35 of the kind's bound, the same 700 ms at 2 s. The registry reports a lapse once.

--- a/internal/app/edge/coverage_test.go
+++ b/internal/app/edge/coverage_test.go
@@ -175,6 +175,20 @@
 	}
 }
 
+// Guards against an edge that learns of a replica's leaving after the platform's bound, where that is tighter than on the
+// sheets: the pace and the longest turn leave four tenths of the bound for the call.
+func TestPaceAndTurnFitTheBound(t *testing.T) {
+	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		longest := pace(700*time.Millisecond, bound) + turn(1000, turnStep(time.Second), bound)
+		if longest > bound*6/10 {
+			t.Errorf("bound %s: an edge may not ask for %s", bound, longest)
+		}
+	}
+	if got := pace(700*time.Millisecond, 0); got != 700*time.Millisecond {
+		t.Errorf("pace %s without a bound, want the setting", got)
+	}
+}
+
 // Guards against a claim on writes that a list already held: the watch that brings them again changes nothing at the edge
 // that listed, but others don't know them.
 func TestListCoversNothing(t *testing.T) {
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -21,7 +21,20 @@
 // maxPages bounds one list; it spans the 7,600 replicas of the target several times over.
 const maxPages = 64
 
-func (e *Edge) feed(kind string, onObjects func([]store.Object), onGap func(context.Context) error) *store.Feed {
+// paceShare is the largest pace of watches as a share of the bound that the platform sets for the kind: 700 ms of 2 s.
+const paceShare = 0.35
+
+// pace returns the shortest time between two watches of a kind whose writes have to be known within the bound; 0 means that
+// there is none.
+func pace(set, bound time.Duration) time.Duration {
+	if bound <= 0 {
+		return set
+	}
+	return min(set, time.Duration(paceShare*float64(bound)))
+}
+
+// feed follows a kind whose writes have to be known within the bound.
+func (e *Edge) feed(kind string, bound time.Duration, onObjects func([]store.Object), onGap func(context.Context) error) *store.Feed {
 	return &store.Feed{
 		Client: e.deps.Store, Kind: kind, OnObjects: onObjects, OnGap: onGap,
 		OnError: func(err error) {
@@ -36,7 +49,7 @@
 			e.fresh.onAnswer(kind, now)
 		},
 		RetryLimit: storeRetryLimit,
-		Pace:       time.Duration(e.cfg.WatchPace),
+		Pace:       pace(time.Duration(e.cfg.WatchPace), bound),
 	}
 }
 
@@ -53,7 +66,7 @@
 		}
 		e.configured(v)
 	}
-	return e.feed(source.ConfigurationKind,
+	return e.feed(source.ConfigurationKind, e.node.ApplyBound,
 		func(objects []store.Object) {
 			for _, o := range objects {
 				accept(o)
@@ -83,7 +96,7 @@
 
 func (e *Edge) followReplicas() *store.Feed {
 	kind := e.deps.Source.ReplicaKind
-	feed := e.feed(kind,
+	feed := e.feed(kind, e.node.DrainBound,
 		func(objects []store.Object) {
 			if e.registry.Apply(e.changes(objects), time.Now()) {
 				e.coverage.onChange()
--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -184,20 +184,21 @@
 	return true
 }
 
-// remove keeps an entry that may have lapsed only because its replica could not reach the store. A replica that was
+// remove reports whether it changed anything. It keeps an entry that may have lapsed only because its replica could not reach the store. A replica that was
 // draining is gone at once.
 func (r *Registry) remove(id string, now time.Time) bool {
 	e, ok := r.entries[id]
 	switch {
-	case !ok:
-		return false
-	case e.Draining || !r.mayLapse(now):
+	case ok && (e.Draining || !r.mayLapse(now)):
 		delete(r.entries, id)
-	case e.missing.IsZero():
+		return true
+	case ok && e.missing.IsZero():
 		e.missing = now
 		r.entries[id] = e
+		return true
+	default:
+		return false
 	}
-	return true
 }
 
 // mayLapse reports whether the store was away until shortly before now.
--- a/internal/process/replicas/replicas_test.go
+++ b/internal/process/replicas/replicas_test.go
@@ -48,6 +48,33 @@
 }
 
 // Guards against a view that depends on the way in which entries arrived: a list and the changes that lead to it agree.
+// Guards against news of a change where nothing changed: edges would ask the store for it.
+func TestOnlyChangesAreReported(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := replicas.NewRegistry()
+	apply := func(what string, want bool, changes ...replicas.Change) {
+		t.Helper()
+		if got := r.Apply(changes, now); got != want {
+			t.Errorf("%s: changed %t, want %t", what, got, want)
+		}
+	}
+	apply("a new entry", true, entry("a", false))
+	apply("a renewal", false, entry("a", false))
+	apply("an entry that drains", true, entry("a", true))
+	apply("the removal of an unknown entry", false, replicas.Change{ID: "x"})
+	apply("a second entry", true, entry("b", false), entry("a", true))
+	r.StoreFailed()
+	apply("an entry that lapses in an outage", true, replicas.Change{ID: "b"})
+	apply("the same lapse again", false, replicas.Change{ID: "b"})
+	apply("an entry that comes back", true, entry("b", false))
+	if r.Replace([]replicas.Change{entry("a", true), entry("b", false)}, now) {
+		t.Error("the same list counts as a change")
+	}
+	if !r.Replace([]replicas.Change{entry("b", false)}, now) {
+		t.Error("a list without a draining entry counts as no change")
+	}
+}
+
 func TestListAndChangesAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -11,7 +11,8 @@
 	StoreCallsPerSecond float64 `json:"store_calls_per_second" default:"10" min:"1" max:"1000" unit:"calls/s"`
 	// WatchTime is how long the store may hold a watch. Edges ask in between, together about once a second. Default "10s".
 	WatchTime Duration `json:"watch_time" default:"10s" min:"500ms" max:"30s"`
-	// WatchPace is the shortest time between two watches of a kind; writes in between arrive together. Default "700ms".
+	// WatchPace is the shortest time between two watches of a kind; writes in between arrive together. The platform's bounds
+	// can shorten it. Default "700ms".
 	WatchPace Duration `json:"watch_pace" default:"700ms" min:"0s" max:"5s"`
 	// Placement sets the weights of the choice of replicas.
 	Placement Placement `json:"placement"`
