place: a look for sources leaves the probes of avoided replicas alone

Cause: read in the diff. Whether a source is usable was asked as for a place to send the request to, which allows a repeatable request to try out a replica that is avoided for its failures once in 0.7 s. The look used that up without sending anything, so such a replica came back later.

Change: a source must be usable without a probe. TestSourcesAreNotProbed fails without the change (6 of 6 probes lost).

--- a/internal/request/place/fetch.go
+++ b/internal/request/place/fetch.go
@@ -10,7 +10,8 @@
 	}
 	var list []member
 	for _, key := range p.cached.holding(job.Parts, now) {
-		if m, ok := l.byKey[key]; ok && p.usable(job, m, now) {
+		// A replica that is avoided is no source, and asking must not use up its probe.
+		if m, ok := l.byKey[key]; ok && p.Health.Usable(job.Service, key, false, now) {
 			list = append(list, m)
 		}
 	}
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
 
 	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
@@ -212,3 +213,38 @@
 		}
 	}
 }
+
+// Guards against a look for sources that uses up the probes of replicas that are avoided for their failures: they would
+// come back later. Only the prompt's homes are candidates, and may be probed.
+func TestSourcesAreNotProbed(t *testing.T) {
+	p := newPlacer(t, 12)
+	var holders []place.Note
+	var avoided []place.Key
+	for n := range 12 {
+		key := place.KeyOf(fmt.Sprintf("replica-%04d", n))
+		holders = append(holders, place.Note{Replica: key, Part: xxhash.Sum64String("subject")})
+		if n%2 == 0 {
+			avoided = append(avoided, key)
+		}
+		for range 40 {
+			p.Health.Answered("lm", key, n%2 == 0, epoch)
+		}
+	}
+	p.Reported("other", nil, holders, epoch)
+	at := epoch.Add(1200 * time.Millisecond)
+	if _, ok := p.Enter(prompt("subject"), at); !ok {
+		t.Fatal("no replica")
+	}
+	probed := 0
+	for _, key := range avoided {
+		if p.Health.Usable("lm", key, false, at) {
+			t.Fatal("a replica that fails all requests is not avoided")
+		}
+		if !p.Health.Usable("lm", key, true, at) {
+			probed++
+		}
+	}
+	if probed > 4 {
+		t.Errorf("%d of %d avoided replicas lost their probe to one request", probed, len(avoided))
+	}
+}
