measure: replays find patterns and variants by name

Cause: three tests searched the lists of patterns and variants by nested loops, and the one on small memory passed when its pattern was missing. The replays of place repeated the positions of the classes. A caller's time to come back was kept in the field for the last event.

Change: a lookup by name that fails the test; exported positions; a field of its own.

--- a/internal/measure/prompts/engine.go
+++ b/internal/measure/prompts/engine.go
@@ -44,7 +44,9 @@
 	prefill, tokens int
 	// fetched is when the shared parts have come from another engine.
 	fetched time.Time
+	// returns counts how often the caller came back, and back is when it comes next.
 	returns int
+	back    time.Time
 }
 
 // engine reads prompts in chunks between the tokens of other requests. What it has read stays in its memory until other
--- a/internal/measure/prompts/load.go
+++ b/internal/measure/prompts/load.go
@@ -81,9 +81,9 @@
 
 // Positions in Classes.
 const (
-	long = iota
-	chat
-	short
+	Long = iota
+	Chat
+	Short
 )
 
 // Patterns are the loads that the report compares policies on.
@@ -97,15 +97,15 @@
 	}
 	return []Load{
 		Standard(),
-		named("long_burst", func(l *Load) { l.burst(long, 2.6, 0, 9*s) }),
-		named("short_burst", func(l *Load) { l.burst(short, 4, 3*s, 8*s) }),
-		named("hot_part", func(l *Load) { l.Classes[long].Hot = 0.5; l.burst(long, 2, 3*s, 9*s) }),
-		named("hot_tenant", func(l *Load) { l.Classes[chat].Subjects = 6; l.burst(chat, 4, 3*s, 9*s) }),
+		named("long_burst", func(l *Load) { l.burst(Long, 2.6, 0, 9*s) }),
+		named("short_burst", func(l *Load) { l.burst(Short, 4, 3*s, 8*s) }),
+		named("hot_part", func(l *Load) { l.Classes[Long].Hot = 0.5; l.burst(Long, 2, 3*s, 9*s) }),
+		named("hot_tenant", func(l *Load) { l.Classes[Chat].Subjects = 6; l.burst(Chat, 4, 3*s, 9*s) }),
 		named("lost_replicas", func(l *Load) { l.Lost, l.LostAt = 6, 4*s }),
 		named("slow_replicas", func(l *Load) { l.Slow, l.SlowBy = 4, 4.6 }),
-		named("mix_shift", func(l *Load) { l.burst(long, 2.2, 0, 5*s); l.burst(short, 4, 6*s, 11*s) }),
-		named("small_memory", func(l *Load) { l.Memory, l.Length = smallMemoryTokens, 24*s; l.burst(long, 1.6, 3*s, 23*s) }),
-		named("all_return", func(l *Load) { l.burst(long, 6, 2*s, 3500*time.Millisecond); l.Returns = 3 }),
+		named("mix_shift", func(l *Load) { l.burst(Long, 2.2, 0, 5*s); l.burst(Short, 4, 6*s, 11*s) }),
+		named("small_memory", func(l *Load) { l.Memory, l.Length = smallMemoryTokens, 24*s; l.burst(Long, 1.6, 3*s, 23*s) }),
+		named("all_return", func(l *Load) { l.burst(Long, 6, 2*s, 3500*time.Millisecond); l.Returns = 3 }),
 	}
 }
 
--- a/internal/measure/prompts/prompts_test.go
+++ b/internal/measure/prompts/prompts_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,25 +50,40 @@
 	}
 }
 
+// named returns the element of the list with the name.
+func named[T any](t *testing.T, list []T, name string, nameOf func(T) string) T {
+	t.Helper()
+	i := slices.IndexFunc(list, func(e T) bool { return nameOf(e) == name })
+	if i < 0 {
+		t.Fatalf("%q is not in the list", name)
+	}
+	return list[i]
+}
+
+func pattern(t *testing.T, name string) Load {
+	t.Helper()
+	return named(t, Patterns(), name, func(l Load) string { return l.Name })
+}
+
+func variant(t *testing.T, name string) Variant {
+	t.Helper()
+	return named(t, Variants(), name, func(v Variant) string { return v.Name })
+}
+
 // Guards against a report that differs between runs of one seed, and against requests that are never accounted for.
 func TestRunIsRepeatableAndComplete(t *testing.T) {
 	for _, l := range Patterns() {
 		t.Run(l.Name, func(t *testing.T) {
 			t.Parallel()
-			for _, v := range []string{"policy", "oracle"} {
-				for _, variant := range Variants() {
-					if variant.Name != v {
-						continue
-					}
-					under := variant.Under(l)
-					a, b := under.Run(7), under.Run(7)
-					if !maps.Equal(a, b) {
-						t.Errorf("%s: %v, then %v", v, a, b)
-					}
-					for name, c := range a {
-						if c.Asked == 0 || c.InTime+c.Late+c.Refused+c.Failed != c.Asked {
-							t.Errorf("%s %s: %+v does not add up", v, name, c)
-						}
+			for _, v := range []Variant{variant(t, "policy"), variant(t, "oracle")} {
+				under := v.Under(l)
+				a, b := under.Run(7), under.Run(7)
+				if !maps.Equal(a, b) {
+					t.Errorf("%s: %v, then %v", v.Name, a, b)
+				}
+				for name, c := range a {
+					if c.Asked == 0 || c.InTime+c.Late+c.Refused+c.Failed != c.Asked {
+						t.Errorf("%s %s: %+v does not add up", v.Name, name, c)
 					}
 				}
 			}
@@ -92,16 +108,11 @@
 	} {
 		t.Run(c.pattern+"/"+c.without, func(t *testing.T) {
 			t.Parallel()
-			value := map[string]float64{}
-			for _, l := range Patterns() {
-				for _, v := range Variants() {
-					if l.Name == c.pattern && (v.Name == c.without || v.Name == "policy") {
-						value[v.Name] = Measure(l, v, reportSeeds)[0].Value
-					}
-				}
-			}
-			if len(value) != 2 || value["policy"] <= value[c.without] {
-				t.Errorf("credit %v, want more under the policy", value)
+			l := pattern(t, c.pattern)
+			policy := Measure(l, variant(t, "policy"), reportSeeds)[0].Value
+			without := Measure(l, variant(t, c.without), reportSeeds)[0].Value
+			if policy <= without {
+				t.Errorf("credit %.4f under the policy, %.4f with %s", policy, without, c.without)
 			}
 		})
 	}
@@ -111,16 +122,12 @@
 // again than 2, and served fewer requests in time.
 func TestFewHomesWhereMemoryIsSmall(t *testing.T) {
 	t.Parallel()
-	for _, l := range Patterns() {
-		if l.Name != "small_memory" {
-			continue
-		}
-		many := l
-		many.Set.Homes = 8
-		few, more := credit(l.Classes, l.Sum(reportSeeds)), credit(l.Classes, many.Sum(reportSeeds))
-		if few <= more {
-			t.Errorf("credit %.3f with %d homes, %.3f with 8", few, l.Set.Homes, more)
-		}
+	l := pattern(t, "small_memory")
+	many := l
+	many.Set.Homes = 8
+	few, more := credit(l.Classes, l.Sum(reportSeeds)), credit(l.Classes, many.Sum(reportSeeds))
+	if few <= more {
+		t.Errorf("credit %.3f with %d homes, %.3f with 8", few, l.Set.Homes, more)
 	}
 }
 
--- a/internal/measure/prompts/run.go
+++ b/internal/measure/prompts/run.go
@@ -226,21 +226,20 @@
 		return
 	}
 	r.returns++
-	r.last = x.now.Add(after)
+	r.back = x.now.Add(after)
 	x.coming = append(x.coming, r)
 }
 
 func (x *run) comeBack() {
 	var now []*request
 	x.coming = slices.DeleteFunc(x.coming, func(r *request) bool {
-		due := !r.last.After(x.now)
+		due := !r.back.After(x.now)
 		if due {
 			now = append(now, r)
 		}
 		return due
 	})
 	for _, r := range now {
-		r.last = time.Time{}
 		x.enter(r)
 	}
 }
--- a/internal/request/place/replay_test.go
+++ b/internal/request/place/replay_test.go
@@ -10,13 +10,6 @@
 
 // The replays run the placers of several entries before engines in virtual time (internal/measure/prompts).
 
-// Positions of the replays' classes.
-const (
-	long = iota
-	_
-	short
-)
-
 // compare plays both variants over some seeds and returns the sums of their tallies.
 func compare(with, without prompts.Load) (on, off map[string]prompts.Tally) {
 	seeds := []uint64{1, 2, 3, 4}
@@ -47,7 +40,7 @@
 func longBurst() prompts.Load {
 	r := prompts.Standard()
 	r.Replicas = 14
-	r.Classes[long].Burst, r.Classes[long].BurstTo = 2.3, 9*time.Second
+	r.Classes[prompts.Long].Burst, r.Classes[prompts.Long].BurstTo = 2.3, 9*time.Second
 	return r
 }
 
@@ -89,8 +82,8 @@
 func TestShortPoolIsLent(t *testing.T) {
 	t.Parallel()
 	with := prompts.Standard()
-	with.Classes[long].Burst, with.Classes[long].BurstTo = 3, 9*time.Second
-	with.Classes[short].PerSecond = 10
+	with.Classes[prompts.Long].Burst, with.Classes[prompts.Long].BurstTo = 3, 9*time.Second
+	with.Classes[prompts.Short].PerSecond = 10
 	without := with
 	without.Set.LendCost = settings.Duration(time.Minute)
 	on, off := compare(with, without)
@@ -104,7 +97,7 @@
 func TestShortPromptsLeaveASlowPool(t *testing.T) {
 	t.Parallel()
 	with := prompts.Standard()
-	with.Classes[short].Burst, with.Classes[short].BurstTo = 1.9, 6*time.Second
+	with.Classes[prompts.Short].Burst, with.Classes[prompts.Short].BurstTo = 1.9, 6*time.Second
 	with.Slow, with.SlowBy = 4, 4.6
 	without := with
 	without.Set.OverflowCost, without.Set.GapCost = settings.Duration(time.Minute), 0.0001
@@ -133,8 +126,8 @@
 func TestSharedPartsAreFetchedInABurst(t *testing.T) {
 	t.Parallel()
 	with := prompts.Standard()
-	with.Classes[long].Burst, with.Classes[long].BurstFrom, with.Classes[long].BurstTo = 3.4, 3*time.Second, 9*time.Second
-	with.Classes[long].Subjects = 24 // each is wanted at more than one replica at once
+	with.Classes[prompts.Long].Burst, with.Classes[prompts.Long].BurstFrom, with.Classes[prompts.Long].BurstTo = 3.4, 3*time.Second, 9*time.Second
+	with.Classes[prompts.Long].Subjects = 24 // each is wanted at more than one replica at once
 	without := with
 	without.Set.FetchCost = settings.Duration(time.Hour)
 	on, off := compare(with, without)
