edge, place, forward, store: simpler code for the same decisions

A choice looked up who has read a prompt's shared parts for every candidate, also where reading costs less than a fetch; the settings of the retry budget were computed twice, under a type that only wrapped another one; two reloads of the seeds differed in a log line; costs converted durations in four ways; state was kept that follows from other state.

Costs that are not whole milliseconds are no longer cut to whole ones; all defaults are.

--- a/internal/app/day/day.go
+++ b/internal/app/day/day.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"time"
 
@@ -124,14 +125,7 @@
 }
 
 // Names returns the names in order.
-func (s Series) Names() []string {
-	names := make([]string, 0, len(s))
-	for name := range s {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
+func (s Series) Names() []string { return slices.Sorted(maps.Keys(s)) }
 
 // count sums value(request) over the requests of each bin and name; a request without a name is left out.
 func (d *Day) count(length time.Duration, name func(*Request) string, value func(*Request) float64) Series {
@@ -191,9 +185,7 @@
 		}
 		return "fetched"
 	}, one)
-	for name, counts := range fetched {
-		s[name] = counts
-	}
+	maps.Copy(s, fetched)
 	return s
 }
 
--- a/internal/app/day/page.go
+++ b/internal/app/day/page.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"fmt"
 	"html/template"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"gonum.org/v1/plot"
@@ -109,13 +111,12 @@
 
 func (d *Day) rows() []classRow {
 	byClass := map[string]*classRow{}
-	names := Series{}
 	for i := range d.Requests {
 		r := &d.Requests[i]
 		row := byClass[r.Class]
 		if row == nil {
 			row = &classRow{Class: r.Class}
-			byClass[r.Class], names[r.Class] = row, nil
+			byClass[r.Class] = row
 		}
 		row.Requests++
 		switch {
@@ -128,7 +129,7 @@
 		}
 	}
 	rows := make([]classRow, 0, len(byClass))
-	for _, name := range names.Names() {
+	for _, name := range slices.Sorted(maps.Keys(byClass)) {
 		rows = append(rows, *byClass[name])
 	}
 	return rows
--- a/internal/app/edge/coverage.go
+++ b/internal/app/edge/coverage.go
@@ -18,8 +18,6 @@
 	listed int
 	told   gossip.Coverage
 	began  time.Time
-	// reads counts the calls.
-	reads uint64
 }
 
 // onChange notes that the call in progress brought a change.
@@ -38,7 +36,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.listed = callsOfList
-	c.changed = changed && c.reads > 0
+	c.changed = changed && c.told.To > 0
 }
 
 // onRead notes the end of a call that began at the given time and tells all up to the revision.
@@ -53,7 +51,6 @@
 	}
 	c.told.To, c.began = revision, began
 	c.changed, c.listed = false, max(0, c.listed-1)
-	c.reads++
 }
 
 // tell returns what the others hear.
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -302,30 +302,32 @@
 			}
 			if e.gossip.Live() == 0 && now.Sub(reloaded) >= isolatedReload {
 				reloaded = now
-				e.reloadSeeds()
+				// Without a line for the usual case, a single edge.
+				if _, err := e.reloadSeeds(); err != nil {
+					e.observer.troubled(eventlog.EdgeReloadFailed, err)
+				}
 			}
 		}
 	}
 }
 
-func (e *Edge) reload() {
+// reloadSeeds reads the seeds again and returns their number.
+func (e *Edge) reloadSeeds() (int, error) {
 	node, err := e.deps.Reload()
 	if err != nil {
-		e.deps.Log.Emit(eventlog.EdgeReloadFailed, eventlog.Err(err))
-		return
+		return 0, err
 	}
 	e.gossip.SetSeeds(node.Seeds)
-	e.deps.Log.Emit(eventlog.EdgeReloaded, eventlog.Count(len(node.Seeds)))
+	return len(node.Seeds), nil
 }
 
-// reloadSeeds reads the seeds again without a log line for the usual case, a single edge.
-func (e *Edge) reloadSeeds() {
-	node, err := e.deps.Reload()
+func (e *Edge) reload() {
+	seeds, err := e.reloadSeeds()
 	if err != nil {
-		e.observer.troubled(eventlog.EdgeReloadFailed, err)
+		e.deps.Log.Emit(eventlog.EdgeReloadFailed, eventlog.Err(err))
 		return
 	}
-	e.gossip.SetSeeds(node.Seeds)
+	e.deps.Log.Emit(eventlog.EdgeReloaded, eventlog.Count(seeds))
 }
 
 // Ready reports whether callers should come to this edge.
--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -114,8 +114,9 @@
 	if f.Turn != nil {
 		wait += f.Turn()
 	}
+	f.setResting(true)
 	defer f.setResting(false)
-	for left := f.setResting(true) + wait; left > 0; left = f.untilDue(wait) {
+	for left := f.untilDue(wait); left > 0; left = f.untilDue(wait) {
 		timer := time.NewTimer(left)
 		select {
 		case <-ctx.Done():
@@ -129,12 +130,10 @@
 	return ctx.Err() == nil
 }
 
-// setResting returns the time from now until known, which is negative.
-func (f *Feed) setResting(on bool) time.Duration {
+func (f *Feed) setResting(on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.resting, f.hurried = on, false
-	return -time.Since(f.known)
 }
 
 func (f *Feed) untilDue(wait time.Duration) time.Duration {
--- a/internal/request/forward/budget.go
+++ b/internal/request/forward/budget.go
@@ -2,33 +2,33 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/request/retry"
 )
 
-// perService keeps one retry budget a service.
-type perService struct {
+// Budgets holds the retry budget of each service. It is safe for concurrent use.
+type Budgets struct {
 	settings func() retry.Settings
 
 	mu  sync.Mutex
 	all map[string]*retry.Budget
 }
 
-func newPerService(settings func() retry.Settings) *perService {
-	return &perService{settings: settings, all: map[string]*retry.Budget{}}
+// NewBudgets returns budgets whose settings are read at each decision, because the number of entries that share a budget
+// changes.
+func NewBudgets(settings func() retry.Settings) *Budgets {
+	return &Budgets{settings: settings, all: map[string]*retry.Budget{}}
 }
 
-func (p *perService) get(service string) *retry.Budget {
+func (p *Budgets) get(service string) *retry.Budget {
+	set := p.settings()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.all[service]
 	if b == nil {
-		b = retry.NewBudget(p.settings())
+		b = retry.NewBudget(set)
 		p.all[service] = b
 	}
-	b.SetReserve(p.settings().Reserve)
+	b.SetReserve(set.Reserve)
 	return b
 }
-
-func (p *perService) requested(service string, now time.Time) { p.get(service).OnRequest(now) }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -9,7 +9,6 @@
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
 	"github.com/dragonflypin/dragonflypin/internal/request/place"
-	"github.com/dragonflypin/dragonflypin/internal/request/retry"
 	"github.com/dragonflypin/dragonflypin/internal/version/routes"
 )
 
@@ -164,23 +163,12 @@
 	Observer Observer
 }
 
-// Budgets holds the retry budget of each service.
-type Budgets struct {
-	budgets *perService
-}
-
-// NewBudgets returns budgets whose settings are read at each decision, because the number of entries that share a budget
-// changes.
-func NewBudgets(settings func() retry.Settings) *Budgets {
-	return &Budgets{newPerService(settings)}
-}
-
 // Serve answers one request. ctx ends when the caller leaves.
 func (f *Forwarder) Serve(ctx context.Context, r *Request, to Responder) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	s := &serving{f: f, r: r, to: to, resumeAfter: r.ResumeAfter}
-	f.Budgets.budgets.requested(r.Service, r.Arrived)
+	f.Budgets.get(r.Service).OnRequest(r.Arrived)
 	end := s.run(ctx)
 	end.Total = time.Since(r.Arrived)
 	end.Attempts, end.Choice = s.sends, s.choice
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -61,7 +61,7 @@
 		}
 		ticket, ok := s.f.Placer.Enter(s.job(), time.Now())
 		if !ok {
-			return s.noReplica()
+			return s.refuse(CodeNoReplica, retryAfterLost)
 		}
 		choice, waited := s.wait(ctx, ticket)
 		switch waited {
@@ -222,7 +222,7 @@
 	if s.sends >= r.Route.MaxAttempts {
 		return CodeUnknown, false
 	}
-	verdict := s.f.Budgets.budgets.get(r.Service).Decide(time.Now(), retry.Failure{
+	verdict := s.f.Budgets.get(r.Service).Decide(time.Now(), retry.Failure{
 		Known: known, Idempotent: r.Route.Repeatable(), Sent: s.began && r.Route.Kind != routes.Streaming,
 		Attempts: s.sends, Deadline: r.Deadline, Need: minLeft,
 	})
@@ -236,9 +236,6 @@
 	}
 }
 
-// noReplica ends a request for which no replica is left.
-func (s *serving) noReplica() End { return s.refuse(CodeNoReplica, retryAfterLost) }
-
 // refuse states that the request has not run, unless a replica may have worked on it.
 func (s *serving) refuse(code Code, retryAfter time.Duration) End {
 	if s.mayRun || s.began {
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -110,7 +110,7 @@
 		g = &decaying{at: now}
 		b.gaps[replica] = g
 	}
-	g.add(float64(gap.Microseconds())/1000, now, gapMemory)
+	g.add(milliseconds(gap), now, gapMemory)
 	b.changed++
 }
 
--- a/internal/request/place/line.go
+++ b/internal/request/place/line.go
@@ -105,7 +105,7 @@
 	if t.urgent() {
 		ahead = load.Urgent
 	}
-	wait := time.Duration(p.set.HopelessShare * float64(ahead) / prefillRate * float64(time.Millisecond))
+	wait := time.Duration(p.set.HopelessShare * float64(readingTime(ahead)))
 	return now.Add(wait).After(t.Patience)
 }
 
@@ -133,7 +133,7 @@
 // ReturnAfter returns when a job that was refused for lack of room should come back: when what waits now has been read.
 func (p *Placer) ReturnAfter(t *Ticket, now time.Time) time.Duration {
 	ahead := p.Board.Total(t.choice.Key, now)
-	return time.Duration(float64(ahead.Prefill+ahead.Waiting) / prefillRate * float64(time.Millisecond))
+	return readingTime(ahead.Prefill + ahead.Waiting)
 }
 
 // gated reports whether the job has to wait for room. Short prompts don't: they are what the room is kept for. Repeated ones
@@ -168,7 +168,7 @@
 	if t.urgent() {
 		share = p.set.UrgentWindowShare
 	}
-	return share * float64(t.profile.Tightest.Milliseconds())
+	return share * milliseconds(t.profile.Tightest)
 }
 
 // before orders a line: the more urgent first; then those that can still be in time; then the oldest.
@@ -184,8 +184,7 @@
 
 // inTime reports whether the job's first event can come within its target if the job is sent now.
 func (t *Ticket) inTime(now time.Time) bool {
-	work := time.Duration(float64(t.choice.Prefill) / prefillRate * float64(time.Millisecond))
-	return now.Add(work).Before(t.job.Arrived.Add(t.job.Target))
+	return now.Add(readingTime(t.choice.Prefill)).Before(t.job.Arrived.Add(t.job.Target))
 }
 
 func (p *Placer) wait(t *Ticket) {
@@ -213,7 +212,7 @@
 func (p *Placer) grant(t *Ticket, now time.Time) {
 	if len(t.job.Parts) > 0 {
 		t.choice.Source, t.choice.Prefill = nil, p.cached.missing(t.choice.Key, t.job.Parts, now)
-		p.readCost(&t.choice, t.job, p.sources(t.job, now))
+		p.readCost(&t.choice, t.job, now)
 	}
 	t.choice.Load, t.choice.ReportAge = p.Board.Total(t.choice.Key, now), p.Board.ReportAge(now)
 	p.cached.note(t.choice.Key, t.job.Parts, now)
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -25,6 +25,14 @@
 	sampled = 16
 )
 
+// milliseconds converts to the unit of all costs.
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// readingTime is the time in which an engine reads the tokens.
+func readingTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / prefillRate * float64(time.Millisecond))
+}
+
 // Part is one part of a prompt. Requests with the same first parts can use the same cache.
 type Part struct {
 	ID     string
@@ -220,7 +228,7 @@
 // the long prompts there disturb it less. It answers bursts of short work, and a pool that slows down or loses replicas.
 func (p *Placer) short(job *Job, l *layout, now time.Time) (Choice, bool) {
 	own, cost, ok := p.leastOf(job, l.kept, now)
-	if pack := float64(time.Duration(p.set.PackCost).Microseconds()) / 1000; !ok || cost > pack {
+	if pack := milliseconds(time.Duration(p.set.PackCost)); !ok || cost > pack {
 		if lent, lentCost, found := p.leastOf(job, l.lent, now); found && (!ok || lentCost+pack < cost) {
 			own, cost, ok = lent, lentCost, true
 		}
@@ -229,7 +237,7 @@
 		return p.least(job, l.long, nil, ReasonOverflow, now)
 	}
 	own.Reason = ReasonLeastLoaded
-	if limit := float64(time.Duration(p.set.OverflowCost).Milliseconds()); cost > limit {
+	if limit := milliseconds(time.Duration(p.set.OverflowCost)); cost > limit {
 		if other, otherCost, found := p.leastOf(job, l.long, now); found && otherCost+limit < cost {
 			other.Reason = ReasonOverflow
 			return other, true
@@ -251,14 +259,13 @@
 	key := homeKey(job.Parts)
 	var found [maxHomes]int32
 	best, bestCost := Choice{}, 0.0
-	sources := p.sources(job, now)
 	consider := func(m member, reason Reason, extra float64) {
 		if !p.usable(job, m, now) {
 			return
 		}
 		load := p.Board.Total(m.key, now)
 		c := Choice{Replica: m.Replica, Key: m.key, Prefill: p.cached.missing(m.key, job.Parts, now), Load: load, Reason: reason}
-		cost := p.cost(load, urgent) + p.readCost(&c, job, sources) + extra
+		cost := p.cost(load, urgent) + p.readCost(&c, job, now) + extra
 		if best.Replica == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -268,7 +275,7 @@
 		consider(l.long[index], reason, 0)
 		reason = ReasonSecondHome
 	}
-	if lendCost := float64(time.Duration(p.set.LendCost).Milliseconds()); bestCost > lendCost && p.calm(l, now) {
+	if lendCost := milliseconds(time.Duration(p.set.LendCost)); bestCost > lendCost && p.calm(l, now) {
 		for _, index := range found[:l.lentHomes.homes(key, found[:lentHomeCount])] {
 			if p.Board.Total(l.lent[index].key, now).Short <= lentShort {
 				consider(l.lent[index], ReasonLent, lendCost)
@@ -294,7 +301,7 @@
 	for _, m := range l.kept[:min(len(l.kept), sampled)] {
 		total += p.cost(p.Board.Total(m.key, now), false)
 	}
-	return total/float64(min(len(l.kept), sampled)) < float64(time.Duration(p.set.CalmCost).Milliseconds())
+	return total/float64(min(len(l.kept), sampled)) < milliseconds(time.Duration(p.set.CalmCost))
 }
 
 // cost is the expected wait before a replica begins with a further prompt, in milliseconds. Urgent prompts overtake the
@@ -306,7 +313,7 @@
 	}
 	wait := float64(ahead)/prefillRate + p.runningCost()*float64(l.Running)
 	if gap, ok := l.Gap(); ok {
-		wait += p.set.GapCost * float64(gap.Microseconds()) / 1000
+		wait += p.set.GapCost * milliseconds(gap)
 	}
 	return wait
 }
@@ -357,7 +364,7 @@
 
 // runningCost returns the weight of a running request in milliseconds.
 func (p *Placer) runningCost() float64 {
-	return float64(time.Duration(p.set.RunningCost).Microseconds()) / 1000
+	return milliseconds(time.Duration(p.set.RunningCost))
 }
 
 // lastResort chooses a replica that is avoided: a request with no other place is better tried than refused.
--- a/internal/request/route/pace.go
+++ b/internal/request/route/pace.go
@@ -159,19 +159,12 @@
 // takes longer than most requests need.
 func (g *group) heavy(r *Request) bool { return float64(r.PrefixTokens) > heavyPrompt*g.meanPrefix }
 
-// holds tells whether the upstream is remembered to hold the prefix.
-func (p *Picker) holds(id ID, prefix uint64) bool {
-	if prefix == 0 {
-		return false
-	}
-	a, b := p.prefix.find(prefix)
-	return a == id || b == id
-}
-
 // dueProbe returns a slow upstream whose probe is due, or nil. It looks at a bounded number of them. While the fast ones
 // are full, an upstream that may have recovered is asked sooner. A request whose prefix the upstream holds is taken first,
 // because it waits least for a slow read of its prompt.
 func (p *Picker) dueProbe(g *group, at int64, r *Request, full bool) *upstream {
+	last := r.Protected || g.heavy(r)
+	a, b := p.prefix.find(r.PrefixHash)
 	for range min(len(g.slow.ids), maxSample) {
 		g.probeNext = (g.probeNext + 1) % len(g.slow.ids)
 		u := p.get(g.slow.ids[g.probeNext])
@@ -180,9 +173,9 @@
 			due = min(due, u.slowSeen+int64(p.set.ProbeEvery)/2)
 		}
 		switch {
-		case r.Protected || g.heavy(r):
+		case last:
 			due += 2 * int64(p.set.ProbeMax)
-		case !p.holds(u.id, r.PrefixHash):
+		case u.id != a && u.id != b: // it does not hold the prefix
 			due += int64(p.set.ProbeEvery)
 		}
 		if at >= due && !excluded(u.id, r) {
