place: only prompts far below the longest are short; the short pool follows the load

Prompts of medium size (0.26 of the longest) were in the short pool, and each prefill of one, in a slow period of its engine, paused every stream there.

Change: a route is short up to 0.15 of the longest mean prompt (0.3 before; the classes are at 0.08, 0.09 and from 0.26 on), with means that don't depend on the first prompt.

The variants without pools also switch the growth off, and the overflow test uses a fixed pool, so that each test still switches its mechanism off.

--- a/internal/measure/prompts/engine.go
+++ b/internal/measure/prompts/engine.go
@@ -8,19 +8,32 @@
 	"github.com/dragonflypin/dragonflypin/internal/request/place"
 )
 
-// Parameters of an engine from the published deployment specification of tilemend-tw.
-const (
-	stepMs             = 3.79
-	stepPerRequestMs   = 0.0893
-	chunkTokens        = 2048
-	prefillTokensPerMs = 56.6
-	eventTokens        = 4
-	maxRunning         = 64
+// Sheet has the parameters of an engine from a published deployment specification.
+type Sheet struct {
+	// stepMs is the time of a decode step without requests, and stepPerRequestMs what each running request adds, in
+	// milliseconds.
+	stepMs, stepPerRequestMs float64
+	// chunkTokens is the largest number of prompt tokens that one step prefills, and prefillTokensPerMs the prefill speed.
+	chunkTokens        int
+	prefillTokensPerMs float64
+	// eventTokens is the number of tokens in a stream event.
+	eventTokens int
 	// memoryTokens is the KV cache of an engine, shared by running requests and cached parts.
-	memoryTokens = 659_492
+	memoryTokens int
+}
+
+// tilemendSheet and cornemuseSheet are the engines of tilemend-tw and of cornemuse-breizh-grown.
+var (
+	tilemendSheet  = Sheet{stepMs: 3.79, stepPerRequestMs: 0.0893, chunkTokens: 2048, prefillTokensPerMs: 56.6, eventTokens: 4, memoryTokens: 659_492}
+	cornemuseSheet = Sheet{stepMs: 4.34, stepPerRequestMs: 0.151, chunkTokens: 1024, prefillTokensPerMs: 36.7, eventTokens: 5, memoryTokens: 237_302}
+)
+
+// Parameters of all engines.
+const (
+	maxRunning = 64
 	// smallMemoryTokens makes the parts of one replica's requests compete for the KV cache, as on the large deployments,
 	// where each replica receives more different parts. With 200,000 tokens, the values of AffinityReplicas ranked as they do
-	// with memoryTokens, so the limit had no effect on the ranking.
+	// with the memory of the sheet, so the limit had no effect on the ranking.
 	smallMemoryTokens = 120_000
 	// A KV cache fetch takes 8 ms and more: 18,432 bytes a token over 180 Gbit/s.
 	fetchSetupMs = 8
@@ -55,10 +68,10 @@
 // cache until other requests need the memory; when running requests need all of it, the newest is preempted and prefilled
 // again.
 type engine struct {
+	Sheet
 	id         string
 	slowFactor float64
 	lost       bool
-	memory     int
 	// cached lists the cached parts, the least recently used first, and size the tokens of each.
 	cached  []string
 	size    map[string]int
@@ -70,8 +83,8 @@
 	noiseUntil time.Time
 }
 
-func newEngine(id string) *engine {
-	return &engine{id: id, slowFactor: 1, memory: memoryTokens, size: map[string]int{}}
+func newEngine(id string, sheet Sheet) *engine {
+	return &engine{Sheet: sheet, id: id, slowFactor: 1, size: map[string]int{}}
 }
 
 // hasCached reports whether the part is in the KV cache.
@@ -108,7 +121,7 @@
 func (e *engine) evict() {
 	used := 0
 	for _, r := range e.running {
-		used += r.job.Parts[1].Tokens + r.class.events*eventTokens - r.tokens
+		used += r.job.Parts[1].Tokens + r.class.events*e.eventTokens - r.tokens
 	}
 	for _, tokens := range e.size {
 		used += tokens
@@ -116,7 +129,7 @@
 	inUse := func(part string) bool {
 		return slices.ContainsFunc(e.running, func(r *request) bool { return r.job.Parts[0].ID == part })
 	}
-	for i := 0; used > e.memory && i < len(e.cached); {
+	for i := 0; used > e.memoryTokens && i < len(e.cached); {
 		part := e.cached[i]
 		if inUse(part) {
 			i++
@@ -126,7 +139,7 @@
 		delete(e.size, part)
 		e.cached = slices.Delete(e.cached, i, i+1)
 	}
-	for used > e.memory && len(e.running) > 1 {
+	for used > e.memoryTokens && len(e.running) > 1 {
 		newest := e.running[len(e.running)-1]
 		e.running = e.running[:len(e.running)-1]
 		used -= newest.job.Parts[1].Tokens
@@ -148,7 +161,7 @@
 		r.prefill += shared.Tokens
 	}
 	if len(e.running) == 0 && len(e.queue) == 0 {
-		e.next = now.Add(milliseconds(stepMs * e.slowFactor))
+		e.next = now.Add(milliseconds(e.stepMs * e.slowFactor))
 	}
 	e.queue = append(e.queue, r)
 }
@@ -160,7 +173,7 @@
 		e.running, e.queue = append(e.running, e.queue[0]), e.queue[1:]
 	}
 	e.evict()
-	budget := chunkTokens
+	budget := e.chunkTokens
 	for _, r := range e.running {
 		if r.fetchedAt.After(now) {
 			continue
@@ -173,14 +186,14 @@
 		}
 		e.addCached(r.job.Parts[0])
 		r.tokens--
-		if r.tokens%eventTokens == 0 {
+		if r.tokens%e.eventTokens == 0 {
 			events = append(events, r)
 		}
 	}
 	if !now.Before(e.noiseUntil) {
 		e.noisy, e.noiseUntil = !noNoise && noise.Float64() < noiseShare, now.Add(noisePeriod)
 	}
-	ms := (stepMs + stepPerRequestMs*float64(len(e.running)) + float64(chunkTokens-budget)/prefillTokensPerMs) * e.slowFactor
+	ms := (e.stepMs + e.stepPerRequestMs*float64(len(e.running)) + float64(e.chunkTokens-budget)/e.prefillTokensPerMs) * e.slowFactor
 	if e.noisy {
 		ms *= noiseFactor
 	}
--- a/internal/measure/prompts/load.go
+++ b/internal/measure/prompts/load.go
@@ -41,6 +41,35 @@
 	}
 }
 
+// TutoringClasses returns the classes in the published specification of cornemuse-breizh-grown that need an engine, at half
+// of their rates: plan, question and coaching. Coaching has short prompts, long responses and the shortest gap target; a question's prompt is
+// three times as long.
+func TutoringClasses() []Class {
+	return []Class{
+		{Name: "plan", RequestsPerSecond: 42, shared: 6300, own: 2890, SharedParts: 175, events: 10, target: 2 * time.Second,
+			maxGap: time.Second, priority: 2, abandonAfter: 8 * time.Second, credit: 1.4, lateCredit: 0.41},
+		{Name: "question", RequestsPerSecond: 20, shared: 568, own: 1800, SharedParts: 110, events: 5, target: 600 * time.Millisecond,
+			maxGap: 400 * time.Millisecond, priority: 1, abandonAfter: 3200 * time.Millisecond, credit: 1.1, lateCredit: 0.31},
+		{Name: "coaching", RequestsPerSecond: 16, shared: 172, own: 543, SharedParts: 195, events: 56, target: 300 * time.Millisecond,
+			maxGap: 250 * time.Millisecond, priority: 0, abandonAfter: 2 * time.Second, credit: 4.8, lateCredit: 0.45},
+	}
+}
+
+// Indexes in TutoringClasses.
+const (
+	Plan = iota
+	Question
+	Coaching
+)
+
+// TutoringWorkload is half of the workload of cornemuse-breizh-grown without bursts: 20 replicas with empty caches, 8 edges.
+func TutoringWorkload() Workload {
+	w := StandardWorkload()
+	w.Name, w.Classes, w.Sheet = "tutoring", TutoringClasses(), cornemuseSheet
+	w.Edges, w.Replicas, w.ReportInterval = 8, 20, 90*time.Millisecond
+	return w
+}
+
 // Workload defines the request rates, the engines and their faults, and the placement settings.
 type Workload struct {
 	Name    string
@@ -57,8 +86,8 @@
 	// LostEngines is the number of engines that fail at LostAt, with the requests they run.
 	LostEngines int
 	LostAt      time.Duration
-	// MemoryTokens is the KV cache of each engine.
-	MemoryTokens int
+	// Sheet has the parameters of the engines.
+	Sheet Sheet
 	// Retries is how often a refused caller retries, each time after the Retry-After time.
 	Retries int
 	// NoNoise disables the slow periods.
@@ -72,7 +101,7 @@
 func StandardWorkload() Workload {
 	cfg := settings.Edge{}
 	settings.ApplyDefaults(&cfg)
-	return Workload{Name: "standard", Classes: Classes(), Edges: 4, Replicas: 18, Duration: 12 * time.Second, ReportInterval: 30 * time.Millisecond, MemoryTokens: memoryTokens, Placement: cfg.Placement}
+	return Workload{Name: "standard", Classes: Classes(), Edges: 4, Replicas: 18, Duration: 12 * time.Second, ReportInterval: 30 * time.Millisecond, Sheet: tilemendSheet, Placement: cfg.Placement}
 }
 
 // burst multiplies the rate of a class for a period.
@@ -97,6 +126,9 @@
 		change(&w)
 		return w
 	}
+	tutoringBurst := TutoringWorkload()
+	tutoringBurst.Name = "stream_burst"
+	tutoringBurst.burst(Coaching, 6, 3*s, 8*s)
 	return []Workload{
 		StandardWorkload(),
 		named("long_burst", func(w *Workload) { w.burst(Long, 2.6, 0, 9*s) }),
@@ -106,8 +138,13 @@
 		named("lost_replicas", func(w *Workload) { w.LostEngines, w.LostAt = 6, 4*s }),
 		named("slow_replicas", func(w *Workload) { w.SlowEngines, w.SlowFactor = 4, 4.6 }),
 		named("mix_shift", func(w *Workload) { w.burst(Long, 2.2, 0, 5*s); w.burst(Short, 4, 6*s, 11*s) }),
-		named("small_memory", func(w *Workload) { w.MemoryTokens, w.Duration = smallMemoryTokens, 24*s; w.burst(Long, 1.6, 3*s, 23*s) }),
+		named("small_memory", func(w *Workload) {
+			w.Sheet.memoryTokens, w.Duration = smallMemoryTokens, 24*s
+			w.burst(Long, 1.6, 3*s, 23*s)
+		}),
 		named("all_return", func(w *Workload) { w.burst(Long, 6, 2*s, 3500*time.Millisecond); w.Retries = 3 }),
+		TutoringWorkload(),
+		tutoringBurst,
 	}
 }
 
@@ -124,7 +161,8 @@
 func Variants() []Variant {
 	return []Variant{
 		{"policy", func(*Workload) {}},
-		{"no_pools", func(w *Workload) { w.Placement.ShortPoolShare = 0.0001 }},
+		{"no_pools", func(w *Workload) { w.Placement.ShortPoolShare, w.Placement.MaxShortPoolShare = 0.0001, 0 }},
+		{"fixed_pool", func(w *Workload) { w.Placement.MaxShortPoolShare = 0 }},
 		{"no_lending", func(w *Workload) { w.Placement.LongBorrowCost = disablingCost }},
 		{"no_overflow", func(w *Workload) { w.Placement.OverflowCost = disablingCost }},
 		{"no_homes", func(w *Workload) { w.Placement.AffinityReplicas, w.Placement.PrefillCost = 8, 0.0001 }},
--- a/internal/measure/prompts/oracle.go
+++ b/internal/measure/prompts/oracle.go
@@ -50,8 +50,8 @@
 	default:
 		tokens += shared.Tokens
 	}
-	steps := float64(tokens)/chunkTokens + eventTokens
-	ms += (float64(tokens)/prefillTokensPerMs + steps*(stepMs+stepPerRequestMs*float64(len(e.running)))) * e.slowFactor
+	steps := float64(tokens)/float64(e.chunkTokens) + float64(e.eventTokens)
+	ms += (float64(tokens)/e.prefillTokensPerMs + steps*(e.stepMs+e.stepPerRequestMs*float64(len(e.running)))) * e.slowFactor
 	if e.noisy && x.now.Before(e.noiseUntil) {
 		ms *= noiseFactor
 	}
--- a/internal/measure/prompts/prompts_test.go
+++ b/internal/measure/prompts/prompts_test.go
@@ -98,7 +98,9 @@
 		{"long_burst", "no_lending"},
 		{"long_burst", "no_patience"},
 		{"long_burst", "no_reports"},
-		{"short_burst", "no_overflow"},
+		{"short_burst", "fixed_pool"},
+		{"stream_burst", "fixed_pool"},
+		{"stream_burst", "no_pools"},
 		{"mix_shift", "no_overflow"},
 		{"hot_part", "no_fetch"},
 		{"hot_tenant", "no_fetch"},
@@ -132,7 +134,7 @@
 }
 
 func promptOf(id string, shared, own int) *request {
-	return &request{class: &Class{events: 1}, tokens: eventTokens, job: &place.Job{Parts: []place.Part{{ID: id, Tokens: shared}, {ID: id + "-own", Tokens: own}}}}
+	return &request{class: &Class{events: 1}, tokens: tilemendSheet.eventTokens, job: &place.Job{Parts: []place.Part{{ID: id, Tokens: shared}, {ID: id + "-own", Tokens: own}}}}
 }
 
 // drain steps the engine until it is idle and returns how long that took.
@@ -157,7 +159,7 @@
 // Guards against an engine that prefills parts which it has cached or fetches from another engine.
 func TestEnginePrefillsMissingParts(t *testing.T) {
 	now := time.Unix(1000, 0)
-	e, other := newEngine("e"), newEngine("o")
+	e, other := newEngine("e", tilemendSheet), newEngine("o", tilemendSheet)
 	e.enqueue(promptOf("a", 13300, 3720), nil, now)
 	cold := drain(t, e, now)
 	e.enqueue(promptOf("a", 13300, 3720), nil, now)
@@ -173,7 +175,7 @@
 // preempted when the running ones need more than there is.
 func TestEngineMemory(t *testing.T) {
 	now := time.Unix(1000, 0)
-	e := newEngine("e")
+	e := newEngine("e", tilemendSheet)
 	for n := range 60 {
 		e.enqueue(promptOf(fmt.Sprint("part", n), 13300, 100), nil, now)
 		drain(t, e, now)
@@ -182,7 +184,7 @@
 	for _, tokens := range e.size {
 		cachedTokens += tokens
 	}
-	if cachedTokens > memoryTokens || e.hasCached("part0") || !e.hasCached("part59") {
+	if cachedTokens > e.memoryTokens || e.hasCached("part0") || !e.hasCached("part59") {
 		t.Errorf("%d tokens cached, the oldest %t, the newest %t", cachedTokens, e.hasCached("part0"), e.hasCached("part59"))
 	}
 	for n := range 4 {
--- a/internal/measure/prompts/run.go
+++ b/internal/measure/prompts/run.go
@@ -54,8 +54,7 @@
 	}
 	x.now = x.start
 	for n := range w.Replicas {
-		e := newEngine(fmt.Sprintf("replica-%02d", n))
-		e.memory = w.MemoryTokens
+		e := newEngine(fmt.Sprintf("replica-%02d", n), w.Sheet)
 		if n < w.SlowEngines {
 			e.slowFactor = w.SlowFactor
 		}
@@ -172,7 +171,7 @@
 	if x.arrivals.Float64() < c.HotShare {
 		part = 0
 	}
-	r := &request{class: c, edge: x.arrivals.IntN(x.Edges), tokens: c.events * eventTokens, job: &place.Job{
+	r := &request{class: c, edge: x.arrivals.IntN(x.Edges), tokens: c.events * x.Sheet.eventTokens, job: &place.Job{
 		Service: service, Route: c.Name, Target: c.target, Priority: c.priority, Arrived: x.now, Tokens: c.shared + own, Repeatable: true,
 		Parts: []place.Part{{ID: fmt.Sprintf("%s-%d", c.Name, part), Tokens: c.shared}, {ID: fmt.Sprint(x.arrivals.Uint64()), Tokens: own}},
 	}}
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -30,6 +30,11 @@
 	UrgentBacklogShare float64 `json:"urgent_window_share" default:"0.6" min:"0.01" max:"10" unit:"share of a target"`
 	// ShortPoolShare is the share of a service's replicas in the pool for short prompts, the short pool. Default 0.22.
 	ShortPoolShare float64 `json:"short_pool_share" default:"0.22" min:"0" max:"0.9" unit:"share of the replicas"`
+	// ShortPerReplica is the number of short streams per replica above which the short pool grows: with more of them, the
+	// decode steps and their own prefills exceed the gap targets. Default 16.
+	ShortPerReplica float64 `json:"short_per_replica" default:"16" min:"1" max:"10000" unit:"requests"`
+	// MaxShortPoolShare is the largest share of the replicas to which the short pool grows. Default 0.7.
+	MaxShortPoolShare float64 `json:"max_short_pool_share" default:"0.7" min:"0" max:"0.95" unit:"share of the replicas"`
 	// ReservedShare is the share of the short pool that long prompts never borrow. Default 0.5.
 	ReservedShare float64 `json:"kept_share" default:"0.5" min:"0.01" max:"1" unit:"share of the pool"`
 	// PrefillCost weighs the prefill time of a prompt's uncached parts against a wait of the same length. Default 6.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -33,7 +33,7 @@
 	Service string
 	// Workspace is the name of the key's owner, or empty for anonymous requests.
 	Workspace string
-	// Priority is 0 for the most urgent requests.
+	// Priority is the request's rank (see routes.Version.Rank), 0 for the most urgent requests.
 	Priority int
 	Arrived  time.Time
 	// Deadline is the earlier one of the caller's deadline and the route's timeout.
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -131,6 +131,8 @@
 
 	mu     sync.Mutex
 	layout atomic.Pointer[map[string]*layout]
+	// pools are the sizes of the short pools, by service; guarded by mu.
+	pools map[string]*shortPool
 
 	queues queues
 
@@ -148,70 +150,11 @@
 // New returns a Placer for an entry in the availability zone. The seed randomizes the choice between equally good
 // replicas, so that entries which decide at the same time choose differently.
 func New(zone string, set settings.Placement, seed uint64) *Placer {
-	p := &Placer{set: set, random: rand.New(rand.NewPCG(seed, seed)), Loads: NewLoadTracker(), Health: NewHealth(), sizes: NewPromptSizes(), cached: newCachedParts(), zone: zone, queues: newQueues()}
+	p := &Placer{set: set, random: rand.New(rand.NewPCG(seed, seed)), Loads: NewLoadTracker(), Health: NewHealth(), sizes: NewPromptSizes(), cached: newCachedParts(), zone: zone, queues: newQueues(), pools: map[string]*shortPool{}}
 	p.layout.Store(&map[string]*layout{})
 	return p
 }
 
-// layout is the division of a service's replicas into pools. It is the same at all entries that have the same list of
-// replicas.
-type layout struct {
-	all, short, long []member
-	byKey            map[Key]member
-	affinityRing     *ring
-	// borrowable are the members of short that long prompts may borrow while the backlog of the reserved ones is low.
-	reserved, borrowable []member
-	borrowableRing       *ring
-}
-
-type member struct {
-	*replicas.Replica
-	key Key
-}
-
-// Update replaces the list of replicas.
-func (p *Placer) Update(view *replicas.View, services []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	next := make(map[string]*layout, len(services))
-	for _, name := range services {
-		next[name] = newLayout(view.Service(name), &p.set)
-	}
-	p.layout.Store(&next)
-}
-
-func newLayout(list []*replicas.Replica, set *settings.Placement) *layout {
-	l := &layout{all: make([]member, len(list)), byKey: make(map[Key]member, len(list))}
-	for i, r := range list {
-		l.all[i] = member{r, KeyOf(r.ID)}
-		l.byKey[l.all[i].key] = l.all[i]
-	}
-	byHash := slices.Clone(l.all)
-	slices.SortFunc(byHash, func(a, b member) int {
-		return cmpUint(xxhash.Sum64String("pool "+a.ID), xxhash.Sum64String("pool "+b.ID))
-	})
-	short := 0
-	if len(list) >= minReplicasForPools {
-		short = max(1, int(set.ShortPoolShare*float64(len(list))+0.5))
-	}
-	l.short, l.long = byHash[:short], byHash[short:]
-	reserved := min(short, max(1, int(set.ReservedShare*float64(short)+0.5)))
-	l.reserved, l.borrowable = l.short[:min(reserved, short)], l.short[min(reserved, short):]
-	l.affinityRing, l.borrowableRing = newRing(l.long), newRing(l.borrowable)
-	return l
-}
-
-func cmpUint(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // pick chooses a replica for the job. The second result is false when the service has no untried replica.
 func (p *Placer) pick(job *Job, profile Profile, now time.Time) (Choice, bool) {
 	l := (*p.layout.Load())[job.Service]
@@ -226,25 +169,27 @@
 	if c, ok := p.pickAffinity(job, l, profile.urgent(job), now); ok {
 		return c, true
 	}
-	return p.pickLeastLoaded(job, l.long, l.short, ReasonOverflow, now)
+	short, long := l.division()
+	return p.pickLeastLoaded(job, long, short, ReasonOverflow, now)
 }
 
-// pickShort chooses a replica for a short prompt: a reserved one, unless a borrowable one has so much less backlog that the
-// long prompts there delay the prompt less. This handles bursts of short prompts, and a pool whose replicas slow down or
-// are lost.
+// pickShort chooses a replica for a short prompt: a reserved one, unless another one of the pool has so much less backlog
+// that the long prompts there delay the prompt less. This handles a pool whose replicas slow down or are lost; for bursts of
+// short prompts the pool itself grows (see shortPool).
 func (p *Placer) pickShort(job *Job, l *layout, now time.Time) (Choice, bool) {
+	short, long := l.division()
 	own, cost, ok := p.leastLoaded(job, l.reserved, now)
 	if minAdvantage := milliseconds(time.Duration(p.set.ShortBorrowableCost)); !ok || cost > minAdvantage {
-		if borrowable, borrowableCost, found := p.leastLoaded(job, l.borrowable, now); found && (!ok || borrowableCost+minAdvantage < cost) {
-			own, cost, ok = borrowable, borrowableCost, true
+		if other, otherCost, found := p.leastLoaded(job, short[len(l.reserved):], now); found && (!ok || otherCost+minAdvantage < cost) {
+			own, cost, ok = other, otherCost, true
 		}
 	}
 	if !ok {
-		return p.pickLeastLoaded(job, l.long, nil, ReasonOverflow, now)
+		return p.pickLeastLoaded(job, long, nil, ReasonOverflow, now)
 	}
 	own.Reason = ReasonLeastLoaded
 	if minOverflowAdvantage := milliseconds(time.Duration(p.set.OverflowCost)); cost > minOverflowAdvantage {
-		if other, otherCost, found := p.leastLoaded(job, l.long, now); found && otherCost+minOverflowAdvantage < cost {
+		if other, otherCost, found := p.leastLoaded(job, long, now); found && otherCost+minOverflowAdvantage < cost {
 			other.Reason = ReasonOverflow
 			return other, true
 		}
@@ -277,12 +222,13 @@
 		}
 	}
 	reason := ReasonAffinity
-	for _, index := range found[:l.affinityRing.lookup(key, found[:min(maxAffinityReplicas, p.set.AffinityReplicas)])] {
+	added := l.added()
+	for _, index := range found[:l.affinityRing.lookup(key, found[:min(maxAffinityReplicas, p.set.AffinityReplicas)], added)] {
 		consider(l.long[index], reason, 0)
 		reason = ReasonSecondAffinity
 	}
-	if borrowCost := milliseconds(time.Duration(p.set.LongBorrowCost)); bestCost > borrowCost && p.mayBorrow(l, now) {
-		for _, index := range found[:l.borrowableRing.lookup(key, found[:borrowableCandidates])] {
+	if borrowCost := milliseconds(time.Duration(p.set.LongBorrowCost)); added == 0 && bestCost > borrowCost && p.mayBorrow(l, now) {
+		for _, index := range found[:l.borrowableRing.lookup(key, found[:borrowableCandidates], 0)] {
 			if p.Loads.Total(l.borrowable[index].key, now).Short <= maxShortOnBorrowed {
 				consider(l.borrowable[index], ReasonBorrowed, borrowCost)
 			}
@@ -425,6 +371,7 @@
 
 // Tick deletes expired records and serves the queues. It is called periodically.
 func (p *Placer) Tick(now time.Time) {
+	p.resizePools(now)
 	p.Loads.Expire(now)
 	p.Health.Expire(now)
 	p.cached.expire(now)
--- a/internal/request/place/promptsizes.go
+++ b/internal/request/place/promptsizes.go
@@ -9,7 +9,7 @@
 const (
 	// maxShortRatio is the largest mean prompt of a short route, relative to the mean prompt of the longest route. In the
 	// published deployment specifications the routes with short prompts are at 0.09, those in between at 0.54.
-	maxShortRatio = 0.3
+	maxShortRatio = 0.15
 	// minLongTokens is the smallest mean prompt of a service's longest route at which other routes count as short: the
 	// prefill of such a prompt stalls the other requests of the engine for about 70 ms.
 	minLongTokens = 4000
@@ -28,7 +28,9 @@
 }
 
 type routeStats struct {
-	mean        float64
+	mean float64
+	// count is the number of prompts, up to 1/sizeWeight.
+	count       float64
 	target      time.Duration
 	lastRequest time.Time
 }
@@ -65,10 +67,11 @@
 	}
 	stats := routes[job.Route]
 	if stats == nil {
-		stats = &routeStats{mean: float64(job.Tokens)}
+		stats = &routeStats{}
 		routes[job.Route] = stats
 	}
-	stats.mean += sizeWeight * (float64(job.Tokens) - stats.mean)
+	stats.count = min(stats.count+1, 1/sizeWeight)
+	stats.mean += (float64(job.Tokens) - stats.mean) / stats.count
 	stats.target, stats.lastRequest = job.Target, now
 	longest := 0.0
 	for name, s := range routes {
--- a/internal/request/place/replay_test.go
+++ b/internal/request/place/replay_test.go
@@ -18,8 +18,8 @@
 
 func logTallies(t *testing.T, on, off map[string]prompts.Tally) {
 	t.Helper()
-	for _, name := range []string{"long", "chat", "short"} {
-		t.Logf("%-5s with %+v without %+v", name, on[name], off[name])
+	for name := range on {
+		t.Logf("%-8s with %+v without %+v", name, on[name], off[name])
 	}
 }
 
@@ -70,7 +70,7 @@
 func TestShortPoolKeepsShortPromptsInTime(t *testing.T) {
 	t.Parallel()
 	without := longBurst()
-	without.Placement.ShortPoolShare = 0.0001 // one replica, from which most short prompts overflow
+	without.Placement.ShortPoolShare, without.Placement.MaxShortPoolShare = 0.0001, 0 // one replica, from which most short prompts overflow
 	on, off := compare(longBurst(), without)
 	logTallies(t, on, off)
 	if float64(on["short"].InTime) < 1.1*float64(off["short"].InTime) {
@@ -99,6 +99,7 @@
 	with := prompts.StandardWorkload()
 	with.Classes[prompts.Short].BurstFactor, with.Classes[prompts.Short].BurstTo = 1.9, 6*time.Second
 	with.SlowEngines, with.SlowFactor = 4, 4.6
+	with.Placement.MaxShortPoolShare = 0 // a pool that grows needs no overflow in this burst
 	without := with
 	without.Placement.OverflowCost, without.Placement.GapCost = settings.Duration(time.Minute), 0.0001
 	on, off := compare(with, without)
@@ -137,3 +138,24 @@
 		t.Error("fetching brings no more requests in time")
 	}
 }
+
+// streamBurst is a burst of short prompts with long responses, while prompts of all sizes arrive.
+func streamBurst() prompts.Workload {
+	w := prompts.TutoringWorkload()
+	c := &w.Classes[prompts.Coaching]
+	c.BurstFactor, c.BurstFrom, c.BurstTo = 6, 3*time.Second, 8*time.Second
+	return w
+}
+
+// Guards against a short pool that stays small in a burst of long streams: they would overflow to replicas whose prefills
+// of long prompts break their gap target.
+func TestShortPoolGrowsInABurstOfStreams(t *testing.T) {
+	t.Parallel()
+	without := streamBurst()
+	without.Placement.MaxShortPoolShare = 0
+	on, off := compare(streamBurst(), without)
+	logTallies(t, on, off)
+	if float64(on["coaching"].InTime) < 1.1*float64(off["coaching"].InTime) {
+		t.Error("the growth of the short pool keeps no more streams in time")
+	}
+}
--- a/internal/request/place/ring.go
+++ b/internal/request/place/ring.go
@@ -43,8 +43,9 @@
 	return r
 }
 
-// lookup writes the first distinct replicas after the key into dst and returns how many it found.
-func (r *ring) lookup(key uint64, dst []int32) int {
+// lookup writes the first distinct replicas after the key into dst and returns how many it found. It skips the first
+// members of the list that the ring was made from.
+func (r *ring) lookup(key uint64, dst []int32, skipped int) int {
 	if len(r.points) == 0 {
 		return 0
 	}
@@ -52,7 +53,7 @@
 	found := 0
 	for i := 0; i < len(r.points) && found < len(dst); i++ {
 		replica := r.points[(start+i)%len(r.points)].replica
-		if !slices.Contains(dst[:found], replica) {
+		if int(replica) >= skipped && !slices.Contains(dst[:found], replica) {
 			dst[found] = replica
 			found++
 		}
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -129,12 +129,23 @@
 	Limits Limits
 
 	byHost map[string][]int
+	// fineRanks is set if the priorities of all routes and workspaces are below priorityLevels.
+	fineRanks bool
 }
 
+// priorityLevels is the number of priorities of workspaces, and of routes, that Rank can combine. Their pairs fit into the
+// ten ranks that engines know.
+const priorityLevels = 3
+
 // Compile builds the index for Match and returns the version. It must be called once, before the version is shared.
 func (v *Version) Compile() *Version {
 	v.byHost = make(map[string][]int, len(v.Routes))
+	v.fineRanks = true
+	for _, w := range v.Workspaces {
+		v.fineRanks = v.fineRanks && w.Priority < priorityLevels
+	}
 	for i := range v.Routes {
+		v.fineRanks = v.fineRanks && v.Routes[i].Priority < priorityLevels
 		host := v.Routes[i].Host
 		v.byHost[host] = append(v.byHost[host], i)
 	}
@@ -165,6 +176,20 @@
 	return v.Workspaces[i], true
 }
 
+// Rank returns the rank of a request, 0 for the most urgent: the workspace's priority, or the route's if the workspace has
+// none. Among requests of equal priority, the route's priority decides, so that the streams with the tightest targets of a
+// workspace are not preempted for its less urgent ones.
+func (v *Version) Rank(w Workspace, r *Route) int {
+	priority := r.Priority
+	if w.HasPriority {
+		priority = w.Priority
+	}
+	if !v.fineRanks {
+		return priority
+	}
+	return priority*priorityLevels + r.Priority
+}
+
 // NeedsKey reports whether requests of the route require an API key.
 func (v *Version) NeedsKey(r *Route) bool { return v.Keys != nil && !r.Anonymous }
 
