--- a/internal/app/cli/edge.go
+++ b/internal/app/cli/edge.go
@@ -71,8 +71,8 @@
 	return store.NewHTTP(store.Options{
 		BaseURL: "http://" + node.StoreAddress.String(), Codec: platform.StoreCodec{},
 		CallsPerSecond: cfg.StoreCallsPerSecond, Timeout: storeTimeout, Attempts: 1,
-		WatchTimeout: time.Duration(cfg.WatchTimeout), WatchGrace: storeWatchGrace,
-		Observer:  compose.StoreObserver(m),
-		Transport: &http.Transport{DialContext: direct.Dialer(storeConnectTimeout).DialContext, DisableCompression: true, IdleConnTimeout: time.Minute},
+		WatchGrace: storeWatchGrace,
+		Observer:   compose.StoreObserver(m),
+		Transport:  &http.Transport{DialContext: direct.Dialer(storeConnectTimeout).DialContext, DisableCompression: true, IdleConnTimeout: time.Minute},
 	})
 }
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -118,10 +118,12 @@
 	forwarder *forward.Forwarder
 	gossip    *gossip.Node
 	observer  *observer
-	freshness *freshness
-	synced    syncTracker
-	// configurationFeed and replicaFeed watch the store.
-	configurationFeed, replicaFeed *store.Feed
+	// configuration and replicas follow the store.
+	configuration, replicas *followed
+	// pending has the incomplete updates of other edges. It is only used by the goroutine that receives datagrams.
+	pending assembly
+	// storeFailing is set while the latest store call failed.
+	storeFailing atomic.Bool
 
 	callers, ready, metrics net.Listener
 	// draining is set when the drain starts, closingConnections once responses close their connections, and refusingLate
@@ -143,8 +145,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryBytes)))
 	}
 	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement, rand.Uint64()), pool: direct.NewPool()}
-	e.freshness = newFreshness(node.ApplyBound, deps.Source.ConfigurationKind, deps.Source.ReplicaKind)
-	e.configurationFeed, e.replicaFeed = e.followConfiguration(), e.followReplicas()
+	e.configuration, e.replicas = e.followConfiguration(), e.followReplicas()
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
 	e.forwarder = &forward.Forwarder{
 		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Observer: e.observer,
@@ -190,7 +191,7 @@
 	return gossip.Options{
 		Listen: netip.AddrPortFrom(e.node.Address, e.node.PeerPort), Seeds: e.node.Seeds,
 		Collect:  e.collect,
-		OnReport: e.onReport,
+		OnReport: e.onReport, OnBroadcast: e.onUpdate,
 		OnPeer: func(peer netip.Addr, live bool) {
 			state := "silent"
 			if live {
@@ -206,9 +207,9 @@
 func (e *Edge) collect() gossip.State {
 	own := map[place.Key]place.Load{}
 	now := time.Now()
-	fresh, responses := e.freshness.snapshot(e.version(), now)
-	fresh.Replicas = e.synced.snapshot(now)
-	state := gossip.State{Changes: e.placer.Loads.Own(own, now) + responses, Freshness: fresh}
+	state := gossip.State{Changes: e.placer.Loads.Own(own, now), Freshness: gossip.Freshness{
+		Configuration: e.configuration.synced.snapshot(now), Replicas: e.replicas.synced.snapshot(now), StoreFailing: e.storeFailing.Load(),
+	}}
 	for k, l := range own {
 		state.Loads = append(state.Loads, gossip.Load{
 			Replica: uint32(k), Running: uint32(l.Running), Short: uint32(l.Short), Prefill: uint32(l.Prefill), Waiting: uint32(l.Waiting), Urgent: uint32(l.Urgent),
@@ -224,8 +225,8 @@
 // onReport applies the state of another edge.
 func (e *Edge) onReport(from netip.Addr, r *gossip.Report) {
 	now := time.Now()
-	e.freshness.onReport(r.Freshness, now)
-	e.onSyncedRange(r.Freshness.Replicas, now)
+	e.configuration.applySyncedRange(r.Freshness.Configuration, e.registry, now)
+	e.replicas.applySyncedRange(r.Freshness.Replicas, e.registry, now)
 	loads := make(map[place.Key]place.Load, len(r.Loads))
 	for _, l := range r.Loads {
 		loads[place.Key(l.Replica)] = place.Load{
@@ -240,25 +241,12 @@
 	e.placer.ApplyReport(from.String(), loads, hints, now)
 }
 
-// onSyncedRange applies the synced range of another edge: this edge starts its next watch at once for a change that the
-// other edge has found, and skips the watch for writes that the other edge has read without a change.
-func (e *Edge) onSyncedRange(synced gossip.SyncedRange, now time.Time) {
-	e.replicaFeed.CatchUp(synced.LastChange)
-	e.replicaFeed.Advance(synced.From, synced.To, now.Add(-time.Duration(synced.AgeMs)*time.Millisecond))
-}
-
-// refresh reads from the store what the watches may have missed.
-func (e *Edge) refresh() {
-	e.configurationFeed.Refresh()
-	e.replicaFeed.Refresh()
-}
-
 // Run serves until ctx ends and the drain completes.
 func (e *Edge) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var tasks sync.WaitGroup
-	for _, run := range []func(context.Context){e.configurationFeed.Run, e.replicaFeed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run} {
+	for _, run := range []func(context.Context){e.configuration.feed.Run, e.replicas.feed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run} {
 		tasks.Go(func() { run(background) })
 	}
 	server := &http.Server{
@@ -303,9 +291,6 @@
 			e.reload()
 		case now := <-ticker.C:
 			e.placer.Tick(now)
-			if e.freshness.stale(now, e.gossip.Rank(), staggerStep(e.gossip.Interval())) || e.freshness.behind(e.version(), e.replicaFeed.Revision(), now) {
-				e.refresh()
-			}
 			if expired := e.registry.Expire(now); len(expired) > 0 {
 				e.onListChanged("lapsed")
 			}
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -34,46 +34,84 @@
 	return min(configured, time.Duration(maxWatchIntervalShare*float64(bound)))
 }
 
-// feed returns a Feed that watches a kind whose writes must be known within the bound.
-func (e *Edge) feed(kind string, bound time.Duration, onObjects func([]store.Object), onGap func(context.Context) error) *store.Feed {
-	return &store.Feed{
-		Client: e.deps.Store, Kind: kind, OnObjects: onObjects, OnGap: onGap,
+// followed is a kind of object that all edges follow together: one of them polls the store and sends what it has read to the
+// others.
+type followed struct {
+	feed   *store.Feed
+	synced syncTracker
+	// changes are the changes that the call in progress has read. These fields are only used by the goroutine of the
+	// feed.
+	changes []replicas.Change
+	// recent are the latest calls, and lastTo is the revision up to which the latest one has read.
+	recent recentCalls
+	lastTo uint64
+}
+
+// followed returns what follows the kind, or nil for an unknown kind.
+func (e *Edge) followed(kind followedKind) *followed {
+	switch kind {
+	case configurationObjects:
+		return e.configuration
+	case replicaObjects:
+		return e.replicas
+	default:
+		return nil
+	}
+}
+
+// follow returns what follows a kind whose writes must be known within the bound.
+func (e *Edge) follow(kind followedKind, name string, bound time.Duration, onObjects func(*followed, []store.Object), onGap func(context.Context, *followed) error) *followed {
+	f := &followed{}
+	f.feed = &store.Feed{
+		Client: e.deps.Store, Kind: name, Poll: true,
+		OnObjects: func(objects []store.Object) { onObjects(f, objects) },
+		OnGap:     func(ctx context.Context) error { return onGap(ctx, f) },
 		OnError: func(err error) {
+			e.storeFailing.Store(true)
 			if !errors.Is(err, store.ErrGap) {
 				e.registry.StoreFailed()
 			}
 			e.observer.logError(eventlog.StoreUnavailable, err)
 		},
 		OnResponse: func() {
-			now := time.Now()
-			e.registry.StoreResponded(now)
-			e.freshness.onResponse(kind, now)
+			e.storeFailing.Store(false)
+			e.registry.StoreResponded(time.Now())
+		},
+		OnSynced: func(from, to uint64, began time.Time) {
+			e.publish(f, f.synchronized(kind, from, to, began))
 		},
 		MaxRetryDelay: maxStoreRetryDelay,
 		MinInterval:   minWatchInterval(time.Duration(e.cfg.MinWatchInterval), bound),
+		StaggerDelay: func() time.Duration {
+			// Edges whose calls fail are all tried in the order of their addresses; otherwise they come last.
+			return staggerDelay(e.gossip.Rank(!e.storeFailing.Load()), bound)
+		},
 	}
+	return f
 }
 
-func (e *Edge) followConfiguration() *store.Feed {
+func (e *Edge) followConfiguration() *followed {
 	source := &e.deps.Source
-	accept := func(o store.Object) {
+	accept := func(o store.Object) (changed bool) {
 		if o.Name != source.ConfigurationName || o.Deleted {
-			return
+			return false
 		}
 		v, err := source.Configuration(o)
 		if err != nil {
 			e.deps.Log.Emit(eventlog.EdgeConfigurationInvalid, eventlog.Err(err))
-			return
+			return false
 		}
-		e.applyConfiguration(v)
+		return e.applyConfiguration(v)
 	}
-	return e.feed(source.ConfigurationKind, e.node.ApplyBound,
-		func(objects []store.Object) {
+	return e.follow(configurationObjects, source.ConfigurationKind, e.node.ApplyBound,
+		func(f *followed, objects []store.Object) {
 			for _, o := range objects {
-				accept(o)
+				if accept(o) {
+					f.synced.onChange()
+				}
 			}
 		},
-		func(ctx context.Context) error {
+		func(ctx context.Context, f *followed) error {
 			o, err := e.deps.Store.Get(ctx, source.ConfigurationKind, source.ConfigurationName)
 			if errors.Is(err, store.ErrNotFound) {
 				return nil // the watch delivers the first configuration
@@ -81,30 +119,32 @@
 			if err != nil {
 				return err
 			}
-			accept(o)
+			f.synced.onList(accept(o), time.Now())
 			return nil
 		})
 }
 
-func (e *Edge) applyConfiguration(v *routes.Version) {
+// applyConfiguration puts a configuration in force and reports whether it is newer than the one in force.
+func (e *Edge) applyConfiguration(v *routes.Version) bool {
 	if !e.routes.Offer(v) {
-		return
+		return false
 	}
 	e.updatePlacer()
 	e.deps.Metrics.TableVersion(v.Number)
 	e.deps.Log.Emit(eventlog.EdgeConfigured, eventlog.Version(v.Number), eventlog.Count(len(v.Routes)))
+	return true
 }
 
-func (e *Edge) followReplicas() *store.Feed {
+func (e *Edge) followReplicas() *followed {
 	kind := e.deps.Source.ReplicaKind
-	feed := e.feed(kind, e.node.DrainBound,
-		func(objects []store.Object) {
-			if e.registry.Apply(e.decodeReplicas(objects), time.Now()) {
-				e.synced.onChange()
+	return e.follow(replicaObjects, kind, e.node.DrainBound,
+		func(f *followed, objects []store.Object) {
+			if f.changes = e.registry.Apply(e.decodeReplicas(objects), time.Now()); len(f.changes) > 0 {
+				f.synced.onChange()
 				e.onListChanged("changed")
 			}
 		},
-		func(ctx context.Context) error {
+		func(ctx context.Context, f *followed) error {
 			var all []store.Object
 			for after, page := "", 0; page < maxPages; page++ {
 				objects, err := e.deps.Store.List(ctx, kind, "", after, pageSize)
@@ -117,17 +157,12 @@
 				all, after = append(all, objects...), objects[len(objects)-1].Name
 			}
 			changed := e.registry.Replace(e.decodeReplicas(all), time.Now())
-			e.synced.onList(changed)
+			f.synced.onList(changed, time.Now())
 			if changed {
 				e.onListChanged("listed")
 			}
 			return nil
 		})
-	feed.OnSynced = e.synced.onSynced
-	feed.StaggerDelay = func() time.Duration {
-		return staggerDelay(e.gossip.Rank(), staggerStep(e.gossip.Interval()), e.node.DrainBound)
-	}
-	return feed
 }
 
 // decodeReplicas decodes entries of the list of replicas and logs those that are invalid.
--- a/internal/app/edge/synced.go
+++ b/internal/app/edge/synced.go
@@ -17,7 +17,9 @@
 	// nonExtending is the number of calls, including the one in progress, that don't extend the synced range because the whole
 	// list was read.
 	nonExtending int
-	synced       gossip.SyncedRange
+	// listedAt is when the whole list was read.
+	listedAt time.Time
+	synced   gossip.SyncedRange
 	// began is the start of the last completed call.
 	began time.Time
 }
@@ -35,17 +37,29 @@
 const nonExtendingCalls = 2
 
 // onList records that the call in progress read the whole list. The first list of a process is not published as a change.
-func (t *syncTracker) onList(changed bool) {
+func (t *syncTracker) onList(changed bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.nonExtending = nonExtendingCalls
+	t.nonExtending, t.listedAt = nonExtendingCalls, now
 	t.changed = changed && t.synced.To > 0
 }
 
-// onSynced records the end of a call that began at the given time and read all writes up to the revision.
-func (t *syncTracker) onSynced(revision uint64, began time.Time) {
+// onAdvance records that this edge has applied what another edge read with a call that began at the given time. A call that
+// began after the list has read all writes that the list contains.
+func (t *syncTracker) onAdvance(began time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if began.After(t.listedAt) {
+		t.nonExtending = 0
+	}
+}
+
+// onSynced records the end of a call that began at the given time and read all writes up to the revision. It reports whether
+// the changes that the call delivered are all changes since the call before.
+func (t *syncTracker) onSynced(revision uint64, began time.Time) (complete bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	complete = t.nonExtending == 0
 	if t.changed {
 		t.synced.LastChange = revision
 	}
@@ -54,6 +68,7 @@
 	}
 	t.synced.To, t.began = revision, began
 	t.changed, t.nonExtending = false, max(0, t.nonExtending-1)
+	return complete
 }
 
 // snapshot returns the synced range to publish in the next report.
@@ -70,17 +85,13 @@
 	// work sent to leaving replicas. With the minimum interval (700 ms of 2 s) and the time of a call, the sum stays well
 	// below the bound.
 	maxStaggerShare = 0.25
-	// storeCallAllowance is the time that the edge of the next rank allows for a store call. In the published deployment
-	// specifications, calls take about 10 ms.
-	storeCallAllowance = 40 * time.Millisecond
+	// staggerStep is the time that the edge of the next rank allows for a store call and for the update that reports it. In
+	// the published deployment specifications, calls take about 10 ms and updates a few ms.
+	staggerStep = 100 * time.Millisecond
 )
 
 // staggerDelay returns how much longer than the minimum watch interval the edge of the given rank waits before it calls the
-// store. The edge of rank 0 calls first; if it does not, the next one calls once a report from it should have arrived.
-func staggerDelay(rank int, step, bound time.Duration) time.Duration {
-	return min(time.Duration(rank)*step, time.Duration(maxStaggerShare*float64(bound)))
+// store. The edge of rank 0 calls first; if it does not, the next one calls once an update from it should have arrived.
+func staggerDelay(rank int, bound time.Duration) time.Duration {
+	return min(time.Duration(rank)*staggerStep, time.Duration(maxStaggerShare*float64(bound)))
 }
-
-// staggerStep returns the difference in delay between two consecutive ranks, given the interval between two reports. Within
-// it, the report of the edge of the lower rank should have arrived.
-func staggerStep(interval time.Duration) time.Duration { return interval + storeCallAllowance }
--- a/internal/app/edge/synced_test.go
+++ b/internal/app/edge/synced_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +21,9 @@
 	writes         []store.Object
 	calls          int
 	refusedClients int
+	// lastCall is the time of the latest call, and longestPause the longest time between two calls.
+	lastCall     time.Time
+	longestPause time.Duration
 }
 
 func (l *fakeList) write(name, value string) {
@@ -38,6 +43,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls++
+	c.longestPause, c.lastCall = max(c.longestPause, time.Since(c.lastCall)), time.Now()
 	if c.number < c.refusedClients {
 		return nil, after, store.ErrUnavailable
 	}
@@ -45,83 +51,148 @@
 	return append([]store.Object(nil), c.writes[min(after, at):]...), at, ctx.Err()
 }
 
-// follower is the part of an edge that watches the list.
-type follower struct {
+// fleet is a number of followers that send each other updates and reports.
+type fleet struct {
+	list    *fakeList
+	members []*member
+	// lossEvery is the number of updates of which one is lost, or 0.
+	lossEvery int
+	sent      atomic.Int64
+	// stopped is the number of edges before the first member.
+	stopped int
+}
+
+// member is the part of an edge that follows the list.
+type member struct {
+	*followed
 	registry *replicas.Registry
-	synced   syncTracker
-	feed     *store.Feed
+	pending  assembly
+	failing  atomic.Bool
 }
 
-func newFollower(list *fakeList, number int, share bool) *follower {
-	f := &follower{registry: replicas.NewRegistry()}
-	change := func(o store.Object) replicas.Change {
-		return replicas.Change{ID: o.Name, Replica: &replicas.Replica{ID: o.Name, Address: string(o.Value)}}
-	}
-	apply := func(objects []store.Object) {
+func (c *fleet) newMember(number int, share bool) *member {
+	m := &member{followed: &followed{}, registry: replicas.NewRegistry()}
+	decode := func(objects []store.Object) []replicas.Change {
+		var changes []replicas.Change
 		for _, o := range objects {
-			if f.registry.Apply([]replicas.Change{change(o)}, time.Now()) {
-				f.synced.onChange()
-			}
+			changes = append(changes, replicas.Change{ID: o.Name, Revision: o.Revision, Replica: &replicas.Replica{ID: o.Name, Address: string(o.Value)}})
 		}
+		return changes
 	}
-	f.feed = &store.Feed{
-		Client: &listClient{fakeList: list, number: number}, MinInterval: 700 * time.Millisecond, OnObjects: apply,
-		OnGap: func(context.Context) error {
-			list.mu.Lock()
-			defer list.mu.Unlock()
-			var changes []replicas.Change
-			for _, o := range list.writes {
-				changes = append(changes, change(o))
+	m.feed = &store.Feed{
+		Client: &listClient{fakeList: c.list, number: number}, MinInterval: 700 * time.Millisecond, Poll: true, MaxRetryDelay: maxStoreRetryDelay,
+		OnObjects: func(objects []store.Object) {
+			if m.changes = m.registry.Apply(decode(objects), time.Now()); len(m.changes) > 0 {
+				m.synced.onChange()
 			}
-			f.synced.onList(f.registry.Apply(changes, time.Now()))
+		},
+		OnGap: func(context.Context) error {
+			c.list.mu.Lock()
+			defer c.list.mu.Unlock()
+			m.synced.onList(len(m.registry.Apply(decode(c.list.writes), time.Now())) > 0, time.Now())
 			return nil
 		},
-		OnSynced: f.synced.onSynced,
+		OnSynced: func(from, to uint64, began time.Time) {
+			if updates := m.synchronized(replicaObjects, from, to, began); share {
+				c.publish(m, updates)
+			}
+		},
 	}
 	if share {
-		f.feed.StaggerDelay = func() time.Duration { return staggerDelay(number, staggerStep(80*time.Millisecond), 2*time.Second) }
+		m.feed.OnError, m.feed.OnResponse = func(error) { m.failing.Store(true) }, func() { m.failing.Store(false) }
+		m.feed.StaggerDelay = func() time.Duration { return staggerDelay(c.rank(m), 2*time.Second) }
+	}
+	return m
+}
+
+// rank returns the number of members before m, as gossip.Node.Rank does.
+func (c *fleet) rank(m *member) int {
+	rank := c.stopped // the others don't know yet that these have stopped
+	for _, other := range c.members {
+		if other == m {
+			break
+		}
+		if m.failing.Load() || !other.failing.Load() {
+			rank++
+		}
+	}
+	return rank
+}
+
+// publish delivers updates to the other members after 5 ms, except those that are lost.
+func (c *fleet) publish(from *member, updates []update) {
+	for i := range updates {
+		updates[i].Synced = from.synced.snapshot(time.Now())
+	}
+	for _, to := range c.members {
+		if to == from {
+			continue
+		}
+		for _, u := range updates {
+			if n := int(c.sent.Add(1)); c.lossEvery > 0 && n%c.lossEvery == 0 {
+				continue
+			}
+			time.AfterFunc(5*time.Millisecond, func() {
+				if changes, complete := to.pending.add(netip.Addr{}, &u, time.Now()); complete {
+					to.apply(&u, changes, to.registry, time.Now(), func() {})
+				}
+			})
+		}
 	}
-	return f
 }
 
-// startFollowers starts n followers. With share set, they exchange their synced ranges every 80 ms.
-func startFollowers(ctx context.Context, list *fakeList, n int, share bool) []*follower {
-	all := make([]*follower, n)
-	for i := range all {
-		all[i] = newFollower(list, i, share)
-		go all[i].feed.Run(ctx)
+// start starts the members from the given number on. With share set, they exchange updates, and their synced ranges every
+// 80 ms.
+func (c *fleet) start(ctx context.Context, edges, stopped int, share bool) {
+	for i := range edges {
+		c.members = append(c.members, c.newMember(i, share))
+	}
+	c.members, c.stopped = c.members[stopped:], stopped
+	for _, m := range c.members {
+		go m.feed.Run(ctx)
 	}
 	go func() {
 		for share && ctx.Err() == nil {
 			time.Sleep(80 * time.Millisecond)
 			now := time.Now()
-			for _, from := range all {
-				synced := from.synced.snapshot(now)
-				for _, to := range all {
-					to.feed.CatchUp(synced.LastChange)
-					to.feed.Advance(synced.From, synced.To, now.Add(-time.Duration(synced.AgeMs)*time.Millisecond))
+			for _, from := range c.members {
+				for _, to := range c.members {
+					to.applySyncedRange(from.synced.snapshot(now), to.registry, now)
 				}
 			}
 		}
 	}()
-	return all
 }
 
-// simulateRenewals renews 50 entries for 30 s, changes the address of one of them every 5 s, and returns the number of store
-// calls and the longest time until all followers have the new address.
-func simulateRenewals(t *testing.T, edges, refused int, share bool) (calls int, longest time.Duration) {
+// renewals is a simulation of edges that follow a list of 50 entries, which are renewed for 30 s.
+type renewals struct {
+	edges int
+	// refused is the number of edges whose calls fail, and lossEvery the number of updates of which one is lost.
+	refused, lossEvery int
+	alone              bool
+}
+
+// run changes the address of an entry every 5 s, and returns the number of store calls and the longest time until all edges
+// whose calls succeed have the new address, or all edges with everywhere set.
+func (r renewals) run(t *testing.T, everywhere bool) (calls int, longest time.Duration) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		list := &fakeList{refusedClients: refused}
+		defer cancel()
+		list := &fakeList{}
 		for i := range 50 {
 			list.write(fmt.Sprintf("r-%d", i), "first")
 		}
-		all := startFollowers(ctx, list, edges, share)
+		c := &fleet{list: list, lossEvery: r.lossEvery}
+		c.start(ctx, r.edges, 0, !r.alone)
 		time.Sleep(3 * time.Second)
 		list.mu.Lock()
-		list.calls = 0
+		list.calls, list.refusedClients = 0, r.refused
 		list.mu.Unlock()
+		awaited := c.members[r.refused:]
+		if everywhere {
+			awaited = c.members
+		}
 		for step := range 6 * 200 {
 			time.Sleep(25 * time.Millisecond)
 			list.write(fmt.Sprintf("r-%d", step%49+1), "first")
@@ -130,19 +201,19 @@
 			}
 			address := fmt.Sprintf("moved-%d", step)
 			list.write("r-0", address)
-			longest = max(longest, waitForAddress(t, all[refused:], address))
+			longest = max(longest, waitForAddress(t, awaited, address))
 		}
 		list.mu.Lock()
 		calls = list.calls
 		list.mu.Unlock()
 		cancel()
-		time.Sleep(time.Second) // wait until all followers have returned
+		time.Sleep(2 * time.Second) // wait until all members have returned
 	})
 	return calls, longest
 }
 
-// waitForAddress waits until all followers have the address for entry r-0, and returns the time it took.
-func waitForAddress(t *testing.T, all []*follower, address string) time.Duration {
+// waitForAddress waits until all members have the address for entry r-0, and returns the time it took.
+func waitForAddress(t *testing.T, all []*member, address string) time.Duration {
 	t.Helper()
 	began := time.Now()
 	for _, f := range all {
@@ -151,7 +222,7 @@
 				break
 			}
 			if time.Since(began) > 10*time.Second {
-				t.Fatalf("a follower does not have address %q after 10 s", address)
+				t.Fatalf("a member does not have address %q after 10 s", address)
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
@@ -159,26 +230,96 @@
 	return time.Since(began)
 }
 
-// Guards against store calls that grow with the number of edges times the number of writes, where nearly all writes only
-// renew an entry, and against changes that reach an edge too late, including when the store refuses the edges that call
-// first.
-func TestRenewalsAreReadOnce(t *testing.T) {
+// Guards against store calls that grow with the number of edges, for renewals and for changes, and against changes that reach
+// an edge too late, including when the store refuses the edges that call first and when updates are lost.
+func TestListIsReadOnceForAllEdges(t *testing.T) {
 	const ms = time.Millisecond
-	// A change is read within the minimum watch interval (700 ms) and reported within a report interval (80 ms).
-	for _, tracker := range []struct {
-		edges, refused, maxCalls int
-		maxDelay                 time.Duration
-	}{{1, 0, 60, 900 * ms}, {22, 0, 250, 900 * ms}, {22, 2, 300, 1200 * ms}, {100, 0, 800, 900 * ms}} {
-		calls, longest := simulateRenewals(t, tracker.edges, tracker.refused, true)
-		if calls > tracker.maxCalls {
-			t.Errorf("%d edges, %d refused: %d calls in 30 s, want at most %d", tracker.edges, tracker.refused, calls, tracker.maxCalls)
+	// A change is read within the minimum watch interval (700 ms). Without a loss, 30 s take 43 polls; the bound for 100 edges
+	// is a quarter of the 641 calls that were made when only renewals were read once.
+	for _, c := range []struct {
+		renewals
+		maxCalls   int
+		maxDelay   time.Duration
+		everywhere bool
+	}{
+		{renewals{edges: 1}, 60, 900 * ms, true},
+		{renewals{edges: 22}, 60, 900 * ms, true},
+		{renewals{edges: 22, refused: 2}, 160, 1200 * ms, false},
+		{renewals{edges: 22, lossEvery: 40}, 120, 1000 * ms, true},
+		{renewals{edges: 100}, 160, 900 * ms, true},
+		// Edges that the store refuses get the changes from the others, within the tightest published bound.
+		{renewals{edges: 40, refused: 14}, 700, 2 * time.Second, true},
+	} {
+		calls, longest := c.run(t, c.everywhere)
+		if calls > c.maxCalls {
+			t.Errorf("%+v: %d calls in 30 s, want at most %d", c.renewals, calls, c.maxCalls)
+		}
+		if longest > c.maxDelay {
+			t.Errorf("%+v: a change took %s, want at most %s", c.renewals, longest, c.maxDelay)
+		}
+	}
+	if calls, _ := (renewals{edges: 22, alone: true}).run(t, true); calls < 900 {
+		t.Errorf("22 edges that share nothing make %d calls, want at least 900: the simulation does not show the difference", calls)
+	}
+}
+
+// Guards against store calls that grow with the number of edges while nothing is written, and against state that gets too
+// old: one of the edges polls every 0.7 s, including when the edges that would poll first have stopped.
+func TestPollsDoNotGrowWithEdges(t *testing.T) {
+	for _, c := range []struct{ edges, stopped int }{{1, 0}, {4, 0}, {24, 0}, {24, 2}} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			list := &fakeList{}
+			list.write("r-0", "first")
+			f := &fleet{list: list}
+			f.start(ctx, c.edges, c.stopped, true)
+			time.Sleep(3 * time.Second)
+			list.mu.Lock()
+			list.calls, list.longestPause, list.lastCall = 0, 0, time.Now()
+			list.mu.Unlock()
+			time.Sleep(time.Minute)
+			list.mu.Lock()
+			calls, longest := list.calls, list.longestPause
+			list.mu.Unlock()
+			if calls > 90 || longest > 1300*time.Millisecond {
+				t.Errorf("%d edges, %d stopped: %d calls in 60 s, longest interval %s", c.edges, c.stopped, calls, longest)
+			}
+			cancel()
+			time.Sleep(2 * time.Second)
+		})
+	}
+}
+
+// Guards against an update that is applied by an edge which has not read the writes before it, against parts of one call that
+// are applied without the others, and against an older write that replaces a newer one.
+func TestUpdatesAreAppliedWholeAndInOrder(t *testing.T) {
+	var changes []replicas.Change
+	for i := range 25 {
+		id := fmt.Sprintf("r-%d", i)
+		changes = append(changes, replicas.Change{ID: id, Revision: uint64(101 + i), Replica: &replicas.Replica{ID: id, Service: "s", Address: "10.0.0.1:1"}})
+	}
+	updates := newUpdates(replicaObjects, 100, 200, changes)
+	if len(updates) != 3 {
+		t.Fatalf("%d updates for 25 changes, want 3", len(updates))
+	}
+	var a assembly
+	now := time.Unix(1000, 0)
+	for i, u := range []update{updates[2], updates[0], updates[0], updates[1]} {
+		got, complete := a.add(netip.Addr{}, &u, now)
+		if complete != (i == 3) {
+			t.Errorf("update %d: complete %t", i, complete)
 		}
-		if longest > tracker.maxDelay {
-			t.Errorf("%d edges, %d refused: a change took %s, want at most %s", tracker.edges, tracker.refused, longest, tracker.maxDelay)
+		if complete && (len(got) != 25 || got[0].ID != "r-0" || got[24].ID != "r-24") {
+			t.Errorf("%d changes, want 25 in order", len(got))
 		}
 	}
-	if calls, _ := simulateRenewals(t, 22, 0, false); calls < 900 {
-		t.Errorf("22 edges that share no synced ranges make %d calls, want at least 900: the simulation does not show the difference", calls)
+	if many := newUpdates(replicaObjects, 100, 200, make([]replicas.Change, 1000)); len(many) != 1 || many[0].From != 200 {
+		t.Error("changes that don't fit into the updates of a call must be read from the store")
+	}
+	registry := replicas.NewRegistry()
+	registry.Apply(changes[:1], now)
+	if old := registry.Apply([]replicas.Change{{ID: "r-0", Revision: 50}}, now); len(old) != 0 || registry.View().Len() != 1 {
+		t.Error("an older write replaced a newer one")
 	}
 }
 
@@ -187,7 +328,7 @@
 // bound for the call.
 func TestWatchIntervalAndStaggerDelayFitBound(t *testing.T) {
 	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
-		longest := minWatchInterval(700*time.Millisecond, bound) + staggerDelay(1000, staggerStep(time.Second), bound)
+		longest := minWatchInterval(700*time.Millisecond, bound) + staggerDelay(1000, bound)
 		if longest > bound*6/10 {
 			t.Errorf("bound %s: an edge may wait %s before it calls the store", bound, longest)
 		}
@@ -202,7 +343,7 @@
 func TestListDoesNotExtendSyncedRange(t *testing.T) {
 	now := time.Unix(1000, 0)
 	tracker := &syncTracker{}
-	tracker.onList(true)
+	tracker.onList(true, now)
 	tracker.onSynced(10, now)
 	tracker.onSynced(20, now) // writes 11 to 20 were in the list
 	if synced := tracker.snapshot(now); synced.From != 20 || synced.LastChange != 0 {
@@ -217,7 +358,7 @@
 	if synced := tracker.snapshot(now); synced.From != 40 || synced.LastChange != 40 {
 		t.Errorf("after a change: %+v, want From 40, LastChange 40", synced)
 	}
-	tracker.onList(true)
+	tracker.onList(true, now)
 	tracker.onSynced(50, now)
 	tracker.onSynced(60, now)
 	if synced := tracker.snapshot(now.Add(time.Second)); synced.From != 60 || synced.LastChange != 50 || synced.AgeMs != 1000 {
--- /dev/null
+++ b/internal/app/edge/update.go
@@ -0,0 +1,263 @@
+package edge
+
+import (
+	"errors"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
+	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
+	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
+)
+
+// followedKind identifies a kind of object that all edges follow.
+type followedKind uint8
+
+const (
+	configurationObjects followedKind = iota + 1
+	replicaObjects
+)
+
+// update tells the other edges what a store call has read, so that they need not read it. The changes of one call may be
+// divided into several updates, which are applied together.
+type update struct {
+	_    struct{} `cbor:",toarray"`
+	Kind followedKind
+	// From and To are the revisions between which the changes were read.
+	From, To uint64
+	// Synced is the sender's synced range.
+	Synced gossip.SyncedRange
+	// RecoveredMs is the time since the end of a store outage, plus 1, while registrations that expired in it are kept.
+	RecoveredMs uint32
+	// Part is the number of this update from 0, and Parts the number of updates of the call.
+	Part, Parts uint8
+	Changes     []replicaChange
+}
+
+// replicaChange is a write to the list of replicas that changed the sender's list.
+type replicaChange struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Revision uint64
+	// Removed is set if the write names no usable replica; the fields below are empty then.
+	Removed                bool
+	Service, Address, Zone string
+	Slots                  int
+	Draining               bool
+	StartUnixMs            int64
+}
+
+const (
+	// changesPerUpdate keeps an update within one datagram: a change takes up to about 100 bytes.
+	changesPerUpdate = 10
+	// maxUpdates bounds the updates of one call. The other edges read more changes than fit from the store themselves.
+	maxUpdates = 32
+)
+
+func encodeChange(c replicas.Change) replicaChange {
+	if c.Replica == nil {
+		return replicaChange{ID: c.ID, Revision: c.Revision, Removed: true}
+	}
+	r := c.Replica
+	return replicaChange{
+		ID: c.ID, Revision: c.Revision, Service: r.Service, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Draining: r.Draining, StartUnixMs: r.StartUnixMs,
+	}
+}
+
+func (c *replicaChange) decode() replicas.Change {
+	change := replicas.Change{ID: c.ID, Revision: c.Revision}
+	if !c.Removed {
+		change.Replica = &replicas.Replica{
+			ID: c.ID, Service: c.Service, Address: c.Address, Zone: c.Zone, Slots: c.Slots, Draining: c.Draining, StartUnixMs: c.StartUnixMs,
+		}
+	}
+	return change
+}
+
+// newUpdates returns the updates for a call that read the changes between two revisions.
+func newUpdates(kind followedKind, from, to uint64, changes []replicas.Change) []update {
+	parts := max(1, (len(changes)+changesPerUpdate-1)/changesPerUpdate)
+	if parts > maxUpdates {
+		from, parts, changes = to, 1, nil
+	}
+	list := make([]update, parts)
+	for i := range list {
+		list[i] = update{Kind: kind, From: from, To: to, Part: uint8(i), Parts: uint8(parts)}
+		for _, c := range changes[min(len(changes), i*changesPerUpdate):min(len(changes), (i+1)*changesPerUpdate)] {
+			list[i].Changes = append(list[i].Changes, encodeChange(c))
+		}
+	}
+	return list
+}
+
+// assembly collects the updates of one call until all have arrived. Only the latest call of each sender is kept.
+type assembly struct {
+	bySender map[netip.Addr]*pendingCall
+}
+
+type pendingCall struct {
+	to       uint64
+	parts    map[uint8][]replicaChange
+	received time.Time
+}
+
+// maxPendingCalls bounds the senders with incomplete updates.
+const maxPendingCalls = 64
+
+// add records an update and returns all changes of its call once they are complete.
+func (a *assembly) add(from netip.Addr, u *update, now time.Time) (changes []replicas.Change, complete bool) {
+	if u.Parts <= 1 {
+		return decodeChanges(u.Changes), true
+	}
+	if a.bySender == nil || len(a.bySender) >= maxPendingCalls {
+		a.bySender = map[netip.Addr]*pendingCall{}
+	}
+	p := a.bySender[from]
+	if p == nil || p.to != u.To {
+		p = &pendingCall{to: u.To, parts: map[uint8][]replicaChange{}, received: now}
+		a.bySender[from] = p
+	}
+	p.parts[u.Part] = u.Changes
+	if len(p.parts) < int(u.Parts) {
+		return nil, false
+	}
+	delete(a.bySender, from)
+	for part := range u.Parts {
+		changes = append(changes, decodeChanges(p.parts[part])...)
+	}
+	return changes, true
+}
+
+func decodeChanges(list []replicaChange) []replicas.Change {
+	changes := make([]replicas.Change, 0, len(list))
+	for i := range list {
+		changes = append(changes, list[i].decode())
+	}
+	return changes
+}
+
+// recentCalls has the changes that the latest calls for a kind have read. Each update contains those of all of them, so that
+// an edge which missed an update continues with the next one instead of calling the store, which may refuse it.
+type recentCalls struct{ calls []recentCall }
+
+type recentCall struct {
+	from    uint64
+	changes []replicas.Change
+}
+
+// maxRecentCalls is the number of calls whose changes an update contains: those of about three seconds.
+const maxRecentCalls = 5
+
+// add records a call that read the changes after the revision from. It returns the revision after which the changes of all
+// recent calls were read, and these changes. With contiguous unset, the earlier calls don't count.
+func (r *recentCalls) add(from uint64, changes []replicas.Change, contiguous bool) (uint64, []replicas.Change) {
+	if !contiguous {
+		r.calls = nil
+	}
+	r.calls = append(r.calls, recentCall{from, changes})
+	if len(r.calls) > maxRecentCalls {
+		r.calls = slices.Delete(r.calls, 0, 1)
+	}
+	var all []replicas.Change
+	for _, c := range r.calls {
+		all = append(all, c.changes...)
+	}
+	return r.calls[0].from, all
+}
+
+// synchronized records that a call has read the changes between two revisions, and returns the updates for the other edges.
+func (f *followed) synchronized(kind followedKind, from, to uint64, began time.Time) []update {
+	complete := f.synced.onSynced(to, began)
+	if !complete {
+		from, f.changes = to, nil
+	}
+	// The edge may have applied updates of other edges since its call before, whose changes are not in its recent calls.
+	contiguous := complete && from == f.lastTo
+	f.lastTo = to
+	from, changes := f.recent.add(from, f.changes, contiguous)
+	f.changes = nil
+	return newUpdates(kind, from, to, changes)
+}
+
+// publish sends updates to the other edges.
+func (e *Edge) publish(f *followed, updates []update) {
+	now := time.Now()
+	recovered := uint32(0)
+	if end, kept := e.registry.OutageEnd(now); kept {
+		recovered = uint32(now.Sub(end).Milliseconds()) + 1
+	}
+	for _, u := range updates {
+		u.Synced, u.RecoveredMs = f.synced.snapshot(now), recovered
+		data, err := cbor.Marshal(&u)
+		if err == nil && len(data) > gossip.MaxBroadcastBytes {
+			err = errUpdateSize // the other edges read the changes from the store
+		}
+		if err != nil {
+			e.observer.logError(eventlog.EdgeGossipFailed, err)
+			continue
+		}
+		e.gossip.Broadcast(data)
+	}
+}
+
+var errUpdateSize = errors.New("update exceeds the size of a datagram")
+
+// onUpdate applies what another edge has read from the store.
+func (e *Edge) onUpdate(from netip.Addr, payload []byte) {
+	var u update
+	if err := cbor.Unmarshal(payload, &u); err != nil {
+		e.observer.logError(eventlog.EdgeGossipFailed, err)
+		return
+	}
+	f := e.followed(u.Kind)
+	if f == nil {
+		return
+	}
+	now := time.Now()
+	changes, complete := e.pending.add(from, &u, now)
+	if !complete {
+		return
+	}
+	if u.RecoveredMs > 0 {
+		e.registry.StoreRecovered(now.Add(-time.Duration(u.RecoveredMs-1) * time.Millisecond))
+	}
+	f.apply(&u, changes, e.registry, now, func() { e.onListChanged("received") })
+}
+
+// apply applies the changes between the revisions of an update if this edge has read up to the first one. Otherwise it
+// applies the sender's synced range. onChange is called if the list of replicas changed.
+func (f *followed) apply(u *update, changes []replicas.Change, registry *replicas.Registry, now time.Time, onChange func()) {
+	at := now.Add(-time.Duration(u.Synced.AgeMs) * time.Millisecond)
+	// An update does not contain a changed configuration.
+	complete := u.Kind == replicaObjects || u.Synced.LastChange != u.To
+	applied := complete && u.From < u.To && f.feed.Advance(u.From, u.To, at, func(read uint64) {
+		f.synced.onAdvance(at)
+		registry.StoreResponded(now)
+		if len(registry.Apply(unread(changes, read), now)) > 0 {
+			onChange()
+		}
+	})
+	if !applied {
+		f.applySyncedRange(u.Synced, registry, now)
+	}
+}
+
+// unread returns the changes without the registrations up to the revision. Removals are kept, because the store may report
+// them with the revision of the write before.
+func unread(changes []replicas.Change, revision uint64) []replicas.Change {
+	return slices.DeleteFunc(changes, func(c replicas.Change) bool { return c.Replica != nil && c.Revision <= revision })
+}
+
+// applySyncedRange skips the next watch for writes that another edge has read without a change, or starts it at once for a
+// change that this edge has not read.
+func (f *followed) applySyncedRange(synced gossip.SyncedRange, registry *replicas.Registry, now time.Time) {
+	at := now.Add(-time.Duration(synced.AgeMs) * time.Millisecond)
+	f.feed.Advance(synced.From, synced.To, at, func(uint64) {
+		f.synced.onAdvance(at)
+		registry.StoreResponded(now)
+	})
+	f.feed.CatchUp(synced.LastChange)
+}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -41,7 +41,7 @@
 )
 
 // protocolVersion is incremented with every incompatible change. Reports of other versions are dropped.
-const protocolVersion = 2
+const protocolVersion = 3
 
 // Load is the load that the sender has outstanding at a replica.
 type Load struct {
@@ -74,12 +74,10 @@
 // Freshness describes how recent the sender's copy of the store's objects is.
 type Freshness struct {
 	_ struct{} `cbor:",toarray"`
-	// Configuration is the version in force at the sender.
-	Configuration uint64
-	// AgeMs is the time since the sender last had store responses for all kinds that it watches, in milliseconds.
-	AgeMs uint32
-	// Replicas is the synced range of the list of replicas.
-	Replicas SyncedRange
+	// Configuration and Replicas are the synced ranges of the kinds that the entries follow.
+	Configuration, Replicas SyncedRange
+	// StoreFailing is set if the sender's latest store call failed, so that other entries don't rely on its calls.
+	StoreFailing bool
 }
 
 // SyncedRange is the range of store revisions of a kind that the sender has read itself, so that other entries need not.
@@ -128,6 +126,8 @@
 	Collect func() State
 	// OnReport receives the state of another entry.
 	OnReport func(from netip.Addr, report *Report)
+	// OnBroadcast receives the payload of a broadcast of another entry. It may be nil.
+	OnBroadcast func(from netip.Addr, payload []byte)
 	// OnPeer is called when an entry becomes live, at its first report or the first after a timeout (true), and when it times
 	// out (false). It may be nil.
 	OnPeer func(peer netip.Addr, live bool)
@@ -156,8 +156,20 @@
 	epoch        uint64
 	seq          uint64
 	live         bool
+	// storeFailing is set if the peer's latest store call failed.
+	storeFailing bool
 }
 
+// Types of datagrams: the first byte.
+const (
+	// reportDatagram is followed by a Report, broadcastDatagram by the protocol version and a payload.
+	reportDatagram byte = iota + 1
+	broadcastDatagram
+)
+
+// MaxBroadcastBytes is the largest payload of a broadcast.
+const MaxBroadcastBytes = maxDatagramBytes - 2
+
 // New returns a Node with a bound socket.
 func New(opts Options) (*Node, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(opts.Listen))
@@ -178,19 +190,45 @@
 }
 
 // Rank returns the number of other live entries with an address lower than this entry's. Entries that receive each other's
-// reports have different ranks.
-func (n *Node) Rank() int {
+// reports have different ranks. With onlySynced, entries whose store calls fail don't count.
+func (n *Node) Rank(onlySynced bool) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	rank := 0
 	for addr, p := range n.peers {
-		if p.live && addr.Less(n.opts.Listen.Addr()) {
+		if p.live && !(onlySynced && p.storeFailing) && addr.Less(n.opts.Listen.Addr()) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// Broadcast sends a payload of up to MaxBroadcastBytes to all live entries at once. A datagram may be lost.
+func (n *Node) Broadcast(payload []byte) {
+	data := append([]byte{broadcastDatagram, protocolVersion}, payload...)
+	for _, target := range n.livePeers() {
+		n.sendTo(target, data)
+	}
+}
+
+func (n *Node) livePeers() []netip.Addr {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := make([]netip.Addr, 0, len(n.peers))
+	for addr, p := range n.peers {
+		if p.live {
+			list = append(list, addr)
+		}
+	}
+	return list
+}
+
+func (n *Node) sendTo(target netip.Addr, data []byte) {
+	if _, err := n.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(target, n.opts.Listen.Port())); err != nil {
+		n.fail(err)
+	}
+}
+
 // Run exchanges reports until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() })
@@ -238,10 +276,9 @@
 		n.fail(err)
 		return
 	}
+	data = append([]byte{reportDatagram}, data...)
 	for _, target := range targets {
-		if _, err := n.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(target, n.opts.Listen.Port())); err != nil {
-			n.fail(err)
-		}
+		n.sendTo(target, data)
 	}
 }
 
@@ -300,14 +337,31 @@
 			n.fail(err)
 			continue
 		}
+		if err := n.handle(from.Addr().Unmap(), buffer[:size]); err != nil {
+			n.fail(fmt.Errorf("decode datagram from %s: %w", from, err))
+		}
+	}
+}
+
+// handle decodes and delivers one datagram.
+func (n *Node) handle(from netip.Addr, data []byte) error {
+	switch {
+	case len(data) > 0 && data[0] == reportDatagram:
 		var report Report
-		if err := cbor.Unmarshal(buffer[:size], &report); err != nil || report.Protocol != protocolVersion {
-			n.fail(fmt.Errorf("decode report from %s: %w", from, errors.Join(err, errProtocol)))
-			continue
+		if err := cbor.Unmarshal(data[1:], &report); err != nil || report.Protocol != protocolVersion {
+			return errors.Join(err, errProtocol)
+		}
+		if n.accept(from, &report, time.Now()) {
+			n.opts.OnReport(from, &report)
 		}
-		if n.accept(from.Addr().Unmap(), &report, time.Now()) {
-			n.opts.OnReport(from.Addr().Unmap(), &report)
+		return nil
+	case len(data) >= 2 && data[0] == broadcastDatagram && data[1] == protocolVersion:
+		if n.opts.OnBroadcast != nil {
+			n.opts.OnBroadcast(from, data[2:])
 		}
+		return nil
+	default:
+		return errProtocol
 	}
 }
 
@@ -335,7 +389,7 @@
 	if report.Epoch < p.epoch || report.Epoch == p.epoch && report.Seq <= p.seq {
 		return false
 	}
-	p.epoch, p.seq, p.lastReceived = report.Epoch, report.Seq, now
+	p.epoch, p.seq, p.lastReceived, p.storeFailing = report.Epoch, report.Seq, now, report.Freshness.StoreFailing
 	if !p.live {
 		n.setLive(from, p, true)
 	}
--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -30,6 +30,8 @@
 	ID string
 	// Replica is nil if the registration was removed or is invalid.
 	Replica *Replica
+	// Revision is the store's revision of the write, or 0 if unknown. A write that is older than the one in force is ignored.
+	Revision uint64
 }
 
 // expiryGrace is how long a registration that expired during an outage of the store may be missing after the outage:
@@ -83,6 +85,8 @@
 // registration is one element of the list.
 type registration struct {
 	Replica
+	// revision is the revision of the latest applied write.
+	revision uint64
 	// missingSince is the time at which the registration expired, or the zero time while it is present.
 	missingSince time.Time
 }
@@ -111,7 +115,8 @@
 	r.outage = true
 }
 
-// StoreResponded records a store response. The first response after a failure ends the outage.
+// StoreResponded records a store response, or that another process had one. The first response after a failure ends the
+// outage.
 func (r *Registry) StoreResponded(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -120,6 +125,22 @@
 	}
 }
 
+// StoreRecovered records that an outage of the store, which this process may not have noticed, ended at the given time.
+func (r *Registry) StoreRecovered(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.After(r.outageEnd) {
+		r.outageEnd = at
+	}
+}
+
+// OutageEnd returns the end of the last outage, and whether registrations that expired in it are still kept.
+func (r *Registry) OutageEnd(now time.Time) (end time.Time, kept bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.outageEnd, !r.outage && r.inExpiryGrace(now)
+}
+
 // Replace applies a complete list and reports whether it changed anything. Registrations that are missing from the list
 // are removed, or kept for expiryGrace if the store was unavailable until shortly before.
 func (r *Registry) Replace(list []Change, now time.Time) bool {
@@ -143,19 +164,21 @@
 	return changed
 }
 
-// Apply applies changes in the order of the store's revisions and reports whether they changed anything: most writes to the
+// Apply applies changes in the order of the store's revisions and returns those that changed anything: most writes to the
 // list only renew a registration.
-func (r *Registry) Apply(changes []Change, now time.Time) bool {
+func (r *Registry) Apply(changes []Change, now time.Time) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := false
+	var effective []Change
 	for _, c := range changes {
-		changed = r.apply(c, now) || changed
+		if r.apply(c, now) {
+			effective = append(effective, c)
+		}
 	}
-	if changed {
+	if len(effective) > 0 {
 		r.publish()
 	}
-	return changed
+	return effective
 }
 
 // Expire removes registrations that are still missing after expiryGrace and returns their IDs.
@@ -176,15 +199,16 @@
 }
 
 func (r *Registry) apply(c Change, now time.Time) bool {
+	old, known := r.registrations[c.ID]
+	if known && c.Revision > 0 && c.Revision < old.revision {
+		return false // a newer write was delivered before
+	}
 	if c.Replica == nil {
 		return r.remove(c.ID, now)
 	}
-	next := registration{Replica: *c.Replica}
-	if old, ok := r.registrations[c.ID]; ok && old == next {
-		return false
-	}
+	next := registration{Replica: *c.Replica, revision: c.Revision}
 	r.registrations[c.ID] = next
-	return true
+	return !known || old.Replica != next.Replica || !old.missingSince.IsZero()
 }
 
 // remove removes a registration and reports whether it changed anything. One that may have expired only because its replica
--- a/internal/process/replicas/replicas_test.go
+++ b/internal/process/replicas/replicas_test.go
@@ -54,7 +54,7 @@
 	r := replicas.NewRegistry()
 	apply := func(what string, want bool, changes ...replicas.Change) {
 		t.Helper()
-		if got := r.Apply(changes, now); got != want {
+		if got := len(r.Apply(changes, now)) > 0; got != want {
 			t.Errorf("%s: changed %t, want %t", what, got, want)
 		}
 	}
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -9,11 +9,8 @@
 	LogLinesPerSecond int `json:"log_lines_per_second" default:"400" min:"1" max:"100000" unit:"lines"`
 	// StoreCallsPerSecond is the call budget for the object store; a watch counts as one call. Default 10.
 	StoreCallsPerSecond float64 `json:"store_calls_per_second" default:"10" min:"1" max:"1000" unit:"calls/s"`
-	// WatchTimeout is how long the store may keep a watch pending. Meanwhile the edges poll, all together about once a
-	// second. Default "10s".
-	WatchTimeout Duration `json:"watch_time" default:"10s" min:"500ms" max:"30s"`
-	// MinWatchInterval is the minimum interval between two watches of one kind of object; writes within it arrive in one
-	// response. The platform's time bounds can shorten it. Default "700ms".
+	// MinWatchInterval is the interval at which one of the edges polls the store for writes to a kind of object, for all of
+	// them. The platform's time bounds can shorten it. Default "700ms".
 	MinWatchInterval Duration `json:"watch_pace" default:"700ms" min:"0s" max:"5s"`
 	// Placement configures how replicas are chosen.
 	Placement Placement `json:"placement"`
--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -26,53 +26,44 @@
 	OnError func(error)
 	// OnResponse is called after each successful watch, before its result is delivered; it may be nil.
 	OnResponse func()
-	// MaxRetryDelay bounds the delay after a failed call. Default 3 s.
+	// MaxRetryDelay bounds the delay after a failed call, to which StaggerDelay is added. Default 3 s.
 	MaxRetryDelay time.Duration
+	// Poll makes each watch return at once instead of waiting for a write.
+	Poll bool
 	// MinInterval is the minimum interval between the starts of two watches, so that writes in quick succession are read
 	// with one call. Default 0.
 	MinInterval time.Duration
 	// StaggerDelay returns a delay in addition to MinInterval, so that another process that follows the same kind may call
 	// the store first and share its result through Advance; it may be nil.
 	StaggerDelay func() time.Duration
-	// OnSynced is called after OnObjects or OnGap with the revision up to which the state is known and the start time of the
-	// call that read it; it may be nil.
-	OnSynced func(revision uint64, began time.Time)
-
-	mu     sync.Mutex
-	cancel context.CancelFunc
-	// refreshing is set from the interruption of a watch by Refresh until the watch that replaces it has ended.
-	refreshing bool
+	// OnSynced is called after OnObjects or OnGap with the revisions from which the call has read and up to which the state is
+	// known, and the start time of the call; it may be nil.
+	OnSynced func(from, to uint64, began time.Time)
+
+	mu sync.Mutex
 	// revision is where the next watch continues; 0 means that the state has to be listed again.
 	revision uint64
 	// syncedAt is the start of the call that read up to revision; later writes may be missing.
 	syncedAt time.Time
+	// retryAt is the time of the next call after a failed one; zero if the state was synced since.
+	retryAt time.Time
 	// waiting is set while Run waits to start the next watch.
 	waiting bool
 	// catchingUp ends the current wait.
 	catchingUp bool
-	// wakeup receives a value when syncedAt or catchingUp changes while Run waits.
+	// wakeup receives a value when the end of the current wait may have changed.
 	wakeup chan struct{}
 }
 
-// errRefreshed is the error of a watch that Refresh interrupted.
-var errRefreshed = errors.New("watch interrupted for a refresh")
-
-// refreshWatchTimeout is the watch timeout after a Refresh: that watch only has to return writes that were missed.
-const refreshWatchTimeout = time.Millisecond
-
-// Refresh interrupts a pending watch and starts another one at once, to find writes that the pending watch did not
-// return.
-func (f *Feed) Refresh() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.cancel != nil {
-		f.cancel()
-	}
-}
+// pollTimeout is the watch timeout of a Feed that polls.
+const pollTimeout = time.Millisecond
 
 // Run watches until the context ends.
 func (f *Feed) Run(ctx context.Context) {
 	f.wakeup = make(chan struct{}, 1)
+	if f.Poll {
+		ctx = WithWatchTimeout(ctx, pollTimeout)
+	}
 	limit := f.MaxRetryDelay
 	if limit <= 0 {
 		limit = maxFeedRetryDelay
@@ -81,19 +72,17 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		next, err := f.step(ctx, f.Revision(), began)
-		f.setPosition(next, began)
 		if err == nil && next > 0 {
 			backoff.Reset()
-			if !f.isRefreshing() && !f.waitForNext(ctx) {
-				return
+			f.setPosition(next, began)
+		} else {
+			if err != nil && ctx.Err() == nil && f.OnError != nil {
+				f.OnError(err)
 			}
-			continue
-		}
-		if err != nil && ctx.Err() == nil && f.OnError != nil {
-			f.OnError(err)
+			// A store without any write returns revision 0 at once, so this case is delayed too.
+			f.setFailed(next, time.Now().Add(backoff.Next()))
 		}
-		// A store without any write returns revision 0 at once, so this case is delayed too.
-		if !backoff.Wait(ctx) {
+		if !f.waitForNext(ctx) {
 			return
 		}
 	}
@@ -109,18 +98,20 @@
 func (f *Feed) setPosition(revision uint64, syncedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision, f.syncedAt = revision, syncedAt
+	f.revision, f.syncedAt, f.retryAt = revision, syncedAt, time.Time{}
+}
+
+func (f *Feed) setFailed(revision uint64, retryAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision, f.retryAt = revision, retryAt
 }
 
 // waitForNext waits until the next watch may start and returns false if the context ended first.
 func (f *Feed) waitForNext(ctx context.Context) bool {
-	wait := f.MinInterval
-	if f.StaggerDelay != nil {
-		wait += f.StaggerDelay()
-	}
 	f.setWaiting(true)
 	defer f.setWaiting(false)
-	for remaining := f.remainingWait(wait); remaining > 0; remaining = f.remainingWait(wait) {
+	for remaining := f.remainingWait(); remaining > 0; remaining = f.remainingWait() {
 		timer := time.NewTimer(remaining)
 		select {
 		case <-ctx.Done():
@@ -140,26 +131,37 @@
 	f.waiting, f.catchingUp = on, false
 }
 
-func (f *Feed) remainingWait(wait time.Duration) time.Duration {
+func (f *Feed) remainingWait() time.Duration {
+	stagger := time.Duration(0)
+	if f.StaggerDelay != nil {
+		stagger = f.StaggerDelay()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.catchingUp {
+	switch {
+	case !f.retryAt.IsZero():
+		return time.Until(f.retryAt) + stagger
+	case f.catchingUp:
 		return 0
+	default:
+		return f.MinInterval + stagger - time.Since(f.syncedAt)
 	}
-	return wait - time.Since(f.syncedAt)
 }
 
-// Advance reports that another process read up to the revision to with a call that began at the given time, and that no
-// write between the revisions from and to matters. A Feed that waits for its next watch and has read at least up to from
-// continues at to.
-func (f *Feed) Advance(from, to uint64, at time.Time) {
+// Advance reports that another process read up to the revision to with a call that began at the given time, and that apply
+// delivers all writes between the revisions from and to that matter. If the Feed waits for its next watch and has read at
+// least up to from, it calls apply with the revision up to which it has read, continues at to and returns true.
+func (f *Feed) Advance(from, to uint64, at time.Time, apply func(read uint64)) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.waiting || f.revision < from || f.revision > to || !at.After(f.syncedAt) {
-		return
+	if !f.waiting || f.revision == 0 || f.revision < from || f.revision > to || !at.After(f.syncedAt) {
+		return false
 	}
-	f.revision, f.syncedAt = to, at
+	// The lock is held, so that no watch starts that would deliver older writes later.
+	apply(f.revision)
+	f.revision, f.syncedAt, f.retryAt = to, at, time.Time{}
 	f.wake()
+	return true
 }
 
 // CatchUp reports that a write at the revision matters. A Feed that waits for its next watch and has not read the write
@@ -180,23 +182,13 @@
 	}
 }
 
-func (f *Feed) isRefreshing() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.refreshing
-}
-
 // step makes one watch, which is followed by a list if revision is 0, and delivers the result. It returns the revision to
 // continue from; 0 means that the state has to be listed again.
 func (f *Feed) step(ctx context.Context, revision uint64, began time.Time) (uint64, error) {
-	objs, next, err := f.watch(ctx, revision)
-	if errors.Is(err, errRefreshed) {
-		return revision, nil
-	}
+	objs, next, err := f.Client.Watch(ctx, f.Kind, revision)
 	if err == nil && f.OnResponse != nil {
 		f.OnResponse()
 	}
-	f.endRefresh()
 	switch {
 	case errors.Is(err, ErrGap):
 		return 0, err
@@ -211,38 +203,7 @@
 		f.OnObjects(objs)
 	}
 	if f.OnSynced != nil {
-		f.OnSynced(next, began)
+		f.OnSynced(revision, next, began)
 	}
 	return next, nil
 }
-
-// watch makes one watch. Refresh can interrupt it, unless it replaces an interrupted one.
-func (f *Feed) watch(ctx context.Context, revision uint64) ([]Object, uint64, error) {
-	f.mu.Lock()
-	if f.refreshing {
-		ctx = WithWatchTimeout(ctx, refreshWatchTimeout)
-	}
-	watchCtx, cancel := context.WithCancel(ctx)
-	f.cancel = cancel
-	if f.refreshing {
-		f.cancel = nil
-	}
-	f.mu.Unlock()
-	defer cancel()
-	objs, next, err := f.Client.Watch(watchCtx, f.Kind, revision)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cancel = nil
-	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
-		f.refreshing = true
-		return nil, revision, errRefreshed
-	}
-	return objs, next, err
-}
-
-// endRefresh records that the watch that replaced an interrupted one has ended.
-func (f *Feed) endRefresh() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.refreshing = false
-}
