direct, forward: bound what an upstream may send; report the end of small writes before the response

Cause (read, then shown by tests): a response header, interim responses and bodies that are read whole had no bound in bytes, so that an upstream which sends without end filled the process's memory until the deadline.

Change: 64 KiB for a header, 8 interim responses, 1 MiB for a skipped response, 8 MiB for a body that is no stream; 101 ends the exchange. Requests with up to 2 KiB of body are written before the response is read; the end of a larger write is awaited for 30 ms.

Tests: TestEndlessResponsesAreCut (nine forms), TestLateSecondResponseIsNotReturned (whole, in pieces, after an interim response), TestConnectionIsReusedAfterALargeRequest.

--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -24,12 +24,50 @@
 // defaultMaxIdleTime is how long an idle connection is reused when the upstream announces no idle timeout.
 const defaultMaxIdleTime = 5 * time.Second
 
+// Bounds of what one response may send outside of its body. An upstream in trouble may send bytes without end.
+const (
+	// maxHeadBytes bounds a status line with its headers, in bytes. It is four times the bound on callers' headers in the
+	// published deployment specifications.
+	maxHeadBytes = 64 << 10
+	// maxInterim bounds the interim (1xx) responses before a response.
+	maxInterim = 8
+	// maxDiscardedBytes bounds the body of a response to another request that is read to reach the next response, in bytes.
+	maxDiscardedBytes = 1 << 20
+)
+
+// Errors of responses that exceed these bounds or are not allowed.
+var (
+	errHeadTooLong    = errors.New("response header is too long")
+	errTooManyInterim = errors.New("too many interim responses")
+	errUpgraded       = errors.New("the upstream switched protocols")
+)
+
+// headReader reads from a connection and fails when a response header exceeds its bound.
+type headReader struct {
+	io.Reader
+	// limited is set while a header is read, of which remaining more bytes may arrive.
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(b []byte) (int, error) {
+	if r.limited && r.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.Reader.Read(b)
+	r.remaining -= n
+	return n, err
+}
+
 // conn is one connection. It carries one request at a time.
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
-	writer  *bufio.Writer
+	// source is what reader reads from.
+	source *headReader
+	reader *bufio.Reader
+	writer *bufio.Writer
 	// reusableUntil is the time until which the connection may be reused.
 	reusableUntil time.Time
 	// idleSince is the end of the last response.
@@ -37,7 +75,27 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes), writer: bufio.NewWriterSize(c, writeBufferBytes)}
+	source := &headReader{Reader: c}
+	return &conn{Conn: c, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), writer: bufio.NewWriterSize(c, writeBufferBytes)}
+}
+
+// readHead reads the status line and the headers of the next final response.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.source.limited, c.source.remaining = true, maxHeadBytes
+	defer func() { c.source.limited = false }()
+	for range maxInterim + 1 {
+		//nolint:bodyclose // the caller closes the body
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errUpgraded // no request asks for it, and no response can follow
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
+		}
+	}
+	return nil, errTooManyInterim
 }
 
 // healthy reports whether an idle connection is still open and has no unread bytes.
@@ -85,6 +143,13 @@
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return errUnmatched // the body ends with the connection, so no other response can follow
 	}
-	_, err := io.Copy(io.Discard, resp.Body)
-	return err
+	n, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBytes)
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil && n == maxDiscardedBytes:
+		return errUnmatched
+	default:
+		return err
+	}
 }
--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -240,3 +240,97 @@
 		}
 	}
 }
+
+// Guards against responses without an end: memory, time and the connection must be bounded, and nothing may look complete.
+func TestEndlessResponsesAreCut(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n"
+	for name, c := range map[string]struct{ head, repeated string }{
+		"status line":     {"HTTP/1.1 200 ", "O"},
+		"no response":     {"", "bytes"},
+		"header line":     {ok + "X-Long: ", "x"},
+		"headers":         {ok, "X-Many: 1\r\n"},
+		"interim":         {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"chunk extension": {ok + "Transfer-Encoding: chunked\r\n\r\n5;", "x"},
+		"trailer":         {ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X-T: 1\r\n"},
+		"other response":  {"HTTP/1.1 200 OK\r\nX-Attempt: other\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
+		"switch":          {"HTTP/1.1 101 Switching Protocols\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var sent atomic.Int64
+			s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(conn, c.head)
+				block := strings.Repeat(c.repeated, 1+4096/len(c.repeated))
+				for sent.Load() < 64<<20 {
+					n, err := io.WriteString(conn, block)
+					sent.Add(int64(n))
+					if err != nil {
+						break // the client has closed the connection
+					}
+				}
+				return false
+			})
+			if body, err := do(t, direct.NewPool(), newRequest(s, "1")); err == nil {
+				t.Errorf("a response without an end was returned as complete, with a body of %d bytes", len(body))
+			}
+			// The sockets' buffers take some megabytes before the server notices that the connection is closed.
+			time.Sleep(100 * time.Millisecond)
+			if n := sent.Load(); n >= 64<<20 {
+				t.Errorf("the server sent %d bytes without the connection being closed", n)
+			}
+		})
+	}
+}
+
+// Guards against a second copy of a response, sent late on a connection in use again, being returned to the next caller:
+// whole, in pieces, and after an interim response.
+func TestLateSecondResponseIsNotReturned(t *testing.T) {
+	for name, pieces := range map[string]func(late, own string) []string{
+		"whole":   func(late, own string) []string { return []string{late + own} },
+		"pieces":  func(late, own string) []string { return []string{late[:10], late[10:40], late[40:] + own[:5], own[5:]} },
+		"interim": func(late, own string) []string { return []string{"HTTP/1.1 103 Early Hints\r\n\r\n", late, own} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(conn net.Conn, r *http.Request, n int) bool {
+				id := r.Header.Get("X-Attempt")
+				list := []string{okResponse(id, "own "+id)}
+				if n > 1 {
+					list = pieces(okResponse("1", "own 1"), list[0])
+				}
+				for _, piece := range list {
+					if _, err := io.WriteString(conn, piece); err != nil {
+						return false
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+				return true
+			})
+			p := direct.NewPool()
+			for _, id := range []string{"1", "2", "3"} {
+				if body, err := do(t, p, newRequest(s, id)); err == nil && body != "own "+id {
+					t.Errorf("request %s got the response %q", id, body)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a connection that is closed although it could be reused, because the response arrived before the end of the
+// request's write was reported.
+func TestConnectionIsReusedAfterALargeRequest(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(conn, okResponse(r.Header.Get("X-Attempt"), "ok"))
+		return err == nil
+	})
+	p := direct.NewPool()
+	for range 50 {
+		request := newRequest(s, "1")
+		request.Method, request.Body = http.MethodPost, []byte(strings.Repeat("x", 20_000))
+		if _, err := do(t, p, request); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if p.Opened() != 1 {
+		t.Errorf("%d connections for 50 requests in a row, want 1", p.Opened())
+	}
+}
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -23,6 +23,11 @@
 // Upstreams may drop idle connections without notice, and a request sent on such a connection is lost.
 const nonIdempotentMaxIdleTime = 400 * time.Millisecond
 
+// maxInlineBody is the largest request body that is written before the response is read, in bytes. The send buffer of a
+// connection without an outstanding request holds several times as much, so that the write does not block. A larger body is
+// written while the response is read, because the upstream may respond before it has read the body.
+const maxInlineBody = 2 << 10
+
 // maxUnmatched bounds the skipped responses to other requests while waiting for one response.
 const maxUnmatched = 2
 
@@ -98,7 +103,11 @@
 	}
 	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	go x.write(request)
+	if len(request.Body) <= maxInlineBody {
+		x.write(request)
+	} else {
+		go x.write(request)
+	}
 	response, err := x.read(request)
 	if err != nil {
 		x.fail()
@@ -220,13 +229,10 @@
 func (x *exchange) read(request *Request) (*Response, error) {
 	for unmatched := 0; ; {
 		//nolint:bodyclose // Response.Close closes the body; discard reads the body of a response to another request
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: request.Method})
+		resp, err := x.conn.readHead(request.Method)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < 200 {
-			continue // an interim response
-		}
 		if request.Matches == nil || request.Matches(resp.StatusCode, resp.Header) {
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
@@ -250,12 +256,7 @@
 	}
 	x.done = true
 	open := x.stop()
-	select {
-	case err := <-x.written:
-		reusable = reusable && err == nil
-	default:
-		reusable = false // the upstream responded before it had read the whole request body
-	}
+	reusable = reusable && x.writtenWhole()
 	if !reusable || !open || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
@@ -263,6 +264,28 @@
 	x.pool.put(x.conn, maxIdle)
 }
 
+// maxWriteDelay is how long the goroutine that writes a request may need to report the end of its last write, after the
+// response was read. It only has to be scheduled.
+const maxWriteDelay = 30 * time.Millisecond
+
+// writtenWhole reports whether the request was written completely. It is false if the upstream responded before it had read
+// the whole request body.
+func (x *exchange) writtenWhole() bool {
+	select {
+	case err := <-x.written:
+		return err == nil
+	default:
+	}
+	timer := time.NewTimer(maxWriteDelay)
+	defer timer.Stop()
+	select {
+	case err := <-x.written:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // fail closes the connection.
 func (x *exchange) fail() {
 	x.done = true
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -20,6 +20,13 @@
 // maxEventSize bounds one event of a stream, in bytes. A longer one ends the stream, because it can't be forwarded whole.
 const maxEventSize = 1 << 20
 
+// maxBodyBytes bounds a response that is not a stream, in bytes: it is read completely before it is forwarded. Bodies in the
+// published deployment specifications have up to 5 kB.
+const maxBodyBytes = 8 << 20
+
+// errBodyTooLong reports a body above maxBodyBytes.
+var errBodyTooLong = errors.New("response body is too long")
+
 // errEventTooLong reports an event above maxEventSize.
 var errEventTooLong = errors.New("stream event is too long")
 
@@ -130,11 +137,14 @@
 // forwardBody forwards a response that is not a stream. Responses of known length are short; they are read completely
 // before the first byte is sent, so that an interrupted one can still be retried.
 func (s *serving) forwardBody(tracker *sendTracker, response *direct.Response) error {
-	body, err := io.ReadAll(response)
+	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes+1))
 	tracker.firstEvent()
 	if err != nil {
 		return err
 	}
+	if len(body) > maxBodyBytes {
+		return errBodyTooLong
+	}
 	s.startResponse(response, int64(len(body)))
 	return s.write(body)
 }
