edges tell each other about crashed and replaced replicas; whole lists and queue order

Change: an edge whose connection is refused, or whose request gets 421, tells all others at once if it is new; they send the replica no work for its backoff, or for 5 s. Timeouts are not shared: the path from one edge may be broken. The record of a replica without responses now outlives its backoff, which therefore doubles.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -148,7 +148,7 @@
 	e.configuration, e.replicas = e.followConfiguration(), e.followReplicas()
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
 	e.forwarder = &forward.Forwarder{
-		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Observer: e.observer,
+		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Observer: e.observer, Share: e.shareEvidence,
 	}
 	var err error
 	if e.gossip, err = gossip.New(e.gossipOptions()); err != nil {
@@ -162,12 +162,23 @@
 		{netip.AddrPortFrom(node.Address, uint16(cfg.MetricsPort)), &e.metrics},
 	} {
 		if *l.listener, err = net.Listen("tcp4", l.address.String()); err != nil {
+			e.closeSockets()
 			return nil, fmt.Errorf("listen on %s: %w", l.address, err)
 		}
 	}
 	return e, nil
 }
 
+// closeSockets closes what New has opened, when it fails.
+func (e *Edge) closeSockets() {
+	e.gossip.Close()
+	for _, l := range []net.Listener{e.callers, e.ready, e.metrics} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
 // retrySettings returns this edge's part of the shared retry budget: the ratio applies to the edge's own requests, and the
 // reserve is divided by the number of edges.
 func (e *Edge) retrySettings() retry.Settings {
@@ -191,7 +202,7 @@
 	return gossip.Options{
 		Listen: netip.AddrPortFrom(e.node.Address, e.node.PeerPort), Seeds: e.node.Seeds,
 		Collect:  e.collect,
-		OnReport: e.onReport, OnBroadcast: e.onUpdate,
+		OnReport: e.onReport, OnBroadcast: e.onBroadcast,
 		OnPeer: func(peer netip.Addr, live bool) {
 			state := "silent"
 			if live {
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -18,8 +18,13 @@
 // pageSize is the number of objects requested per list call; the platform may return fewer.
 const pageSize = 500
 
-// maxPages bounds the calls of one list. It allows for several times the 7,600 replicas of the target scale.
-const maxPages = 64
+// maxPages bounds the calls of one list. It allows for the 7,600 replicas of the target scale three times over, at the
+// smallest published page of 50 objects.
+const maxPages = 512
+
+// errListTooLong reports a list that does not end within maxPages. A part of a list is not used: the replicas that are missing
+// from it would be removed.
+var errListTooLong = errors.New("list of replicas is too long")
 
 // maxWatchIntervalShare is the largest minimum watch interval as a share of the bound that the platform sets for the kind:
 // 700 ms of 2 s.
@@ -145,16 +150,9 @@
 			}
 		},
 		func(ctx context.Context, f *followed) error {
-			var all []store.Object
-			for after, page := "", 0; page < maxPages; page++ {
-				objects, err := e.deps.Store.List(ctx, kind, "", after, pageSize)
-				if err != nil {
-					return err
-				}
-				if len(objects) == 0 {
-					break
-				}
-				all, after = append(all, objects...), objects[len(objects)-1].Name
+			all, err := listAll(ctx, e.deps.Store, kind)
+			if err != nil {
+				return err
 			}
 			changed := e.registry.Replace(e.decodeReplicas(all), time.Now())
 			f.synced.onList(changed, time.Now())
@@ -165,6 +163,23 @@
 		})
 }
 
+// listAll lists all objects of a kind.
+func listAll(ctx context.Context, client store.Client, kind string) ([]store.Object, error) {
+	var all []store.Object
+	after := ""
+	for range maxPages {
+		objects, err := client.List(ctx, kind, "", after, pageSize)
+		if err != nil {
+			return nil, err
+		}
+		if len(objects) == 0 {
+			return all, nil
+		}
+		all, after = append(all, objects...), objects[len(objects)-1].Name
+	}
+	return nil, errListTooLong
+}
+
 // decodeReplicas decodes entries of the list of replicas and logs those that are invalid.
 func (e *Edge) decodeReplicas(objects []store.Object) []replicas.Change {
 	list := make([]replicas.Change, 0, len(objects))
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
 	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
+	"github.com/dragonflypin/dragonflypin/internal/request/place"
 )
 
 // followedKind identifies a kind of object that all edges follow.
@@ -21,6 +23,19 @@
 	replicaObjects
 )
 
+// Types of broadcasts: the first byte.
+const (
+	updateBroadcast byte = iota + 1
+	evidenceBroadcast
+)
+
+// evidence tells the other edges what a request of this one has shown about a replica.
+type evidence struct {
+	_       struct{} `cbor:",toarray"`
+	Replica uint32
+	Gone    bool
+}
+
 // update tells the other edges what a store call has read, so that they need not read it. The changes of one call may be
 // divided into several updates, which are applied together.
 type update struct {
@@ -191,40 +206,77 @@
 	}
 	for _, u := range updates {
 		u.Synced, u.RecoveredMs = f.synced.snapshot(now), recovered
-		data, err := cbor.Marshal(&u)
-		if err == nil && len(data) > gossip.MaxBroadcastBytes {
-			err = errUpdateSize // the other edges read the changes from the store
-		}
-		if err != nil {
-			e.observer.logError(eventlog.EdgeGossipFailed, err)
-			continue
-		}
-		e.gossip.Broadcast(data)
+		e.broadcast(updateBroadcast, &u)
 	}
 }
 
-var errUpdateSize = errors.New("update exceeds the size of a datagram")
+// broadcast sends a message to the other edges. A message that is lost or too long does not matter: they read updates from
+// the store, and find evidence themselves.
+func (e *Edge) broadcast(kind byte, message any) {
+	data, err := cbor.Marshal(message)
+	if err == nil && len(data) >= gossip.MaxBroadcastBytes {
+		err = errBroadcastSize
+	}
+	if err != nil {
+		e.observer.logError(eventlog.EdgeGossipFailed, err)
+		return
+	}
+	e.gossip.Broadcast(append([]byte{kind}, data...))
+}
+
+// shareEvidence sends evidence about a replica to the other edges.
+func (e *Edge) shareEvidence(found place.Evidence) {
+	e.broadcast(evidenceBroadcast, &evidence{Replica: uint32(found.Replica), Gone: found.Gone})
+}
+
+// onBroadcast applies a message of another edge.
+func (e *Edge) onBroadcast(from netip.Addr, payload []byte) {
+	err := errUnknownBroadcast
+	switch {
+	case len(payload) > 0 && payload[0] == updateBroadcast:
+		err = e.onUpdate(from, payload[1:])
+	case len(payload) > 0 && payload[0] == evidenceBroadcast:
+		err = e.onEvidence(payload[1:])
+	}
+	if err != nil {
+		e.observer.logError(eventlog.EdgeGossipFailed, fmt.Errorf("broadcast from %s: %w", from, err))
+	}
+}
+
+func (e *Edge) onEvidence(payload []byte) error {
+	var found evidence
+	if err := cbor.Unmarshal(payload, &found); err != nil {
+		return err
+	}
+	e.placer.Health.Apply(place.Evidence{Replica: place.Key(found.Replica), Gone: found.Gone}, time.Now())
+	return nil
+}
+
+var (
+	errBroadcastSize    = errors.New("message exceeds the size of a datagram")
+	errUnknownBroadcast = errors.New("unknown type of message")
+)
 
 // onUpdate applies what another edge has read from the store.
-func (e *Edge) onUpdate(from netip.Addr, payload []byte) {
+func (e *Edge) onUpdate(from netip.Addr, payload []byte) error {
 	var u update
 	if err := cbor.Unmarshal(payload, &u); err != nil {
-		e.observer.logError(eventlog.EdgeGossipFailed, err)
-		return
+		return err
 	}
 	f := e.followed(u.Kind)
 	if f == nil {
-		return
+		return errUnknownBroadcast
 	}
 	now := time.Now()
 	changes, complete := e.pending.add(from, &u, now)
 	if !complete {
-		return
+		return nil
 	}
 	if u.RecoveredMs > 0 {
 		e.registry.StoreRecovered(now.Add(-time.Duration(u.RecoveredMs-1) * time.Millisecond))
 	}
 	f.apply(&u, changes, e.registry, now, func() { e.onListChanged("received") })
+	return nil
 }
 
 // apply applies the changes between the revisions of an update if this edge has read up to the first one. Otherwise it
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -179,6 +179,9 @@
 	return &Node{opts: opts, conn: conn, epoch: uint64(time.Now().UnixMilli()), peers: map[netip.Addr]*peer{}, seeds: opts.Seeds}, nil
 }
 
+// Close closes the socket of a Node that does not run.
+func (n *Node) Close() { _ = n.conn.Close() }
+
 // Live returns the number of other entries whose last report has not timed out.
 func (n *Node) Live() int { return int(n.live.Load()) }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -162,6 +162,8 @@
 	Dialect  Dialect
 	Budgets  *Budgets
 	Observer Observer
+	// Share sends evidence about a replica to the other entries; it may be nil.
+	Share func(place.Evidence)
 }
 
 // Serve handles one request. ctx ends when the caller disconnects.
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
@@ -159,7 +160,7 @@
 	}
 	if errors.Is(err, direct.ErrNotSent) {
 		s.f.Observer.Attempted(r, attempt)
-		return s.handleNotSent(ctx, c)
+		return s.handleNotSent(ctx, c, err)
 	}
 	s.sends++
 	if err != nil {
@@ -176,11 +177,15 @@
 }
 
 // handleNotSent continues at another replica: this one has not received anything.
-func (s *serving) handleNotSent(ctx context.Context, c place.Choice) step {
+func (s *serving) handleNotSent(ctx context.Context, c place.Choice, err error) step {
 	if err := ctx.Err(); err != nil {
 		return stop(s.endByContext(err))
 	}
-	s.f.Placer.Health.RecordUnreachable(c.Key, time.Now())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		s.record(place.Evidence{Replica: c.Key})
+	} else {
+		s.f.Placer.Health.RecordUnreachable(c.Key, time.Now())
+	}
 	s.excluded = append(s.excluded, c.Replica.ID)
 	if s.connectFailures++; s.connectFailures >= maxConnectFailures {
 		return stop(s.refuse(CodeUnreachable, retryAfterUnreachable))
@@ -188,11 +193,18 @@
 	return step{retry: true}
 }
 
+// record applies evidence about a replica and shares it if it is new.
+func (s *serving) record(e place.Evidence) {
+	if s.f.Placer.Health.Apply(e, time.Now()) && s.f.Share != nil {
+		s.f.Share(e)
+	}
+}
+
 // handleNotRun continues at another replica if attempts and budget allow; this one has not run the request.
 func (s *serving) handleNotRun(c place.Choice, v Verdict) step {
 	s.excluded = append(s.excluded, c.Replica.ID)
 	if v == WrongReplica {
-		s.f.Placer.Health.RecordUnreachable(c.Key, time.Now())
+		s.record(place.Evidence{Replica: c.Key, Gone: true})
 	}
 	if code, ok := s.mayRetry(retry.NotRun); !ok {
 		if code != CodeRetryBudget {
--- /dev/null
+++ b/internal/request/place/evidence_test.go
@@ -0,0 +1,57 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/request/place"
+)
+
+// Guards against each entry of a large fleet finding out by itself, with a request of a caller, that a replica has crashed or
+// that another one has its address: a replica without load is chosen first.
+func TestEvidenceOfAnotherEntryCounts(t *testing.T) {
+	const crashed, replaced, sound = place.Key(1), place.Key(2), place.Key(3)
+	h := place.NewHealth()
+	usable := func(k place.Key, after time.Duration) bool { return h.Usable("lm", k, true, epoch.Add(after)) }
+	if !h.Apply(place.Evidence{Replica: crashed}, epoch) || !h.Apply(place.Evidence{Replica: replaced, Gone: true}, epoch) {
+		t.Error("new evidence is not shared")
+	}
+	if h.Apply(place.Evidence{Replica: crashed}, epoch.Add(10*time.Millisecond)) {
+		t.Error("evidence that is already known is shared again")
+	}
+	for _, c := range []struct {
+		replica place.Key
+		after   time.Duration
+		want    bool
+	}{
+		{crashed, 200 * time.Millisecond, false}, {crashed, 300 * time.Millisecond, true},
+		{replaced, 4 * time.Second, false}, {replaced, 6 * time.Second, true}, {sound, 0, true},
+	} {
+		if got := usable(c.replica, c.after); got != c.want {
+			t.Errorf("replica %d is usable %s after the evidence: %t, want %t", c.replica, c.after, got, c.want)
+		}
+	}
+	// A replica that still refuses connections gets no work for longer and longer.
+	h.Apply(place.Evidence{Replica: crashed}, epoch.Add(time.Second))
+	if usable(crashed, 1400*time.Millisecond) {
+		t.Error("a replica that refuses connections again is used again after the shortest time")
+	}
+	h.RecordOutcome("lm", crashed, false, epoch.Add(2*time.Second))
+	h.Apply(place.Evidence{Replica: crashed}, epoch.Add(10*time.Second))
+	if !usable(crashed, 10*time.Second+300*time.Millisecond) {
+		t.Error("a replica that has served since its last failure is treated as one that fails repeatedly")
+	}
+}
+
+// Guards against a backoff that starts anew each time, because the record of a replica without responses is deleted at the end
+// of its backoff.
+func TestBackoffOutlivesPeriodicWork(t *testing.T) {
+	const crashed = place.Key(1)
+	h := place.NewHealth()
+	h.RecordUnreachable(crashed, epoch)
+	h.Expire(epoch.Add(300 * time.Millisecond))
+	h.RecordUnreachable(crashed, epoch.Add(400*time.Millisecond))
+	if h.Usable("lm", crashed, true, epoch.Add(800*time.Millisecond)) {
+		t.Error("the second backoff is as short as the first one")
+	}
+}
--- a/internal/request/place/health.go
+++ b/internal/request/place/health.go
@@ -18,6 +18,9 @@
 	// minBackoff and maxBackoff bound the time for which an unreachable replica gets no work.
 	minBackoff = 250 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// goneTime is how long a replica whose address belongs to another one gets no work. Its registration lapses sooner: the
+	// platform removes it after three missing heartbeats (3.6 s).
+	goneTime = 5 * time.Second
 	// probeInterval is the time between probe requests to an ejected replica.
 	probeInterval = 700 * time.Millisecond
 )
@@ -40,6 +43,16 @@
 	lastProbe    time.Time
 }
 
+// Evidence is an observation of one entry that holds for all of them: no process accepts connections at the replica's
+// address, or another replica does. An entry of a large fleet reaches each replica once in many seconds, so that each of them
+// would find out by itself that a replica has crashed, with a request of a caller. Connections that time out are no evidence:
+// the path from this entry alone may be broken.
+type Evidence struct {
+	Replica Key
+	// Gone is set if another replica has the address.
+	Gone bool
+}
+
 // NewHealth returns a Health without recorded outcomes.
 func NewHealth() *Health {
 	return &Health{replicas: map[Key]*replicaHealth{}, services: map[string]*decayingMean{}}
@@ -78,6 +91,28 @@
 	r.backoffUntil = now.Add(backoff)
 }
 
+// Apply records evidence, of this entry or of another one, and reports whether it is new, so that this entry should share it.
+func (h *Health) Apply(e Evidence, now time.Time) bool {
+	h.mu.Lock()
+	known := false
+	if r := h.replicas[e.Replica]; r != nil {
+		known = now.Before(r.backoffUntil)
+	}
+	h.mu.Unlock()
+	if e.Gone {
+		h.recordGone(e.Replica, now)
+	} else if !known {
+		h.RecordUnreachable(e.Replica, now)
+	}
+	return !known
+}
+
+func (h *Health) recordGone(replica Key, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.get(replica).backoffUntil = now.Add(goneTime)
+}
+
 // Usable reports whether the replica should get work. A replica that is ejected for its failures gets one probe in each
 // probeInterval, a request that may be repeated elsewhere.
 func (h *Health) Usable(service string, replica Key, repeatable bool, now time.Time) bool {
@@ -107,7 +142,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for k, r := range h.replicas {
-		if now.Sub(r.failures.updated) > 10*failureDecayTime && now.After(r.backoffUntil) {
+		if now.Sub(r.failures.updated) > 10*failureDecayTime && now.Sub(r.backoffUntil) > 10*maxBackoff {
 			delete(h.replicas, k)
 		}
 	}
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -144,15 +144,25 @@
 	return len(w.job.Parts) > 0 && !w.profile.Short && !w.job.Retried && w.choice.Reason != ReasonLastResort
 }
 
-// mayStart reports whether the replica has capacity for the waiter, and the waiter precedes the one that has been queued
-// there longest, if any.
+// mayStart reports whether the replica has capacity for the waiter, and the waiter precedes all that are queued there.
 func (p *Placer) mayStart(w *Waiter, now time.Time) bool {
-	if queue := p.queues.byKey[w.choice.Key]; len(queue) > 0 && !precedes(w, queue[0], now) {
+	if queue := p.queues.byKey[w.choice.Key]; len(queue) > 0 && !precedes(w, queue[first(queue, now)], now) {
 		return false
 	}
 	return p.hasCapacity(w, now)
 }
 
+// first returns the index of the first waiter in queue order.
+func first(queue []*Waiter, now time.Time) int {
+	index := 0
+	for i := 1; i < len(queue); i++ {
+		if precedes(queue[i], queue[index], now) {
+			index = i
+		}
+	}
+	return index
+}
+
 // hasCapacity reports whether the replica's backlog is within the waiter's limit. Urgent prompts that wait at any entry
 // go first.
 func (p *Placer) hasCapacity(w *Waiter, now time.Time) bool {
@@ -285,17 +295,12 @@
 func (p *Placer) serveQueueLocked(replica Key, now time.Time) {
 	queue := p.queues.byKey[replica]
 	for len(queue) > 0 {
-		first := 0
-		for i := 1; i < len(queue); i++ {
-			if precedes(queue[i], queue[first], now) {
-				first = i
-			}
-		}
-		w := queue[first]
+		next := first(queue, now)
+		w := queue[next]
 		if !p.hasCapacity(w, now) {
 			break
 		}
-		queue = slices.Delete(queue, first, first+1)
+		queue = slices.Delete(queue, next, next+1)
 		p.stopWaiting(w)
 		p.grant(w, now)
 	}
