place: with many edges fewer replicas are compared; misdirected requests return soon

With 103 edges a report comes each 0.41 s, and all edges that compare 16 replicas by the same reports send their work to the same one until the next.

Change: from 8 edges on fewer replicas are compared, 5 with 22 edges, 2 with 103. A request that only met addresses which other replicas have is told to come back after 50 ms instead of 600 ms: the next choice is a sound one.

--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -199,7 +199,7 @@
 	defer n.mu.Unlock()
 	rank := 0
 	for addr, p := range n.peers {
-		if p.live && !(onlySynced && p.storeFailing) && addr.Less(n.opts.Listen.Addr()) {
+		if p.live && (!onlySynced || !p.storeFailing) && addr.Less(n.opts.Listen.Addr()) {
 			rank++
 		}
 	}
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -22,6 +22,9 @@
 	minTimeLeft = 20 * time.Millisecond
 	// retryAfterFull is the Retry-After time when the replicas are full: about the prefill time of three long prompts.
 	retryAfterFull = 600 * time.Millisecond
+	// retryAfterMisdirected is the Retry-After time when other replicas have the addresses of those that were tried. The
+	// entries exclude them from now on, so that the next choice is a sound one.
+	retryAfterMisdirected = 50 * time.Millisecond
 	// retryAfterUnreachable is the Retry-After time when no replica can be reached: about the time until the entry has an
 	// updated list of replicas.
 	retryAfterUnreachable = 300 * time.Millisecond
@@ -203,14 +206,16 @@
 // handleNotRun continues at another replica if attempts and budget allow; this one has not run the request.
 func (s *serving) handleNotRun(c place.Choice, v Verdict) step {
 	s.excluded = append(s.excluded, c.Replica.ID)
+	retryAfter := retryAfterFull
 	if v == WrongReplica {
+		retryAfter = retryAfterMisdirected
 		s.record(place.Evidence{Replica: c.Key, Gone: true})
 	}
 	if code, ok := s.mayRetry(retry.NotRun); !ok {
 		if code != CodeRetryBudget {
 			code = CodeReplicasFull
 		}
-		return stop(s.refuse(code, retryAfterFull))
+		return stop(s.refuse(code, retryAfter))
 	}
 	return step{retry: true}
 }
--- a/internal/request/place/evidence_test.go
+++ b/internal/request/place/evidence_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -55,3 +56,38 @@
 		t.Error("the second backoff is as short as the first one")
 	}
 }
+
+// Guards against many entries that decide by the same reports and all choose the replica with the least load in them: until
+// the next report it gets the work of all of them.
+func TestManyEntriesDoNotChooseTheSameReplica(t *testing.T) {
+	const entries = 100
+	short := &place.Job{
+		Service: "lm", Route: "short", Tokens: 700, Target: 300 * time.Millisecond, Arrived: epoch,
+		Parts: []place.Part{{ID: "a", Tokens: 200}, {ID: "own", Tokens: 500}},
+	}
+	newEntry := func(seed uint64, loads map[place.Key]place.Load) *place.Placer {
+		p := newPlacerWithSeed(t, 180, seed)
+		for n := range entries - 1 {
+			p.Loads.Report(fmt.Sprint(n), nil, epoch)
+		}
+		p.Loads.Report("0", loads, epoch)
+		mustPlace(t, p, prompt("subject")) // makes the other route a short one
+		return p
+	}
+	idle := mustPlace(t, newEntry(1, nil), short)
+	loads := map[place.Key]place.Load{}
+	for _, r := range view(180).Service("lm") {
+		if k := place.KeyOf(r.ID); k != idle.Key {
+			loads[k] = place.Load{Running: 5}
+		}
+	}
+	chosen := 0
+	for seed := range uint64(entries) {
+		if mustPlace(t, newEntry(seed, loads), short).Key == idle.Key {
+			chosen++
+		}
+	}
+	if chosen == 0 || chosen > entries/4 {
+		t.Errorf("%d of %d entries chose the idle replica, want some but at most %d", chosen, entries, entries/4)
+	}
+}
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -21,8 +21,12 @@
 	minReplicasForPools = 4
 	// maxAffinityReplicas bounds the affinity replicas that are considered for a prompt before all replicas are.
 	maxAffinityReplicas = 8
-	// sampleSize is the number of replicas that are compared for a request without prefix affinity.
-	sampleSize = 16
+	// sampleSize is the number of replicas that are compared for a request without prefix affinity, by up to sampleEntries
+	// entries. With more entries fewer are compared, but at least minSampleSize: many entries decide by the same reports, which
+	// are also older the more entries there are, and would all choose the replicas with the least load in them.
+	sampleSize    = 16
+	sampleEntries = 8
+	minSampleSize = 2
 )
 
 // milliseconds converts to milliseconds, the unit of all costs.
@@ -291,12 +295,13 @@
 	if n == 0 {
 		return best, 0, false
 	}
-	start := p.randomN(n)
-	for i := range min(n, sampleSize) {
-		m := candidates[(start+i)%n]
+	start, compared, samples := p.randomN(n), 0, p.samples()
+	for i := 0; i < n && compared < samples; i++ {
+		m := candidates[(start+i*sampleStride(n))%n]
 		if !p.usable(job, m, now) {
 			continue
 		}
+		compared++
 		load := p.Loads.Total(m.key, now)
 		c := p.cost(load, false)
 		if m.Zone != p.zone {
@@ -312,6 +317,22 @@
 	return best, bestCost, best.Replica != nil
 }
 
+// samples returns the number of replicas to compare.
+func (p *Placer) samples() int {
+	return max(minSampleSize, min(sampleSize, sampleSize*sampleEntries/max(1, p.Loads.Entries()+1)))
+}
+
+// sampleStride returns the distance between two compared replicas of n, which has no common divisor with n, so that samples
+// which begin close to each other differ.
+func sampleStride(n int) int {
+	for _, stride := range [...]int{7, 11, 13, 17} {
+		if n%stride != 0 {
+			return stride
+		}
+	}
+	return 1
+}
+
 // otherZonePenalty is the cost of a replica in another availability zone, in running requests. It is below one, so that
 // it does not outweigh the cost of one running request.
 const otherZonePenalty = 0.8
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -16,10 +16,15 @@
 var epoch = time.Unix(1000, 0)
 
 func newPlacer(t testing.TB, count int) *place.Placer {
+	t.Helper()
+	return newPlacerWithSeed(t, count, 1)
+}
+
+func newPlacerWithSeed(t testing.TB, count int, seed uint64) *place.Placer {
 	t.Helper()
 	cfg := settings.Edge{}
 	settings.ApplyDefaults(&cfg)
-	p := place.New("z", cfg.Placement, 1)
+	p := place.New("z", cfg.Placement, seed)
 	p.Update(view(count), []string{"lm"})
 	return p
 }
