--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -302,7 +302,9 @@
 
 // Close returns the connection to the pool if the body was read to its end, and closes it otherwise.
 func (r *Response) Close() {
-	_ = r.body.Close()
+	if r.complete {
+		_ = r.body.Close()
+	} // otherwise closing the body would read it to its end, which an upstream in trouble may never send
 	r.exchange.finish(r.complete && !r.connectionClose, maxIdleTime(r.Header))
 }
 
