--- a/internal/app/edge/synced.go
+++ b/internal/app/edge/synced.go
@@ -7,9 +7,9 @@
 	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
 )
 
-// syncTracker tracks which revisions of the replica list this edge has read, for publication in its reports. Nearly all
-// writes to the list renew an entry and change nothing: an edge that has read them saves the other edges the call, and an
-// edge that finds a change makes the others read the store immediately. The current time is passed in.
+// syncTracker tracks which revisions of a kind this edge has read, for publication in its updates and reports. Nearly all
+// writes renew an entry and change nothing: an edge that has read them saves the other edges the call. The current time is
+// passed in.
 type syncTracker struct {
 	mu sync.Mutex
 	// changed is set when the call in progress changed the list.
--- a/internal/app/edge/synced_test.go
+++ b/internal/app/edge/synced_test.go
@@ -133,7 +133,7 @@
 				continue
 			}
 			time.AfterFunc(5*time.Millisecond, func() {
-				if changes, complete := to.pending.add(netip.Addr{}, &u, time.Now()); complete {
+				if changes, complete := to.pending.add(netip.Addr{}, &u); complete {
 					to.apply(&u, changes, to.registry, time.Now(), func() {})
 				}
 			})
@@ -305,7 +305,7 @@
 	var a assembly
 	now := time.Unix(1000, 0)
 	for i, u := range []update{updates[2], updates[0], updates[0], updates[1]} {
-		got, complete := a.add(netip.Addr{}, &u, now)
+		got, complete := a.add(netip.Addr{}, &u)
 		if complete != (i == 3) {
 			t.Errorf("update %d: complete %t", i, complete)
 		}
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -114,16 +114,15 @@
 }
 
 type pendingCall struct {
-	to       uint64
-	parts    map[uint8][]replicaChange
-	received time.Time
+	to    uint64
+	parts map[uint8][]replicaChange
 }
 
 // maxPendingCalls bounds the senders with incomplete updates.
 const maxPendingCalls = 64
 
-// add records an update and returns all changes of its call once they are complete.
-func (a *assembly) add(from netip.Addr, u *update, now time.Time) (changes []replicas.Change, complete bool) {
+// add records an update and returns all changes of its call once all of its updates have arrived.
+func (a *assembly) add(from netip.Addr, u *update) (changes []replicas.Change, complete bool) {
 	if u.Parts <= 1 {
 		return decodeChanges(u.Changes), true
 	}
@@ -132,7 +131,7 @@
 	}
 	p := a.bySender[from]
 	if p == nil || p.to != u.To {
-		p = &pendingCall{to: u.To, parts: map[uint8][]replicaChange{}, received: now}
+		p = &pendingCall{to: u.To, parts: map[uint8][]replicaChange{}}
 		a.bySender[from] = p
 	}
 	p.parts[u.Part] = u.Changes
@@ -268,7 +267,7 @@
 		return errUnknownBroadcast
 	}
 	now := time.Now()
-	changes, complete := e.pending.add(from, &u, now)
+	changes, complete := e.pending.add(from, &u)
 	if !complete {
 		return nil
 	}
