edge: a configuration that changed within an update's revisions is read from the store

Updates span the latest five polls; an edge that had missed the poll with the change advanced past it with the next update, since only the latest poll was asked for a change.

Change: an update of the configuration is applied only if its last change is not after its first revision; otherwise the edge reads the store.

--- a/internal/app/edge/synced_test.go
+++ b/internal/app/edge/synced_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
 	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
 )
@@ -290,6 +291,20 @@
 	}
 }
 
+// Guards against an edge that missed the update of a changed configuration and continues after it with the next update, whose
+// revisions span several calls. A hunted day (cornemuse-breizh-grown, hunt-1035-3) kept an old configuration for 14 s.
+func TestConfigurationChangeIsNotSkipped(t *testing.T) {
+	for _, c := range []struct {
+		lastChange uint64
+		want       bool
+	}{{5, true}, {10, true}, {30, false}, {50, false}} {
+		u := update{Kind: configurationObjects, From: 10, To: 50, Synced: gossip.SyncedRange{From: c.lastChange, To: 50, LastChange: c.lastChange}}
+		if got := u.complete(); got != c.want {
+			t.Errorf("change at revision %d, update from 10 to 50: complete %t, want %t", c.lastChange, got, c.want)
+		}
+	}
+}
+
 // Guards against an update that is applied by an edge which has not read the writes before it, against parts of one call that
 // are applied without the others, and against an older write that replaces a newer one.
 func TestUpdatesAreAppliedWholeAndInOrder(t *testing.T) {
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -52,6 +52,12 @@
 	Changes     []replicaChange
 }
 
+// complete reports whether the updates of the call contain all changes between their revisions. They never contain a
+// configuration, so that one which changed after the first revision has to be read from the store.
+func (u *update) complete() bool {
+	return u.Kind == replicaObjects || u.Synced.LastChange <= u.From
+}
+
 // replicaChange is a write to the list of replicas that changed the sender's list.
 type replicaChange struct {
 	_        struct{} `cbor:",toarray"`
@@ -282,9 +288,7 @@
 // applies the sender's synced range. onChange is called if the list of replicas changed.
 func (f *followed) apply(u *update, changes []replicas.Change, registry *replicas.Registry, now time.Time, onChange func()) {
 	at := now.Add(-time.Duration(u.Synced.AgeMs) * time.Millisecond)
-	// An update does not contain a changed configuration.
-	complete := u.Kind == replicaObjects || u.Synced.LastChange != u.To
-	applied := complete && u.From < u.To && f.feed.Advance(u.From, u.To, at, func(read uint64) {
+	applied := u.complete() && u.From < u.To && f.feed.Advance(u.From, u.To, at, func(read uint64) {
 		f.synced.onAdvance(at)
 		registry.StoreResponded(now)
 		if len(registry.Apply(unread(changes, read), now)) > 0 {
