--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -139,6 +140,12 @@
 // Took is the duration of the request or attempt, in milliseconds.
 func Took(d time.Duration) Field { return Field{"took_ms", milliseconds(d)} }
 
+// Answering is the time from the first event of a response to its interruption, in milliseconds; 0 before the first event.
+func Answering(d time.Duration) Field { return Field{"answering_ms", milliseconds(d)} }
+
+// PromptParts are the IDs of prompt parts, which are opaque to the router. It is empty for requests without a prompt.
+func PromptParts(ids []string) Field { return Field{"prompt_parts", truncate(strings.Join(ids, ","))} }
+
 // Queued is the time from acceptance of a request to its first attempt, in milliseconds.
 func Queued(d time.Duration) Field { return Field{"queued_ms", milliseconds(d)} }
 
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -34,21 +34,29 @@
 type sendTracker struct {
 	s      *serving
 	choice place.Choice
-	// started is set once the replica has prefilled the prompt.
-	started bool
+	// started is when the first event arrived, after the replica had prefilled the prompt; zero before.
+	started time.Time
 	// lastEvents is when the latest events arrived.
 	lastEvents time.Time
 }
 
 func (t *sendTracker) firstEvent() {
-	if !t.started {
-		t.started = true
-		t.s.f.Placer.FirstEvent(t.choice, time.Now())
+	if t.started.IsZero() {
+		t.started = time.Now()
+		t.s.f.Placer.FirstEvent(t.choice, t.started)
 	}
 }
 
+// answering returns the time since the first event, or 0 before it.
+func (t *sendTracker) answering() time.Duration {
+	if t.started.IsZero() {
+		return 0
+	}
+	return time.Since(t.started)
+}
+
 func (t *sendTracker) end() {
-	t.s.f.Placer.Ended(t.choice, t.started, time.Now())
+	t.s.f.Placer.Ended(t.choice, !t.started.IsZero(), time.Now())
 }
 
 // deliver forwards a response. A server error of the replica is retried if that is allowed, and forwarded otherwise.
@@ -87,7 +95,7 @@
 	if errors.As(err, &caller) {
 		return stop(End{Outcome: OutcomeAbandoned, Err: err})
 	}
-	attempt.Err = err
+	attempt.Err, attempt.Answering = err, tracker.answering()
 	s.f.Observer.Attempted(s.r, attempt)
 	s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, true, time.Now())
 	return s.retryInterrupted(tracker.choice, err)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -144,7 +144,10 @@
 	Status  int
 	Verdict Verdict
 	Err     error
-	Took    time.Duration
+	// Took is the time until the response headers, or until the attempt failed without them.
+	Took time.Duration
+	// Answering is the time between the first event and an interruption of the response, or 0 before the first event.
+	Answering time.Duration
 }
 
 // Observer receives events for logs and metrics. It must not block.
