quarantine: hold back requests with a prompt part that crashes replicas

Cause: an edge took each crash for a failure of the replica alone. It sent the interrupted request to the next replica, and placed new requests with the same part like any other; nothing related the crashes to what the replicas had just begun to answer, and each of the edges saw only a part of it. Class of fault: a failure is attributed to the component that shows it, not to the input that causes it, and what has been learned is neither kept nor shared. Place.Health is the other place that attributes failures of requests to replicas; it keeps doing so, since a part is found independently of it.

Fix: package quarantine blames by elimination. Each shared part of the requests that a crashed replica (it refuses connections) had not answered yet, or for less than 300 ms, is a suspect; an answer that goes on clears its parts. Three crashes in a row, each with a request sent after the crash before, quarantine a part, five if many requests share it or if other replicas crash meanwhile; not if another part explains them or if replicas without it crash at the same moment. Interrupted requests are not repeated once the next crash would quarantine one of their parts. Edges send their evidence three times, and compare digests of the quarantine in each report, so that edges which were away get a copy.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -118,6 +118,7 @@
 	forwarder *forward.Forwarder
 	gossip    *gossip.Node
 	observer  *observer
+	guard     *guard
 	// configuration and replicas follow the store.
 	configuration, replicas *followed
 	// pending has the incomplete updates of other edges. It is only used by the goroutine that receives datagrams.
@@ -147,8 +148,9 @@
 	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement, rand.Uint64()), pool: direct.NewPool()}
 	e.configuration, e.replicas = e.followConfiguration(), e.followReplicas()
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
+	e.guard = newGuard(e)
 	e.forwarder = &forward.Forwarder{
-		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Observer: e.observer, Share: e.shareEvidence,
+		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Observer: e.observer, Share: e.shareEvidence, Guard: e.guard,
 	}
 	var err error
 	if e.gossip, err = gossip.New(e.gossipOptions()); err != nil {
@@ -218,7 +220,7 @@
 func (e *Edge) collect() gossip.State {
 	own := map[place.Key]place.Load{}
 	now := time.Now()
-	state := gossip.State{Changes: e.placer.Loads.Own(own, now), Freshness: gossip.Freshness{
+	state := gossip.State{Changes: e.placer.Loads.Own(own, now), Quarantine: e.guard.tracker.Digest(), Freshness: gossip.Freshness{
 		Configuration: e.configuration.synced.snapshot(now), Replicas: e.replicas.synced.snapshot(now), StoreFailing: e.storeFailing.Load(),
 	}}
 	for k, l := range own {
@@ -238,6 +240,7 @@
 	now := time.Now()
 	e.configuration.applySyncedRange(r.Freshness.Configuration, e.registry, now)
 	e.replicas.applySyncedRange(r.Freshness.Replicas, e.registry, now)
+	e.guard.onDigest(from, r.Quarantine, now)
 	loads := make(map[place.Key]place.Load, len(r.Loads))
 	for _, l := range r.Loads {
 		loads[place.Key(l.Replica)] = place.Load{
@@ -302,6 +305,7 @@
 			e.reload()
 		case now := <-ticker.C:
 			e.placer.Tick(now)
+			e.guard.tick(now)
 			if expired := e.registry.Expire(now); len(expired) > 0 {
 				e.onListChanged("lapsed")
 			}
--- a/internal/app/edge/observe.go
+++ b/internal/app/edge/observe.go
@@ -103,7 +103,7 @@
 	}
 	o.log.Emit(eventlog.EdgeAttemptFailed,
 		eventlog.Request(r.ID), eventlog.Class(r.Route.Name), eventlog.Upstream(a.Choice.Replica.ID), eventlog.Reason(string(a.Choice.Reason)),
-		eventlog.Attempts(a.Number), eventlog.Status(a.Status), eventlog.Took(a.Took), eventlog.Answering(a.Answering), promptParts(r), eventlog.Err(a.Err))
+		eventlog.Attempts(a.Number), eventlog.Status(a.Status), eventlog.Took(a.Took), eventlog.Answering(a.Answering), eventlog.PromptParts(r.SharedParts()), eventlog.Err(a.Err))
 }
 
 // Ended implements forward.Observer.
@@ -121,7 +121,7 @@
 		eventlog.Upstream(e.Choice.ReplicaID()), eventlog.Reason(string(e.Choice.Reason)), eventlog.PrefillTokens(e.Choice.Prefill),
 		eventlog.SeenLoad(e.Choice.Load.Running, e.Choice.Load.Prefill, e.Choice.Load.Waiting), eventlog.SeenGap(gap), eventlog.ReportAge(e.Choice.ReportAge),
 		eventlog.RefusedFor(string(e.Code)), eventlog.Attempts(e.Attempts),
-		eventlog.Queued(e.Queued), eventlog.FirstByte(e.FirstByte), eventlog.LongestGap(e.LongestGap), eventlog.Took(e.Total), promptParts(r), eventlog.Err(e.Err),
+		eventlog.Queued(e.Queued), eventlog.FirstByte(e.FirstByte), eventlog.LongestGap(e.LongestGap), eventlog.Took(e.Total), eventlog.PromptParts(r.SharedParts()), eventlog.Err(e.Err),
 	}
 	if e.Choice.Source != nil {
 		fields = append(fields, eventlog.FetchedFrom(e.Choice.Source.ID))
@@ -129,15 +129,6 @@
 	o.log.Emit(eventlog.EdgeRequestEnded, fields...)
 }
 
-// promptParts is the field with the IDs of the request's shared prompt parts: all but the last one, which no other request has.
-func promptParts(r *forward.Request) eventlog.Field {
-	ids := make([]string, 0, len(r.Parts))
-	for _, part := range r.Parts[:max(0, len(r.Parts)-1)] {
-		ids = append(ids, part.ID)
-	}
-	return eventlog.PromptParts(ids)
-}
-
 // inTime reports whether a successful response reached the caller within the latency targets of its route.
 func inTime(r *forward.Request, e *forward.End) bool {
 	return e.Outcome == forward.OutcomeDelivered && e.Status < http.StatusBadRequest && r.Route.MeetsTargets(e.FirstByte, e.LongestGap, e.Total)
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -27,6 +27,9 @@
 const (
 	updateBroadcast byte = iota + 1
 	evidenceBroadcast
+	crashBroadcast
+	soundBroadcast
+	quarantineBroadcast
 )
 
 // evidence tells the other edges what a request of this one has shown about a replica.
@@ -216,17 +219,38 @@
 }
 
 // broadcast sends a message to the other edges. A message that is lost or too long does not matter: they read updates from
-// the store, and find evidence themselves.
+// the store, find evidence about replicas themselves, and get that about prompt parts again.
 func (e *Edge) broadcast(kind byte, message any) {
+	if data := e.encode(kind, message); data != nil {
+		e.gossip.Broadcast(data)
+	}
+}
+
+// sendTo sends a message to one edge.
+func (e *Edge) sendTo(to netip.Addr, kind byte, message any) {
+	if data := e.encode(kind, message); data != nil {
+		e.gossip.Send(to, data)
+	}
+}
+
+// encode returns the payload of a message, or nil after an error, which it logs.
+func (e *Edge) encode(kind byte, message any) []byte {
 	data, err := cbor.Marshal(message)
 	if err == nil && len(data) >= gossip.MaxBroadcastBytes {
 		err = errBroadcastSize
 	}
 	if err != nil {
 		e.observer.logError(eventlog.EdgeGossipFailed, err)
-		return
+		return nil
+	}
+	return append([]byte{kind}, data...)
+}
+
+// recordEvidence applies evidence that this edge has found, and shares it if it is new.
+func (e *Edge) recordEvidence(found place.Evidence) {
+	if e.placer.Health.Apply(found, time.Now()) {
+		e.shareEvidence(found)
 	}
-	e.gossip.Broadcast(append([]byte{kind}, data...))
 }
 
 // shareEvidence sends evidence about a replica to the other edges.
@@ -237,17 +261,31 @@
 // onBroadcast applies a message of another edge.
 func (e *Edge) onBroadcast(from netip.Addr, payload []byte) {
 	err := errUnknownBroadcast
-	switch {
-	case len(payload) > 0 && payload[0] == updateBroadcast:
-		err = e.onUpdate(from, payload[1:])
-	case len(payload) > 0 && payload[0] == evidenceBroadcast:
-		err = e.onEvidence(payload[1:])
+	if len(payload) > 0 {
+		err = e.handleBroadcast(from, payload[0], payload[1:])
 	}
 	if err != nil {
 		e.observer.logError(eventlog.EdgeGossipFailed, fmt.Errorf("broadcast from %s: %w", from, err))
 	}
 }
 
+func (e *Edge) handleBroadcast(from netip.Addr, kind byte, message []byte) error {
+	switch kind {
+	case updateBroadcast:
+		return e.onUpdate(from, message)
+	case evidenceBroadcast:
+		return e.onEvidence(message)
+	case crashBroadcast:
+		return e.guard.onCrash(message)
+	case soundBroadcast:
+		return e.guard.onSound(message)
+	case quarantineBroadcast:
+		return e.guard.onEntries(message)
+	default:
+		return errUnknownBroadcast
+	}
+}
+
 func (e *Edge) onEvidence(payload []byte) error {
 	var found evidence
 	if err := cbor.Unmarshal(payload, &found); err != nil {
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -97,4 +97,7 @@
 	EdgeRequestDenied        = define(1512, "edge_request_denied", logrus.InfoLevel, "A request was refused without being sent to a replica; refused_for says why.")
 	EdgeServerError          = define(1513, "edge_server_error", logrus.WarnLevel, "The HTTP server reports a connection error.")
 	LinesOmitted             = define(1514, "lines_omitted", logrus.WarnLevel, "Lines about individual requests were dropped in the last second, because of log_lines_per_second or a slow log reader.")
+	EdgeReplicaCrashed       = define(1515, "edge_replica_crashed", logrus.WarnLevel, "A replica crashed; prompt_parts are those of requests that it had just begun to answer or had not answered yet.")
+	EdgePartQuarantined      = define(1516, "edge_part_quarantined", logrus.WarnLevel, "Requests with this prompt part are refused because it crashes replicas; count is the number of crashes, own says whether this edge found out.")
+	EdgePartReleased         = define(1517, "edge_part_released", logrus.InfoLevel, "Requests with this prompt part are sent to replicas again; reason says why.")
 )
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -41,7 +41,7 @@
 )
 
 // protocolVersion is incremented with every incompatible change. Reports of other versions are dropped.
-const protocolVersion = 3
+const protocolVersion = 4
 
 // Load is the load that the sender has outstanding at a replica.
 type Load struct {
@@ -97,6 +97,8 @@
 	Freshness  Freshness
 	Loads      []Load
 	CacheHints []CacheHint
+	// Quarantine is the digest of the quarantined prompt parts that the entry knows.
+	Quarantine uint64
 	// Changes is a counter that grows with every change of the state.
 	Changes uint64
 }
@@ -112,6 +114,7 @@
 	Freshness  Freshness
 	Loads      []Load
 	CacheHints []CacheHint
+	Quarantine uint64
 	// Peers are addresses of live entries, as big-endian IPv4 numbers.
 	Peers []uint32
 }
@@ -208,12 +211,19 @@
 
 // Broadcast sends a payload of up to MaxBroadcastBytes to all live entries at once. A datagram may be lost.
 func (n *Node) Broadcast(payload []byte) {
-	data := append([]byte{broadcastDatagram, protocolVersion}, payload...)
+	data := broadcastData(payload)
 	for _, target := range n.livePeers() {
 		n.sendTo(target, data)
 	}
 }
 
+// Send is Broadcast to one entry.
+func (n *Node) Send(to netip.Addr, payload []byte) { n.sendTo(to, broadcastData(payload)) }
+
+func broadcastData(payload []byte) []byte {
+	return append([]byte{broadcastDatagram, protocolVersion}, payload...)
+}
+
 func (n *Node) livePeers() []netip.Addr {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -264,7 +274,7 @@
 func (n *Node) send(state State, now time.Time) {
 	targets, addresses := n.targets(now)
 	n.seq++
-	report := Report{Protocol: protocolVersion, Epoch: n.epoch, Seq: n.seq, Freshness: state.Freshness, Loads: state.Loads, CacheHints: state.CacheHints, Peers: addresses}
+	report := Report{Protocol: protocolVersion, Epoch: n.epoch, Seq: n.seq, Freshness: state.Freshness, Loads: state.Loads, CacheHints: state.CacheHints, Quarantine: state.Quarantine, Peers: addresses}
 	data, err := cbor.Marshal(&report)
 	for err == nil && len(data) > maxDatagramBytes {
 		// Each pass keeps the first half of the report's cache hints and selects three quarters as many loads at random, so
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -42,6 +42,7 @@
 	sessions  metric.Int64UpDownCounter
 	tokens    metric.Int64Counter
 	version   metric.Int64Gauge
+	held      metric.Int64Gauge
 	decision  metric.Float64Histogram
 }
 
@@ -114,6 +115,9 @@
 	version, err := meter.Int64Gauge("dragonflypin.table.version", metric.WithDescription("Table version in force."))
 	b.recordError(err)
 	m.version = version
+	held, err := meter.Int64Gauge("dragonflypin.quarantined.parts", metric.WithDescription("Prompt parts whose requests are refused because they crash replicas."))
+	b.recordError(err)
+	m.held = held
 	return b.err
 }
 
@@ -230,6 +234,14 @@
 	m.version.Record(context.Background(), int64(version))
 }
 
+// QuarantinedParts records the number of quarantined prompt parts.
+func (m *Metrics) QuarantinedParts(n int) {
+	if m == nil {
+		return
+	}
+	m.held.Record(context.Background(), int64(n))
+}
+
 // Decision records the duration of one routing decision.
 func (m *Metrics) Decision(d time.Duration) {
 	if m == nil {
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
+	"github.com/dragonflypin/dragonflypin/internal/process/quarantine"
 	"github.com/dragonflypin/dragonflypin/internal/request/place"
 	"github.com/dragonflypin/dragonflypin/internal/request/retry"
 	"github.com/dragonflypin/dragonflypin/internal/version/routes"
@@ -38,6 +39,9 @@
 	started time.Time
 	// lastEvents is when the latest events arrived.
 	lastEvents time.Time
+	// sent is when the request was sent, and answered is set once its answer has gone on (see Guard.Answered).
+	sent     time.Time
+	answered bool
 }
 
 func (t *sendTracker) firstEvent() {
@@ -55,6 +59,14 @@
 	return time.Since(t.started)
 }
 
+// recordAnswered reports that the answer has gone on, once.
+func (t *sendTracker) recordAnswered() {
+	if !t.answered && !t.started.IsZero() {
+		t.answered = true
+		t.s.f.Guard.Answered(t.s.r, t.started)
+	}
+}
+
 func (t *sendTracker) end() {
 	t.s.f.Placer.Ended(t.choice, !t.started.IsZero(), time.Now())
 }
@@ -67,7 +79,7 @@
 		s.mayHaveRun = true
 		if s.responseStarted {
 			s.f.Observer.Attempted(s.r, attempt)
-			return s.retryInterrupted(tracker.choice, nil)
+			return s.continueElsewhere(tracker.choice, nil)
 		}
 		if _, allowed := s.mayRetry(retry.MayHaveRun); allowed {
 			s.f.Observer.Attempted(s.r, attempt)
@@ -84,6 +96,7 @@
 	if err == nil {
 		if ok {
 			s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, false, time.Now())
+			tracker.recordAnswered()
 		}
 		return stop(End{Outcome: OutcomeDelivered, Status: response.Status})
 	}
@@ -98,11 +111,22 @@
 	attempt.Err, attempt.Answering = err, tracker.answering()
 	s.f.Observer.Attempted(s.r, attempt)
 	s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, true, time.Now())
-	return s.retryInterrupted(tracker.choice, err)
+	return s.retryInterrupted(ctx, tracker, err)
+}
+
+// retryInterrupted continues at another replica after a response was interrupted or never began, unless the prompt may have
+// crashed the replica.
+func (s *serving) retryInterrupted(ctx context.Context, tracker *sendTracker, err error) step {
+	if tracker.answering() < quarantine.StartPeriod {
+		if !s.f.Guard.Interrupted(ctx, Interruption{Request: s.r, Choice: tracker.choice, Sent: tracker.sent}) {
+			return stop(s.fail(CodeSuspect, http.StatusBadGateway, err))
+		}
+	}
+	return s.continueElsewhere(tracker.choice, err)
 }
 
-// retryInterrupted continues at another replica after a response was interrupted, or ends the request.
-func (s *serving) retryInterrupted(c place.Choice, err error) step {
+// continueElsewhere sends a request that may have run to another replica if that is allowed, and ends it otherwise.
+func (s *serving) continueElsewhere(c place.Choice, err error) step {
 	s.excluded = append(s.excluded, c.Replica.ID)
 	code, ok := s.mayRetry(retry.MayHaveRun)
 	if !ok {
@@ -167,6 +191,9 @@
 		if n > 0 {
 			tracker.firstEvent()
 			tracker.recordEvent(time.Now())
+			if tracker.answering() >= quarantine.StartPeriod {
+				tracker.recordAnswered()
+			}
 			pending = append(pending, buffer[:n]...)
 			rest, writeErr := s.forwardEvents(response, pending)
 			if writeErr != nil {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -45,6 +45,15 @@
 	ResumeAfter string
 }
 
+// SharedParts returns the IDs of the prompt parts that other requests may have as well: all but the last one.
+func (r *Request) SharedParts() []string {
+	ids := make([]string, 0, len(r.Parts))
+	for _, part := range r.Parts[:max(0, len(r.Parts)-1)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // Verdict is what a replica's response says about the execution of the request.
 type Verdict uint8
 
@@ -106,6 +115,10 @@
 	CodeTimeout      Code = "timeout"
 	CodeMayHaveRun   Code = "may_have_run"
 	CodeRetryBudget  Code = "retry_budget"
+	// CodeQuarantined refuses a request with a prompt part that crashes replicas, and CodeSuspect ends one that may have crashed
+	// its replica.
+	CodeQuarantined Code = "quarantined_prompt"
+	CodeSuspect     Code = "suspect_prompt"
 )
 
 // End is the final state of a request, for logs and metrics.
@@ -150,6 +163,24 @@
 	Answering time.Duration
 }
 
+// Interruption is a request whose response was interrupted, or never began, before or shortly after its first event.
+type Interruption struct {
+	Request *Request
+	Choice  place.Choice
+	Sent    time.Time
+}
+
+// Guard decides by the shared parts of a request's prompt whether it may be sent. It is safe for concurrent use.
+type Guard interface {
+	// Admit reports whether the request may be sent. If not, it returns the time after which the caller should return.
+	Admit(r *Request) (retryAfter time.Duration, ok bool)
+	// Interrupted reports whether an interrupted request may be sent to another replica. It may block for a moment to find out
+	// whether the replica has crashed.
+	Interrupted(ctx context.Context, i Interruption) bool
+	// Answered records that the answer to a request, which began at the time, has gone on.
+	Answered(r *Request, begun time.Time)
+}
+
 // Observer receives events for logs and metrics. It must not block.
 type Observer interface {
 	// Attempted is called after each send that did not produce the response.
@@ -167,6 +198,7 @@
 	Observer Observer
 	// Share sends evidence about a replica to the other entries; it may be nil.
 	Share func(place.Evidence)
+	Guard Guard
 }
 
 // Serve handles one request. ctx ends when the caller disconnects.
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -65,6 +65,9 @@
 		if err := ctx.Err(); err != nil {
 			return s.endByContext(err)
 		}
+		if retryAfter, ok := s.f.Guard.Admit(s.r); !ok {
+			return s.refuse(CodeQuarantined, retryAfter)
+		}
 		waiter, ok := s.f.Placer.Enqueue(s.job(), time.Now())
 		if !ok {
 			return s.refuse(CodeNoReplica, retryAfterUnreachable)
@@ -145,6 +148,9 @@
 	if left < minTimeLeft {
 		return stop(s.endByContext(context.DeadlineExceeded))
 	}
+	if retryAfter, ok := s.f.Guard.Admit(r); !ok {
+		return stop(s.refuse(CodeQuarantined, retryAfter)) // quarantined while the request waited
+	}
 	s.choice = c
 	request := &direct.Request{
 		Address: c.Replica.Address, Method: r.Method, Target: r.Target, Host: r.Host,
@@ -152,6 +158,7 @@
 		Body:   r.Body, Chunked: r.Chunked, NonIdempotent: !r.Route.Repeatable(),
 		Matches: func(status int, h http.Header) bool { return s.f.Dialect.Matches(r, status, h) },
 	}
+	tracker.sent = time.Now()
 	response, err := s.f.Pool.Do(ctx, request)
 	if s.sends == 0 {
 		s.queued = sent.Sub(r.Arrived)
@@ -168,7 +175,7 @@
 	s.sends++
 	if err != nil {
 		s.f.Observer.Attempted(r, attempt)
-		return s.handleNoResponse(ctx, c, err)
+		return s.handleNoResponse(ctx, tracker, err)
 	}
 	defer response.Close()
 	attempt.Status, attempt.Verdict = response.Status, s.f.Dialect.Verdict(response.Status, response.Header)
@@ -221,18 +228,13 @@
 }
 
 // handleNoResponse handles a send without a response: the replica may have worked on the request.
-func (s *serving) handleNoResponse(ctx context.Context, c place.Choice, err error) step {
+func (s *serving) handleNoResponse(ctx context.Context, tracker *sendTracker, err error) step {
+	s.mayHaveRun = true
 	if ctx.Err() != nil {
-		s.mayHaveRun = true
 		return stop(s.endByContext(ctx.Err()))
 	}
-	s.f.Placer.Health.RecordOutcome(s.r.Service, c.Key, true, time.Now())
-	s.excluded = append(s.excluded, c.Replica.ID)
-	s.mayHaveRun = true
-	if code, ok := s.mayRetry(retry.MayHaveRun); !ok {
-		return stop(s.fail(code, http.StatusBadGateway, err))
-	}
-	return step{retry: true}
+	s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, true, time.Now())
+	return s.retryInterrupted(ctx, tracker, err)
 }
 
 // mayRetry reports whether the route, the retry budget and the deadline allow another send after one with the given
