--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -408,7 +408,7 @@
 	for {
 		var best *candidate
 		for id, s := range t.suspects {
-			if _, ok := blamed[id]; ok {
+			if _, ok := blamed[id]; ok || len(s.sent) < minCrashes {
 				continue
 			}
 			row := s.crashesInRow(explained, until)
