edge: operators see and lift the quarantine of prompt parts; a copy in the store outlives all edges

GET and DELETE /quarantine at the metrics address, for the operator key whose hash is in operator_key_sha256, and 'dragonflypin quarantine list' and 'lift'.

--- a/internal/app/cli/commands.go
+++ b/internal/app/cli/commands.go
@@ -70,6 +70,8 @@
 		{name: "explain", short: "Print what happened to one request", long: "Prints what happened to a request and why: class, " +
 			"queue time in milliseconds, the upstream chosen, attempts and outcome. An entry keeps its last 4,096 requests.",
 			data: &explainCommand{operatorOptions: operatorOptions{env: env}}},
+		{name: "quarantine", short: "Show and lift the quarantine of prompt parts", long: "Shows and lifts the quarantine of prompt parts that " +
+			"crash replicas. --server is the metrics address of any edge; edges tell each other.", commands: quarantineCommands(env)},
 		{name: "load", short: "Send load and report by class", long: "Sends the requests of a workload file at scheduled times, independent of " +
 			"response times (open loop), checks the content of every response and reports by class. Times in the report are in milliseconds. " +
 			"The exit status is 1 if a response is wrong or no request completed.\n\nWorkload file: " + load.Help(),
@@ -113,6 +115,16 @@
 	}
 }
 
+func quarantineCommands(env environment) []command {
+	o := operatorOptions{env: env}
+	return []command{
+		{name: "list", short: "Print the known prompt parts", long: "Prints the prompt parts that are quarantined or were in the last 24 hours, with the " +
+			"number of crashes and the reason for the last change.", data: &quarantineListCommand{operatorOptions: o}},
+		{name: "lift", short: "Send requests with a prompt part again", long: "Ends the quarantine of a prompt part at all edges. It is quarantined again " +
+			"after further crashes.", data: &quarantineLiftCommand{operatorOptions: o}},
+	}
+}
+
 func usageCommands(env environment) []command {
 	o := operatorOptions{env: env}
 	return []command{
--- a/internal/app/cli/operator.go
+++ b/internal/app/cli/operator.go
@@ -321,3 +321,27 @@
 func (c *explainCommand) Execute(args []string) error {
 	return c.get(args, "/explain/"+url.PathEscape(c.Args.RequestID), nil)
 }
+
+type quarantineListCommand struct{ operatorOptions }
+
+// Execute implements flags.Commander.
+func (c *quarantineListCommand) Execute(args []string) error { return c.get(args, "/quarantine", nil) }
+
+type quarantineLiftCommand struct {
+	operatorOptions
+	Args struct {
+		Part string `positional-arg-name:"PART" description:"ID of the prompt part"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *quarantineLiftCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	body, err := c.call(operatorCall{method: http.MethodDelete, path: "/quarantine/" + url.PathEscape(c.Args.Part)})
+	if err != nil {
+		return err
+	}
+	return c.print(body)
+}
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -260,7 +260,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var tasks sync.WaitGroup
-	for _, run := range []func(context.Context){e.configuration.feed.Run, e.replicas.feed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run} {
+	for _, run := range []func(context.Context){e.configuration.feed.Run, e.replicas.feed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run, e.newKeeper().run} {
 		tasks.Go(func() { run(background) })
 	}
 	server := &http.Server{
@@ -268,7 +268,7 @@
 		ErrorLog: e.observer.serverLog(),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: e.observer.serverLog()}
-	metricsServer := &http.Server{Handler: e.metricsHandler(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: e.observer.serverLog()}
+	metricsServer := &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: e.observer.serverLog()}
 	failed := make(chan error, 3)
 	serve := func(s *http.Server, l net.Listener) {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -351,9 +351,3 @@
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
-
-func (e *Edge) metricsHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", e.deps.Metrics.Handler())
-	return mux
-}
--- /dev/null
+++ b/internal/app/edge/operator.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
+	"github.com/dragonflypin/dragonflypin/internal/version/directory"
+)
+
+// operatorHandler serves the metrics, and the quarantine for callers with the operator key.
+func (e *Edge) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.deps.Metrics.Handler())
+	mux.Handle("GET /quarantine", e.authorized(e.listQuarantine))
+	mux.Handle("DELETE /quarantine/{part}", e.authorized(e.liftQuarantine))
+	return mux
+}
+
+// authorized passes requests with the operator key on.
+func (e *Edge) authorized(next http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		want := e.cfg.OperatorKeySHA256
+		if want == "" || subtle.ConstantTimeCompare([]byte(directory.HashKey(key)), []byte(want)) != 1 {
+			writeJSON(w, http.StatusUnauthorized, operatorError("invalid_key", "the operator key is missing or unknown, or the setting operator_key_sha256 is empty"))
+			return
+		}
+		next(w, r)
+	})
+}
+
+// quarantinedPart is a prompt part as operators see it.
+type quarantinedPart struct {
+	Part        string    `json:"part"`
+	Quarantined bool      `json:"quarantined"`
+	Since       time.Time `json:"since"`
+	Crashes     int       `json:"crashes"`
+	Trials      int       `json:"trials"`
+	Reason      string    `json:"reason"`
+}
+
+func (e *Edge) listQuarantine(w http.ResponseWriter, _ *http.Request) {
+	parts := []quarantinedPart{}
+	for _, entry := range e.guard.tracker.Entries() {
+		parts = append(parts, quarantinedPart{
+			Part: entry.Part, Quarantined: entry.Held, Since: time.UnixMilli(int64(entry.Version)).UTC(),
+			Crashes: int(entry.Crashes), Trials: int(entry.Trials), Reason: string(entry.Reason),
+		})
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"parts": parts})
+}
+
+func (e *Edge) liftQuarantine(w http.ResponseWriter, r *http.Request) {
+	part := r.PathValue("part")
+	if !e.guard.tracker.Lift(part, time.Now()) {
+		writeJSON(w, http.StatusNotFound, operatorError("not_quarantined", "the prompt part is not quarantined"))
+		return
+	}
+	e.deps.Log.Emit(eventlog.EdgeQuarantineLifted, eventlog.PromptParts([]string{part}))
+	writeJSON(w, http.StatusOK, map[string]any{"part": part, "quarantined": false})
+}
+
+func operatorError(code, message string) any {
+	return map[string]any{"error": map[string]string{"code": code, "message": message}}
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller may have disconnected
+}
--- a/internal/process/quarantine/entries.go
+++ b/internal/process/quarantine/entries.go
@@ -40,16 +40,16 @@
 // Entry is the state of one part on which all entries agree: the one with the highest version counts.
 type Entry struct {
 	_    struct{} `cbor:",toarray"`
-	Part string
+	Part string   `json:"part"`
 	// Version is the time of the last change in Unix milliseconds, and higher than that of the state before.
-	Version uint64
+	Version uint64 `json:"version"`
 	// Held is set while the part is quarantined.
-	Held bool
+	Held bool `json:"held"`
 	// Trials is the number of requests that were sent again since the part was quarantined.
-	Trials uint8
+	Trials uint8 `json:"trials"`
 	// Crashes is the number of crashes in a row for which the part was quarantined.
-	Crashes uint8
-	Reason  Reason
+	Crashes uint8  `json:"crashes"`
+	Reason  Reason `json:"reason"`
 }
 
 // Change is an entry that has changed.
@@ -216,17 +216,27 @@
 // Digest identifies the entries: two of the fleet with the same entries have the same digest. It is 0 without entries.
 func (t *Tracker) Digest() uint64 { return t.digest.Load() }
 
+// DigestOf returns the digest of entries.
+func DigestOf(list []Entry) uint64 {
+	digest := uint64(0)
+	for _, e := range list {
+		b := binary.BigEndian.AppendUint64([]byte(e.Part), e.Version)
+		if e.Held {
+			b = append(b, 1)
+		}
+		digest ^= xxhash.Sum64(b)
+	}
+	return digest
+}
+
 // summarize computes what is read without a lock.
 func (t *Tracker) summarize() {
-	held, digest := int32(0), uint64(0)
-	for id, e := range t.entries {
-		b := binary.BigEndian.AppendUint64([]byte(id), e.Version)
+	held := int32(0)
+	for _, e := range t.entries {
 		if e.Held {
 			held++
-			b = append(b, 1)
 		}
-		digest ^= xxhash.Sum64(b)
 	}
 	t.active.Store(held)
-	t.digest.Store(digest)
+	t.digest.Store(DigestOf(slices.Collect(maps.Values(t.entries))))
 }
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -1,10 +1,18 @@
 package settings
 
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
 // Edge is the settings file of an edge: an entry that runs on the platform's machines and sends requests directly to
 // replicas. Settings that differ between machines come from the platform, in Node.
 type Edge struct {
 	// MetricsPort is the port of /metrics on the machine's address. Default 9180.
 	MetricsPort int `json:"metrics_port" default:"9180" min:"1" max:"65535" unit:"port"`
+	// OperatorKeySHA256 is the SHA-256 of the operator key, in lower-case hex, for /quarantine at the same port. Without it
+	// all calls are refused.
+	OperatorKeySHA256 string `json:"operator_key_sha256" optional:"true"`
 	// LogLinesPerSecond is the rate limit of log lines about individual requests; omitted lines are counted. Default 400.
 	LogLinesPerSecond int `json:"log_lines_per_second" default:"400" min:"1" max:"100000" unit:"lines"`
 	// StoreCallsPerSecond is the call budget for the object store; a watch counts as one call. Default 10.
@@ -67,3 +75,12 @@
 	// it to be admitted. Default 1.
 	AdmissionBacklogShare float64 `json:"hopeless_share" default:"1" min:"0.0001" max:"100" unit:"share"`
 }
+
+// check validates what the tags can't express.
+func (e *Edge) check() *Error {
+	hash, err := hex.DecodeString(e.OperatorKeySHA256)
+	if err != nil || e.OperatorKeySHA256 != "" && len(hash) != sha256.Size {
+		return &Error{Path: "operator_key_sha256", Value: e.OperatorKeySHA256, Problem: "must be a SHA-256 in hex, 64 digits"}
+	}
+	return nil
+}
--- a/internal/process/settings/load_test.go
+++ b/internal/process/settings/load_test.go
@@ -153,3 +153,16 @@
 		}
 	})
 }
+
+// Guards against an edge that does not start with the deployed settings, or that accepts a key in place of its hash.
+func TestDeployedEdgeSettings(t *testing.T) {
+	cfg, err := settings.Load[settings.Edge](filepath.Join("..", "..", "..", "deploy", "edge.json"))
+	if err != nil || cfg.MetricsPort == 0 {
+		t.Errorf("deployed settings: %+v, %v", cfg, err)
+	}
+	for _, file := range []string{`{"operator_key_sha256": "secret"}`, `{"operator_key_sha256": "abcd"}`} {
+		if _, err := settings.Parse[settings.Edge]([]byte(file)); err == nil {
+			t.Errorf("%s is accepted", file)
+		}
+	}
+}
