--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -146,6 +146,9 @@
 // PromptParts are the IDs of prompt parts, which are opaque to the router. It is empty for requests without a prompt.
 func PromptParts(ids []string) Field { return Field{"prompt_parts", truncate(strings.Join(ids, ","))} }
 
+// Limit is the number of requests a second that a replica takes.
+func Limit(perSecond float64) Field { return Field{"limit_per_s", perSecond} }
+
 // Own reports whether this process has decided what the line says, rather than learned it from another one.
 func Own(ok bool) Field { return Field{"own", ok} }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -76,6 +76,8 @@
 	Matches(r *Request, status int, h http.Header) bool
 	// Verdict interprets the status and the headers of a response.
 	Verdict(status int, h http.Header) Verdict
+	// Limit returns the requests a second that the replica takes from all entries together, if the response names a limit.
+	Limit(h http.Header) (perSecond float64, ok bool)
 	// Forwarded returns the response headers that are forwarded to the caller.
 	Forwarded(h http.Header) http.Header
 }
@@ -185,6 +187,8 @@
 type Observer interface {
 	// Attempted is called after each send that did not produce the response.
 	Attempted(r *Request, a Attempt)
+	// Limited is called with each limit that a replica names.
+	Limited(c place.Choice, perSecond float64)
 	// Ended is called once for each request.
 	Ended(r *Request, e End)
 }
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -178,6 +178,9 @@
 		return s.handleNoResponse(ctx, tracker, err)
 	}
 	defer response.Close()
+	if limit, ok := s.f.Dialect.Limit(response.Header); ok {
+		s.f.Observer.Limited(c, limit)
+	}
 	attempt.Status, attempt.Verdict = response.Status, s.f.Dialect.Verdict(response.Status, response.Header)
 	if attempt.Verdict != Ran {
 		s.f.Observer.Attempted(r, attempt)
