place: keep the limits that replicas name, all edges together

A replica in need names the requests a second that it takes.

Cause: no code read the limit. Class of fault: a bound that belongs to a shared resource and that no component enforces for all of its users.

Fix: place.ReplicaLimits. An answer's limit goes to all edges at once, and again each second for those that start later. Each edge tells the others of its sends to limited replicas, so that all know how many more are allowed; for each replica the edges have turns, so that they don't all use the same allowance, and edges without demand leave theirs to others. What an edge that fell silent may still send is kept free for 10 s. The limit is part of whether a replica is usable, so that affinity, retries, resumed streams, probes of ejected replicas and the last resort obey it. Requests that find no replica wait in queue order and are refused as not run, with the time until the next one is allowed.

Tried before: fixed shares for a few edges of each replica.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -148,9 +148,10 @@
 	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement, rand.Uint64()), pool: direct.NewPool()}
 	e.configuration, e.replicas = e.followConfiguration(), e.followReplicas()
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
+	e.placer.Limits = place.NewReplicaLimits(node.Address.String())
 	e.guard = newGuard(e)
 	e.forwarder = &forward.Forwarder{
-		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Observer: e.observer, Share: e.shareEvidence, Guard: e.guard,
+		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Guard: e.guard,
 	}
 	var err error
 	if e.gossip, err = gossip.New(e.gossipOptions()); err != nil {
@@ -260,7 +261,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var tasks sync.WaitGroup
-	for _, run := range []func(context.Context){e.configuration.feed.Run, e.replicas.feed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run, e.newKeeper().run} {
+	for _, run := range []func(context.Context){e.configuration.feed.Run, e.replicas.feed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run, e.newKeeper().run, e.runLimits} {
 		tasks.Go(func() { run(background) })
 	}
 	server := &http.Server{
@@ -306,6 +307,7 @@
 		case now := <-ticker.C:
 			e.placer.Tick(now)
 			e.guard.tick(now)
+			e.tickLimits(now)
 			if expired := e.registry.Expire(now); len(expired) > 0 {
 				e.onListChanged("lapsed")
 			}
--- a/internal/app/edge/observe.go
+++ b/internal/app/edge/observe.go
@@ -12,7 +12,6 @@
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/metrics"
 	"github.com/dragonflypin/dragonflypin/internal/request/forward"
-	"github.com/dragonflypin/dragonflypin/internal/request/place"
 )
 
 // errorLogInterval is the minimum time between two log lines of the same error event.
@@ -107,13 +106,6 @@
 		eventlog.Attempts(a.Number), eventlog.Status(a.Status), eventlog.Took(a.Took), eventlog.Answering(a.Answering), eventlog.PromptParts(r.SharedParts()), eventlog.Err(a.Err))
 }
 
-// Limited implements forward.Observer.
-func (o *observer) Limited(c place.Choice, perSecond float64) {
-	if o.allowLine() {
-		o.log.Emit(eventlog.EdgeReplicaLimited, eventlog.Upstream(c.ReplicaID()), eventlog.Limit(perSecond))
-	}
-}
-
 // Ended implements forward.Observer.
 func (o *observer) Ended(r *forward.Request, e forward.End) {
 	o.metrics.Ended(metrics.Request{
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -30,6 +30,8 @@
 	crashBroadcast
 	soundBroadcast
 	quarantineBroadcast
+	limitBroadcast
+	sendsBroadcast
 )
 
 // evidence tells the other edges what a request of this one has shown about a replica.
@@ -281,6 +283,10 @@
 		return e.guard.onSound(message)
 	case quarantineBroadcast:
 		return e.guard.onEntries(message)
+	case limitBroadcast:
+		return e.onLimits(message)
+	case sendsBroadcast:
+		return e.onSends(message)
 	default:
 		return errUnknownBroadcast
 	}
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -101,5 +101,6 @@
 	EdgePartQuarantined      = define(1516, "edge_part_quarantined", logrus.WarnLevel, "Requests with this prompt part are refused because it crashes replicas; count is the number of crashes, own says whether this edge found out.")
 	EdgePartReleased         = define(1517, "edge_part_released", logrus.InfoLevel, "Requests with this prompt part are sent to replicas again; reason says why.")
 	EdgeQuarantineLifted     = define(1518, "edge_quarantine_lifted", logrus.WarnLevel, "An operator has ended the quarantine of this prompt part at this edge, which tells the others.")
-	EdgeReplicaLimited       = define(1519, "edge_replica_limited", logrus.InfoLevel, "A response of a replica names the requests a second that it takes from all edges together.")
+	EdgeReplicaLimited       = define(1519, "edge_replica_limited", logrus.InfoLevel, "A replica takes this many requests a second from all edges together; own says whether a response to this edge said so.")
+	EdgeReplicaUnlimited     = define(1520, "edge_replica_unlimited", logrus.InfoLevel, "A replica names no limit any more.")
 )
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -212,7 +212,7 @@
 // Broadcast sends a payload of up to MaxBroadcastBytes to all live entries at once. A datagram may be lost.
 func (n *Node) Broadcast(payload []byte) {
 	data := broadcastData(payload)
-	for _, target := range n.livePeers() {
+	for _, target := range n.LivePeers() {
 		n.sendTo(target, data)
 	}
 }
@@ -224,7 +224,8 @@
 	return append([]byte{broadcastDatagram, protocolVersion}, payload...)
 }
 
-func (n *Node) livePeers() []netip.Addr {
+// LivePeers returns the addresses of the other live entries.
+func (n *Node) LivePeers() []netip.Addr {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	list := make([]netip.Addr, 0, len(n.peers))
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -43,6 +43,7 @@
 	tokens    metric.Int64Counter
 	version   metric.Int64Gauge
 	held      metric.Int64Gauge
+	limited   metric.Int64Gauge
 	decision  metric.Float64Histogram
 }
 
@@ -118,6 +119,9 @@
 	held, err := meter.Int64Gauge("dragonflypin.quarantined.parts", metric.WithDescription("Prompt parts whose requests are refused because they crash replicas."))
 	b.recordError(err)
 	m.held = held
+	limited, err := meter.Int64Gauge("dragonflypin.limited.replicas", metric.WithDescription("Replicas that have named a limit."))
+	b.recordError(err)
+	m.limited = limited
 	return b.err
 }
 
@@ -242,6 +246,14 @@
 	m.held.Record(context.Background(), int64(n))
 }
 
+// LimitedReplicas records the number of replicas that have named a limit.
+func (m *Metrics) LimitedReplicas(n int) {
+	if m == nil {
+		return
+	}
+	m.limited.Record(context.Background(), int64(n))
+}
+
 // Decision records the duration of one routing decision.
 func (m *Metrics) Decision(d time.Duration) {
 	if m == nil {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -109,9 +109,11 @@
 
 // Codes.
 const (
-	CodeNoReplica    Code = "no_replica"
-	CodeUnreachable  Code = "unreachable"
-	CodeNoCapacity   Code = "no_room"
+	CodeNoReplica   Code = "no_replica"
+	CodeUnreachable Code = "unreachable"
+	CodeNoCapacity  Code = "no_room"
+	// CodeLimited refuses a request because the replicas have reached the limits that they have named.
+	CodeLimited      Code = "replicas_limited"
 	CodeReplicasFull Code = "replicas_full"
 	CodeDeadline     Code = "deadline"
 	CodeTimeout      Code = "timeout"
@@ -187,8 +189,6 @@
 type Observer interface {
 	// Attempted is called after each send that did not produce the response.
 	Attempted(r *Request, a Attempt)
-	// Limited is called with each limit that a replica names.
-	Limited(c place.Choice, perSecond float64)
 	// Ended is called once for each request.
 	Ended(r *Request, e End)
 }
@@ -202,7 +202,9 @@
 	Observer Observer
 	// Share sends evidence about a replica to the other entries; it may be nil.
 	Share func(place.Evidence)
-	Guard Guard
+	// ShareLimit tells the other entries that a replica has named another limit, or none any more; it may be nil.
+	ShareLimit func(place.NamedLimit)
+	Guard      Guard
 }
 
 // Serve handles one request. ctx ends when the caller disconnects.
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -78,7 +78,11 @@
 			continue
 		case waitTimedOut:
 			s.choice = s.f.Placer.PendingChoice(waiter, time.Now())
-			return s.refuse(CodeNoCapacity, s.f.Placer.RetryAfter(waiter, time.Now()))
+			code := CodeNoCapacity
+			if waiter.Unplaced() {
+				code = CodeLimited
+			}
+			return s.refuse(code, s.f.Placer.RetryAfter(waiter, time.Now()))
 		}
 		next := s.attempt(ctx, choice)
 		if !next.retry {
@@ -178,9 +182,7 @@
 		return s.handleNoResponse(ctx, tracker, err)
 	}
 	defer response.Close()
-	if limit, ok := s.f.Dialect.Limit(response.Header); ok {
-		s.f.Observer.Limited(c, limit)
-	}
+	s.recordLimit(tracker, response)
 	attempt.Status, attempt.Verdict = response.Status, s.f.Dialect.Verdict(response.Status, response.Header)
 	if attempt.Verdict != Ran {
 		s.f.Observer.Attempted(r, attempt)
@@ -189,6 +191,19 @@
 	return s.deliver(ctx, tracker, response, attempt)
 }
 
+// recordLimit applies the limit that a response names. A success that names none ends the replica's limit.
+func (s *serving) recordLimit(tracker *sendTracker, response *direct.Response) {
+	named := place.NamedLimit{Replica: tracker.choice.Key, Sent: tracker.sent, At: time.Now()}
+	limit, ok := s.f.Dialect.Limit(response.Header)
+	if !ok && response.Status >= http.StatusMultipleChoices {
+		return
+	}
+	named.PerSecond, named.Withdrawn = limit, !ok
+	if s.f.Placer.Limits.Apply(named, time.Now()) && s.f.ShareLimit != nil {
+		s.f.ShareLimit(named)
+	}
+}
+
 // handleNotSent continues at another replica: this one has not received anything.
 func (s *serving) handleNotSent(ctx context.Context, c place.Choice, err error) step {
 	if err := ctx.Err(); err != nil {
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -128,6 +128,8 @@
 type Placer struct {
 	Loads  *LoadTracker
 	Health *Health
+	// Limits are those of a single entry; several that divide the limits have others.
+	Limits *ReplicaLimits
 	sizes  *PromptSizes
 	cached *cachedParts
 	zone   string
@@ -154,7 +156,7 @@
 // New returns a Placer for an entry in the availability zone. The seed randomizes the choice between equally good
 // replicas, so that entries which decide at the same time choose differently.
 func New(zone string, set settings.Placement, seed uint64) *Placer {
-	p := &Placer{set: set, random: rand.New(rand.NewPCG(seed, seed)), Loads: NewLoadTracker(), Health: NewHealth(), sizes: NewPromptSizes(), cached: newCachedParts(), zone: zone, queues: newQueues(), pools: map[string]*shortPool{}}
+	p := &Placer{set: set, random: rand.New(rand.NewPCG(seed, seed)), Loads: NewLoadTracker(), Health: NewHealth(), Limits: NewReplicaLimits(""), sizes: NewPromptSizes(), cached: newCachedParts(), zone: zone, queues: newQueues(), pools: map[string]*shortPool{}}
 	p.layout.Store(&map[string]*layout{})
 	return p
 }
@@ -352,7 +354,7 @@
 		start := p.randomN(n)
 		for i := range n {
 			m := candidates[(start+i)%n]
-			if !slices.Contains(job.Excluded, m.ID) {
+			if !slices.Contains(job.Excluded, m.ID) && p.Limits.Allows(m.key, now) {
 				return Choice{Replica: m.Replica, Key: m.key, Reason: ReasonLastResort, Prefill: job.Tokens, Load: p.Loads.Total(m.key, now)}, true
 			}
 		}
@@ -361,7 +363,19 @@
 }
 
 func (p *Placer) usable(job *Job, m member, now time.Time) bool {
-	return !slices.Contains(job.Excluded, m.ID) && p.Health.Usable(job.Service, m.key, job.Repeatable, now)
+	return !slices.Contains(job.Excluded, m.ID) && p.Limits.Allows(m.key, now) && p.Health.Usable(job.Service, m.key, job.Repeatable, now)
+}
+
+// ReplicaID returns the ID of a replica in the list, or "".
+func (p *Placer) ReplicaID(key Key) string {
+	for _, l := range *p.layout.Load() {
+		for _, m := range l.all {
+			if m.key == key {
+				return m.ID
+			}
+		}
+	}
+	return ""
 }
 
 // FirstEvent records that the replica has prefilled the job's prompt.
@@ -395,6 +409,7 @@
 	p.resizePools(now)
 	p.Loads.Expire(now)
 	p.Health.Expire(now)
+	p.Limits.Expire(now)
 	p.cached.expire(now)
 	p.serveAllQueues(now)
 }
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -27,12 +27,19 @@
 	// event long after its target.
 	QueueDeadline time.Time
 	waiting       bool
+	// counted is set while the job is counted against the limit of its choice and not granted.
+	counted bool
 }
 
+// Unplaced reports whether the job waits for no replica in particular: those that could serve it have reached their limits.
+func (w *Waiter) Unplaced() bool { return w.choice.Replica == nil }
+
 // queues holds the waiting jobs of each replica.
 type queues struct {
-	mu             sync.Mutex
-	byKey          map[Key][]*Waiter
+	mu    sync.Mutex
+	byKey map[Key][]*Waiter
+	// unplaced are the jobs that wait until the limit of a replica allows another request.
+	unplaced       []*Waiter
 	lastServed     time.Time
 	lastReassigned time.Time
 }
@@ -50,28 +57,63 @@
 	if len(job.Parts) > 0 {
 		profile = p.sizes.Record(job, now)
 	}
-	choice, ok := p.pick(job, profile, now)
-	if !ok {
-		return nil, false
-	}
 	w := &Waiter{
-		job: job, profile: profile, choice: choice, Granted: make(chan Choice, 1),
+		job: job, profile: profile, Granted: make(chan Choice, 1),
 		QueueDeadline: job.Arrived.Add(time.Duration(p.set.QueueTimeoutTargets * float64(job.Target))),
 	}
+	placed := p.choose(w, now)
+	if !placed && !p.hasLimitedReplica(job) {
+		return nil, false
+	}
 	p.queues.mu.Lock()
 	defer p.queues.mu.Unlock()
-	if !p.limited(w) || p.mayStart(w, now) {
-		p.grant(w, now)
+	if !placed {
+		w.waiting = true
+		p.queues.unplaced = append(p.queues.unplaced, w)
 		return w, true
 	}
-	if p.exceedsQueueTimeout(w, now) {
+	switch {
+	case !p.limited(w) || p.mayStart(w, now):
+		p.grant(w, now)
+	case p.exceedsQueueTimeout(w, now):
 		w.QueueDeadline = now
-		return w, true
+		p.returnCount(w)
+	default:
+		p.startWaiting(w)
 	}
-	p.startWaiting(w)
 	return w, true
 }
 
+// choose sets the waiter's choice and counts it against the replica's limit.
+func (p *Placer) choose(w *Waiter, now time.Time) bool {
+	for {
+		choice, ok := p.pick(w.job, w.profile, now)
+		if !ok {
+			return false
+		}
+		if p.Limits.Take(choice.Key, now) {
+			w.choice, w.counted = choice, true
+			return true
+		}
+	}
+}
+
+// hasLimitedReplica reports whether the limit of a replica that the job was not sent to keeps the job from it.
+func (p *Placer) hasLimitedReplica(job *Job) bool {
+	l := (*p.layout.Load())[job.Service]
+	return p.Limits.Active() > 0 && l != nil && slices.ContainsFunc(l.all, func(m member) bool {
+		return !slices.Contains(job.Excluded, m.ID) && p.Limits.isLimited(m.key)
+	})
+}
+
+// returnCount takes back that the waiter was counted against the limit of its choice.
+func (p *Placer) returnCount(w *Waiter) {
+	if w.counted {
+		w.counted = false
+		p.Limits.Return(w.choice.Key)
+	}
+}
+
 // ForcePlace places a job whose queue timeout has passed, without a backlog limit, and reports whether it did. Only
 // urgent jobs are placed: they would otherwise be refused while larger and less urgent ones start elsewhere. This handles
 // affinity replicas that are blocked by a few very long prompts.
@@ -92,6 +134,9 @@
 	if !ok {
 		return false
 	}
+	if !p.Limits.Take(choice.Key, now) {
+		return false
+	}
 	choice.Reason = ReasonForced // pickLeastLoaded reports ReasonOverflow for its second pool
 	w.choice = choice
 	p.grant(w, now)
@@ -117,6 +162,12 @@
 	if !w.waiting {
 		return
 	}
+	if i := slices.Index(p.queues.unplaced, w); i >= 0 {
+		p.queues.unplaced = slices.Delete(p.queues.unplaced, i, i+1)
+		w.waiting = false
+		return
+	}
+	p.returnCount(w)
 	queue := p.queues.byKey[w.choice.Key]
 	if i := slices.Index(queue, w); i >= 0 {
 		p.queues.byKey[w.choice.Key] = slices.Delete(queue, i, i+1)
@@ -134,10 +185,27 @@
 // RetryAfter returns when a job that was refused for lack of capacity should be sent again: after the time to prefill
 // what is ahead now.
 func (p *Placer) RetryAfter(w *Waiter, now time.Time) time.Duration {
+	if w.Unplaced() {
+		return p.limitWait(w.job, now)
+	}
 	ahead := p.Loads.Total(w.choice.Key, now)
 	return prefillTime(ahead.Prefill + ahead.Waiting)
 }
 
+// limitWait returns the time until the limit of a replica allows a request.
+func (p *Placer) limitWait(job *Job, now time.Time) time.Duration {
+	wait := maxLimitWait
+	if l := (*p.layout.Load())[job.Service]; l != nil {
+		for _, m := range l.all {
+			wait = min(wait, p.Limits.Wait(m.key, now))
+		}
+	}
+	return max(wait, minLimitWait)
+}
+
+// minLimitWait is the shortest time for which a caller is told to wait for a limited replica.
+const minLimitWait = 50 * time.Millisecond
+
 // limited reports whether the job is subject to the backlog limit. Short prompts are not, because the limit keeps
 // capacity free for them; neither are retried ones.
 func (p *Placer) limited(w *Waiter) bool {
@@ -231,6 +299,7 @@
 	w.choice.Load, w.choice.ReportAge = p.Loads.Total(w.choice.Key, now), p.Loads.ReportAge(now)
 	p.cached.recordSent(w.choice.Key, w.job.Parts, now)
 	w.choice.Short = w.profile.Short
+	w.counted = false
 	p.Loads.Add(w.choice.Key, w.choice.runningLoad(1).plus(Load{Prefill: w.choice.Prefill}))
 	w.Granted <- w.choice
 }
@@ -253,9 +322,37 @@
 	for _, replica := range p.queues.keys() {
 		p.serveQueueLocked(replica, now)
 	}
+	p.placeWaiters(now)
 	p.reassignWaiters(now)
 }
 
+// placeWaiters places jobs that wait for the limit of a replica, in queue order.
+func (p *Placer) placeWaiters(now time.Time) {
+	waiting := p.queues.unplaced
+	slices.SortStableFunc(waiting, func(a, b *Waiter) int {
+		switch {
+		case precedes(a, b, now):
+			return -1
+		case precedes(b, a, now):
+			return 1
+		default:
+			return 0
+		}
+	})
+	p.queues.unplaced = slices.DeleteFunc(waiting, func(w *Waiter) bool {
+		if !p.choose(w, now) {
+			return false
+		}
+		w.waiting = false
+		if !p.limited(w) || p.mayStart(w, now) {
+			p.grant(w, now)
+		} else {
+			p.startWaiting(w)
+		}
+		return true
+	})
+}
+
 // reassignWaiters reassigns waiting jobs to replicas that have become a better choice. This handles replicas that stop
 // responding or slow down while jobs wait for them.
 func (p *Placer) reassignWaiters(now time.Time) {
@@ -276,15 +373,16 @@
 	p.Loads.Add(old.Key, w.queuedLoad(-1))
 	choice, ok := p.pick(w.job, w.profile, now)
 	p.Loads.Add(old.Key, w.queuedLoad(1))
-	if !ok || choice.Key == old.Key {
+	if !ok || choice.Key == old.Key || !p.Limits.Take(choice.Key, now) {
 		return
 	}
+	p.returnCount(w)
 	queue := p.queues.byKey[old.Key]
 	if i := slices.Index(queue, w); i >= 0 {
 		p.queues.byKey[old.Key] = slices.Delete(queue, i, i+1)
 	}
 	p.stopWaiting(w)
-	w.choice = choice
+	w.choice, w.counted = choice, true
 	if p.mayStart(w, now) {
 		p.grant(w, now)
 		return
