place: prompts whose affinity replicas have a limit get further affinity replicas

With seven tenths of the replicas limited, both affinity replicas of a prompt often take nothing, and the prompt went to the least loaded replica, another one each time. Replicas with a limit now count in addition to the affinity replicas.

--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -211,7 +211,8 @@
 
 // pickAffinity chooses among the affinity replicas of the prompt's shared parts. This handles many prompts with long
 // shared parts: each shared part is prefilled once, and the prompts are spread evenly over the replicas. A further
-// affinity replica is used only when the backlog of the one before exceeds the work of prefilling the shared parts again.
+// affinity replica is used only when the backlog of the one before exceeds the work of prefilling the shared parts again. Replicas
+// that have named a limit are considered in addition to as many others, so that what they may not take has affinity replicas too.
 func (p *Placer) pickAffinity(job *Job, l *layout, urgent bool, now time.Time) (Choice, bool) {
 	key := affinityKey(job.Parts)
 	var found [maxAffinityReplicas]int32
@@ -229,9 +230,20 @@
 	}
 	reason := ReasonAffinity
 	added := l.added()
-	for _, index := range found[:l.affinityRing.lookup(key, found[:min(maxAffinityReplicas, p.set.AffinityReplicas)], added)] {
+	candidates := min(maxAffinityReplicas, p.set.AffinityReplicas)
+	searched := candidates
+	if p.Limits.Active() > 0 {
+		searched = maxAffinityReplicas
+	}
+	for _, index := range found[:l.affinityRing.lookup(key, found[:searched], added)] {
+		if candidates == 0 {
+			break
+		}
 		consider(l.long[index], reason, 0)
 		reason = ReasonSecondAffinity
+		if !p.Limits.isLimited(l.long[index].key) {
+			candidates--
+		}
 	}
 	if borrowCost := milliseconds(time.Duration(p.set.LongBorrowCost)); added == 0 && bestCost > borrowCost && p.mayBorrow(l, now) {
 		for _, index := range found[:l.borrowableRing.lookup(key, found[:borrowableCandidates], 0)] {
