forward: a misdirected request says nothing about the limit of the replica that it was for

The response of another replica at the address (421) names that one's limit. It was applied to the replica whose registration had not lapsed yet. TestLimitOfAnotherReplicaIsIgnored failed before.

--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -182,8 +182,10 @@
 		return s.handleNoResponse(ctx, tracker, err)
 	}
 	defer response.Close()
-	s.recordLimit(tracker, response)
 	attempt.Status, attempt.Verdict = response.Status, s.f.Dialect.Verdict(response.Status, response.Header)
+	if attempt.Verdict != WrongReplica {
+		s.recordLimit(tracker, response)
+	}
 	if attempt.Verdict != Ran {
 		s.f.Observer.Attempted(r, attempt)
 		return s.handleNotRun(c, attempt.Verdict)
