quarantine: crashes count also for edges that had only older answers at the replica

An edge reported a crash only if it had something beginning there, so that crashes at the same moment, which show a common cause, could stay unknown. Part IDs that are not text are hashed: the messages between edges can't carry them; TestMemoryIsBounded covers both kinds of IDs.

--- a/internal/app/edge/quarantine.go
+++ b/internal/app/edge/quarantine.go
@@ -121,6 +121,9 @@
 		return true
 	}
 	r := g.addInterruption(i, parts)
+	if !i.Beginning {
+		return true // the crash is recorded, because it may have the cause of others at the same moment
+	}
 	timeout := time.NewTimer(maxConfirmWait)
 	defer timeout.Stop()
 	select {
@@ -140,6 +143,9 @@
 		g.interrupted[i.Choice.Key] = r
 		go g.confirm(i.Choice, r)
 	}
+	if !i.Beginning {
+		return r
+	}
 	for depth, part := range parts {
 		s := quarantine.Suspect{Part: part, Depth: depth, Sent: i.Sent}
 		if known := slices.IndexFunc(r.suspects, func(k quarantine.Suspect) bool { return k.Part == part }); known < 0 {
--- a/internal/process/quarantine/entries.go
+++ b/internal/process/quarantine/entries.go
@@ -171,7 +171,7 @@
 	for _, e := range list {
 		known, ok := t.entries[e.Part]
 		newer := !ok || e.Version > known.Version || e.Version == known.Version && known.Held && !e.Held
-		if newer && len(e.Part) <= 2*maxIDBytes && !e.expired(now) {
+		if newer && len(e.Part) <= maxIDBytes && !e.expired(now) {
 			t.apply(e, false)
 			t.lastReport = now // this entry may know better
 		}
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -125,9 +126,9 @@
 	return &Tracker{opts: opts, suspects: map[string]*suspect{}, entries: map[string]Entry{}, proven: newProvenParts()}
 }
 
-// PartID returns the ID under which a part is known: its own, or a hash of a very long one.
+// PartID returns the ID under which a part is known: its own, or a hash of one that is very long or not text.
 func PartID(id string) string {
-	if len(id) <= maxIDBytes {
+	if len(id) <= maxIDBytes && utf8.ValidString(id) {
 		return id
 	}
 	return "xxh64-" + strconv.FormatUint(xxhash.Sum64String(id), 16)
--- a/internal/process/quarantine/quarantine_test.go
+++ b/internal/process/quarantine/quarantine_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/dragonflypin/dragonflypin/internal/process/quarantine"
 )
@@ -180,8 +181,10 @@
 	if n := len(o.Entries()); n > 256 {
 		t.Errorf("%d entries are kept", n)
 	}
-	if id := quarantine.PartID(long); len(id) > 64 {
-		t.Errorf("an ID of %d bytes is kept as %d", len(long), len(id))
+	for _, id := range []string{long, "\xff\xfe"} {
+		if kept := quarantine.PartID(id); len(kept) > 32 || !utf8.ValidString(kept) {
+			t.Errorf("an ID of %d bytes is kept as %q", len(id), kept)
+		}
 	}
 	if suspects, crashes, proven := o.Sizes(); suspects > 1024 || crashes > 256 || proven > 2*8192 {
 		t.Errorf("%d suspects, %d crashes, %d proven parts are kept", suspects, crashes, proven)
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -117,10 +117,9 @@
 // retryInterrupted continues at another replica after a response was interrupted or never began, unless the prompt may have
 // crashed the replica.
 func (s *serving) retryInterrupted(ctx context.Context, tracker *sendTracker, err error) step {
-	if tracker.answering() < quarantine.StartPeriod {
-		if !s.f.Guard.Interrupted(ctx, Interruption{Request: s.r, Choice: tracker.choice, Sent: tracker.sent}) {
-			return stop(s.fail(CodeSuspect, http.StatusBadGateway, err))
-		}
+	i := Interruption{Request: s.r, Choice: tracker.choice, Sent: tracker.sent, Beginning: tracker.answering() < quarantine.StartPeriod}
+	if !s.f.Guard.Interrupted(ctx, i) {
+		return stop(s.fail(CodeSuspect, http.StatusBadGateway, err))
 	}
 	return s.continueElsewhere(tracker.choice, err)
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -167,11 +167,13 @@
 	Answering time.Duration
 }
 
-// Interruption is a request whose response was interrupted, or never began, before or shortly after its first event.
+// Interruption is a request whose response was interrupted or never began.
 type Interruption struct {
 	Request *Request
 	Choice  place.Choice
 	Sent    time.Time
+	// Beginning is set before the first event and shortly after it (see quarantine.StartPeriod).
+	Beginning bool
 }
 
 // Guard decides by the shared parts of a request's prompt whether it may be sent. It is safe for concurrent use.
