edge: a configuration that the store does not deliver is fetched from another edge

Cause: edges share what they have read of the list of replicas, but only the revisions of the configuration. Class: knowledge that is shared without the content it is about. Reports now carry the version in force; an edge that sees a newer one for 300 ms fetches it from there, over TCP and from live edges only. An edge that has read no configuration of its own does not.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -119,6 +119,7 @@
 	gossip    *gossip.Node
 	observer  *observer
 	guard     *guard
+	exchange  *configurationExchange
 	// configuration and replicas follow the store.
 	configuration, replicas *followed
 	// pending has the incomplete updates of other edges. It is only used by the goroutine that receives datagrams.
@@ -126,7 +127,7 @@
 	// storeFailing is set while the latest store call failed.
 	storeFailing atomic.Bool
 
-	callers, ready, metrics net.Listener
+	callers, ready, metrics, peers net.Listener
 	// draining is set when the drain starts, closingConnections once responses close their connections, and refusingLate
 	// once requests that could not end in time are refused.
 	draining           atomic.Bool
@@ -146,6 +147,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryBytes)))
 	}
 	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement, rand.Uint64()), pool: direct.NewPool()}
+	e.exchange = newConfigurationExchange(e)
 	e.configuration, e.replicas = e.followConfiguration(), e.followReplicas()
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
 	e.placer.Limits = place.NewReplicaLimits(node.Address.String())
@@ -163,6 +165,7 @@
 	}{
 		{node.CallerListen, &e.callers}, {node.ReadyListen, &e.ready},
 		{netip.AddrPortFrom(node.Address, uint16(cfg.MetricsPort)), &e.metrics},
+		{netip.AddrPortFrom(node.Address, node.PeerPort), &e.peers},
 	} {
 		if *l.listener, err = net.Listen("tcp4", l.address.String()); err != nil {
 			e.closeSockets()
@@ -175,7 +178,7 @@
 // closeSockets closes what New has opened, when it fails.
 func (e *Edge) closeSockets() {
 	e.gossip.Close()
-	for _, l := range []net.Listener{e.callers, e.ready, e.metrics} {
+	for _, l := range []net.Listener{e.callers, e.ready, e.metrics, e.peers} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -222,7 +225,7 @@
 	own := map[place.Key]place.Load{}
 	now := time.Now()
 	state := gossip.State{Changes: e.placer.Loads.Own(own, now), Quarantine: e.guard.tracker.Digest(), Freshness: gossip.Freshness{
-		Configuration: e.configuration.synced.snapshot(now), Replicas: e.replicas.synced.snapshot(now), StoreFailing: e.storeFailing.Load(),
+		Configuration: e.configuration.synced.snapshot(now), Replicas: e.replicas.synced.snapshot(now), StoreFailing: e.storeFailing.Load(), Version: e.version(),
 	}}
 	for k, l := range own {
 		state.Loads = append(state.Loads, gossip.Load{
@@ -241,6 +244,7 @@
 	now := time.Now()
 	e.configuration.applySyncedRange(r.Freshness.Configuration, e.registry, now)
 	e.replicas.applySyncedRange(r.Freshness.Replicas, e.registry, now)
+	e.exchange.onReport(from, r.Freshness, now)
 	e.guard.onDigest(from, r.Quarantine, now)
 	loads := make(map[place.Key]place.Load, len(r.Loads))
 	for _, l := range r.Loads {
@@ -270,7 +274,8 @@
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: e.observer.serverLog()}
 	metricsServer := &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: e.observer.serverLog()}
-	failed := make(chan error, 3)
+	peerServer := &http.Server{Handler: e.exchange, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: e.observer.serverLog()}
+	failed := make(chan error, 4)
 	serve := func(s *http.Server, l net.Listener) {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			failed <- fmt.Errorf("serve on %s: %w", l.Addr(), err)
@@ -279,6 +284,7 @@
 	go serve(server, e.callers)
 	go serve(readyServer, e.ready)
 	go serve(metricsServer, e.metrics)
+	go serve(peerServer, e.peers)
 	e.deps.Log.Emit(eventlog.EdgeStarted, eventlog.Address(e.node.CallerListen.String()))
 	var err error
 	select {
@@ -288,6 +294,7 @@
 	}
 	_ = readyServer.Close()
 	_ = metricsServer.Close()
+	_ = peerServer.Close()
 	stop()
 	tasks.Wait()
 	return err
--- /dev/null
+++ b/internal/app/edge/exchange.go
@@ -0,0 +1,135 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
+	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+)
+
+const (
+	// behindDelay is how long another edge may have a newer configuration before this one asks it. An edge that hears of a change
+	// reads it from the store within some ms, unless the store refuses it or the change was missed.
+	behindDelay = 300 * time.Millisecond
+	// fetchTimeout bounds one fetch of the configuration from another edge.
+	fetchTimeout = time.Second
+	// configurationPath is served to other edges over TCP, at the number of the port for datagrams.
+	configurationPath = "/configuration"
+)
+
+// configurationJSON is a configuration as one edge sends it to another.
+type configurationJSON struct {
+	Revision uint64 `json:"revision"`
+	Value    []byte `json:"value"`
+}
+
+// configurationExchange gets the configuration from other edges when they have a newer one and the store does not deliver it.
+type configurationExchange struct {
+	edge   *Edge
+	client *http.Client
+
+	mu sync.Mutex
+	// current is the object of the configuration in force, for other edges.
+	current store.Object
+	// behindSince is when another edge first reported a newer configuration, or zero.
+	behindSince time.Time
+	fetching    bool
+}
+
+func newConfigurationExchange(e *Edge) *configurationExchange {
+	dialer := &net.Dialer{Timeout: fetchTimeout, LocalAddr: &net.TCPAddr{IP: e.node.Address.AsSlice()}}
+	return &configurationExchange{edge: e, client: &http.Client{
+		Timeout: fetchTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+	}}
+}
+
+// applied records the object of the configuration that is now in force.
+func (x *configurationExchange) applied(o store.Object) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if o.Revision > x.current.Revision {
+		x.current = o
+	}
+}
+
+// onReport compares the version of another edge with the own one.
+func (x *configurationExchange) onReport(from netip.Addr, f gossip.Freshness, now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch own := x.edge.version(); {
+	case f.Version == own:
+		x.behindSince = time.Time{}
+	case f.Version < own || x.fetching:
+	case own == 0: // a new process serves nothing before it has read the store: others may have been cut off from it
+	case x.behindSince.IsZero():
+		x.behindSince = now
+	case now.Sub(x.behindSince) >= behindDelay:
+		x.fetching = true
+		go x.fetch(from)
+	}
+}
+
+// fetch gets and applies the configuration of another edge.
+func (x *configurationExchange) fetch(from netip.Addr) {
+	o, err := x.get(from)
+	if err == nil && x.edge.acceptConfiguration(o) {
+		x.edge.configuration.synced.onReceived(time.Now())
+		x.edge.deps.Log.Emit(eventlog.EdgeConfigurationReceived, eventlog.Peer(from.String()), eventlog.Version(x.edge.version()))
+	}
+	if err != nil {
+		x.edge.observer.logError(eventlog.EdgeGossipFailed, fmt.Errorf("configuration of %s: %w", from, err))
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.fetching, x.behindSince = false, time.Time{}
+}
+
+func (x *configurationExchange) get(from netip.Addr) (store.Object, error) {
+	url := "http://" + netip.AddrPortFrom(from, x.edge.node.PeerPort).String() + configurationPath
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	if err != nil {
+		return store.Object{}, err
+	}
+	response, err := x.client.Do(request)
+	if err != nil {
+		return store.Object{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return store.Object{}, fmt.Errorf("status %d", response.StatusCode)
+	}
+	var content configurationJSON
+	// The value is base64 in JSON.
+	if err := json.NewDecoder(io.LimitReader(response.Body, 2*store.MaxValue)).Decode(&content); err != nil {
+		return store.Object{}, err
+	}
+	source := &x.edge.deps.Source
+	return store.Object{Kind: source.ConfigurationKind, Name: source.ConfigurationName, Revision: content.Revision, Version: content.Revision, Value: content.Value}, nil
+}
+
+// ServeHTTP serves the configuration to other live edges only, because it has callers' keys.
+func (x *configurationExchange) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	peer, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil || !slices.Contains(x.edge.gossip.LivePeers(), peer.Addr().Unmap()) {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	x.mu.Lock()
+	current := x.current
+	x.mu.Unlock()
+	if r.URL.Path != configurationPath || current.Revision == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, http.StatusOK, configurationJSON{Revision: current.Revision, Value: current.Value})
+}
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -99,21 +99,10 @@
 
 func (e *Edge) followConfiguration() *followed {
 	source := &e.deps.Source
-	accept := func(o store.Object) (changed bool) {
-		if o.Name != source.ConfigurationName || o.Deleted {
-			return false
-		}
-		v, err := source.Configuration(o)
-		if err != nil {
-			e.deps.Log.Emit(eventlog.EdgeConfigurationInvalid, eventlog.Err(err))
-			return false
-		}
-		return e.applyConfiguration(v)
-	}
 	return e.follow(configurationObjects, source.ConfigurationKind, e.node.ApplyBound,
 		func(f *followed, objects []store.Object) {
 			for _, o := range objects {
-				if accept(o) {
+				if e.acceptConfiguration(o) {
 					f.synced.onChange()
 				}
 			}
@@ -126,11 +115,28 @@
 			if err != nil {
 				return err
 			}
-			f.synced.onList(accept(o), time.Now())
+			f.synced.onList(e.acceptConfiguration(o), time.Now())
 			return nil
 		})
 }
 
+// acceptConfiguration applies an object if it is a newer configuration, and reports whether it is.
+func (e *Edge) acceptConfiguration(o store.Object) (changed bool) {
+	if o.Name != e.deps.Source.ConfigurationName || o.Deleted {
+		return false
+	}
+	v, err := e.deps.Source.Configuration(o)
+	if err != nil {
+		e.deps.Log.Emit(eventlog.EdgeConfigurationInvalid, eventlog.Err(err))
+		return false
+	}
+	if !e.applyConfiguration(v) {
+		return false
+	}
+	e.exchange.applied(o)
+	return true
+}
+
 // applyConfiguration puts a configuration in force and reports whether it is newer than the one in force.
 func (e *Edge) applyConfiguration(v *routes.Version) bool {
 	if !e.routes.Offer(v) {
--- a/internal/app/edge/synced.go
+++ b/internal/app/edge/synced.go
@@ -44,6 +44,14 @@
 	t.changed = changed && t.synced.To > 0
 }
 
+// onReceived records that this edge got an object from another edge. As after a list, its next calls may deliver the write again
+// without a change.
+func (t *syncTracker) onReceived(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nonExtending, t.listedAt = nonExtendingCalls, now
+}
+
 // onAdvance records that this edge has applied what another edge read with a call that began at the given time. A call that
 // began after the list has read all writes that the list contains.
 func (t *syncTracker) onAdvance(began time.Time) {
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -76,6 +76,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Configuration and Replicas are the synced ranges of the kinds that the entries follow.
 	Configuration, Replicas SyncedRange
+	// Version is the number of the configuration in force at the sender, or 0.
+	Version uint64
 	// StoreFailing is set if the sender's latest store call failed, so that other entries don't rely on its calls.
 	StoreFailing bool
 }
