edge: changes of the list from another edge are not in the range that an edge publishes

An edge that missed the update with a change of the list of replicas never got the change: a draining replica stayed in use there, or a moved one unused.

Cause: an edge that got the change in an update, and later began to poll, published a range of revisions 'without a change' that included it, because only its own calls moved the range. An edge that the store refused for a while, or that had just missed the update, continued after that range. The configuration is not affected, updates never carry it.

Evidence: TestChangeFromAnUpdateIsNotInTheSyncedRange fails without the change (the address stays 'first') and passes with it.

--- a/internal/app/edge/synced.go
+++ b/internal/app/edge/synced.go
@@ -52,6 +52,13 @@
 	t.nonExtending, t.listedAt = nonExtendingCalls, now
 }
 
+// onApplied records that this edge got changes up to the revision from another edge: they are not in the ranges that it publishes.
+func (t *syncTracker) onApplied(revision uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.synced.From = max(t.synced.From, revision)
+}
+
 // onAdvance records that this edge has applied what another edge read with a call that began at the given time. A call that
 // began after the list has read all writes that the list contains.
 func (t *syncTracker) onAdvance(began time.Time) {
--- a/internal/app/edge/synced_test.go
+++ b/internal/app/edge/synced_test.go
@@ -61,6 +61,8 @@
 	sent      atomic.Int64
 	// stopped is the number of edges before the first member.
 	stopped int
+	// deaf gets nothing from the other members; it may be nil.
+	deaf atomic.Pointer[member]
 }
 
 // member is the part of an edge that follows the list.
@@ -126,7 +128,7 @@
 		updates[i].Synced = from.synced.snapshot(time.Now())
 	}
 	for _, to := range c.members {
-		if to == from {
+		if to == from || to == c.deaf.Load() {
 			continue
 		}
 		for _, u := range updates {
@@ -158,6 +160,9 @@
 			now := time.Now()
 			for _, from := range c.members {
 				for _, to := range c.members {
+					if to == c.deaf.Load() {
+						continue
+					}
 					to.applySyncedRange(from.synced.snapshot(now), to.registry, now)
 				}
 			}
@@ -380,3 +385,50 @@
 		t.Errorf("after a list with changes: %+v, want From 60, LastChange 50, AgeMs 1000", synced)
 	}
 }
+
+// Guards against a change of the list that an edge never gets: it missed the update, and continues after the change with the synced range
+// of an edge that got the change in an update and has begun to poll since.
+func TestChangeFromAnUpdateIsNotInTheSyncedRange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		list := &fakeList{}
+		for i := range 5 {
+			list.write(fmt.Sprintf("r-%d", i), "first")
+		}
+		c := &fleet{list: list}
+		c.start(ctx, 3, 0, true)
+		refused, next := c.members[0], c.members[2]
+		renew := func(d time.Duration) {
+			for range d / (25 * time.Millisecond) {
+				time.Sleep(25 * time.Millisecond)
+				list.write("r-1", "first")
+			}
+		}
+		renew(4 * time.Second)
+		list.mu.Lock()
+		list.refusedClients = 1
+		list.mu.Unlock()
+		renew(2 * time.Second) // the poller polls for all
+		c.deaf.Store(refused)
+		list.write("r-0", "moved")
+		renew(time.Second)
+		if r, _ := next.registry.View().Get("r-0"); r == nil || r.Address != "moved" {
+			t.Fatal("the update did not reach the next edge")
+		}
+		list.mu.Lock()
+		list.refusedClients = 2 // the poller too, so that the next edge polls
+		list.mu.Unlock()
+		renew(6 * time.Second) // recent updates don't contain the change any more
+		c.deaf.Store(nil)
+		renew(3 * time.Second)
+		list.mu.Lock()
+		list.refusedClients = 0
+		list.mu.Unlock()
+		renew(3 * time.Second)
+		if r, _ := refused.registry.View().Get("r-0"); r == nil || r.Address != "moved" {
+			t.Errorf("the edge that missed the update has %+v", r)
+		}
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -336,6 +336,7 @@
 		f.synced.onAdvance(at)
 		registry.StoreResponded(now)
 		if len(registry.Apply(unread(changes, read), now)) > 0 {
+			f.synced.onApplied(u.To)
 			onChange()
 		}
 	})
