--- a/internal/app/edge/exchange.go
+++ b/internal/app/edge/exchange.go
@@ -84,7 +84,7 @@
 	o, err := x.get(from)
 	if err == nil && x.edge.acceptConfiguration(o) {
 		x.edge.configuration.synced.onReceived(time.Now())
-		x.edge.deps.Log.Emit(eventlog.EdgeConfigurationReceived, eventlog.Peer(from.String()), eventlog.Version(x.edge.version()))
+		x.edge.deps.Log.Emit(eventlog.EdgeConfigurationFetched, eventlog.Peer(from.String()), eventlog.Version(x.edge.version()))
 	}
 	if err != nil {
 		x.edge.observer.logError(eventlog.EdgeGossipFailed, fmt.Errorf("configuration of %s: %w", from, err))
--- a/internal/request/place/limits.go
+++ b/internal/request/place/limits.go
@@ -226,21 +226,17 @@
 	}
 }
 
-// Allows reports whether a request may be sent to the replica now.
-func (l *ReplicaLimits) Allows(replica Key, now time.Time) bool {
-	if l.active.Load() == 0 {
-		return true
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// limitOf returns the limit of a replica with what it allows now, or nil if it has none. The caller holds the lock.
+func (l *ReplicaLimits) limitOf(replica Key, now time.Time) *replicaLimit {
 	r := l.replicas[replica]
 	if r == nil || r.withdrawn {
-		return true
+		return nil
 	}
 	r.refill(now)
-	return r.allowed >= r.needed
+	return r
 }
 
+// isLimited reports whether the replica has named a limit.
 func (l *ReplicaLimits) isLimited(replica Key) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -248,6 +244,17 @@
 	return r != nil && !r.withdrawn
 }
 
+// Allows reports whether a request may be sent to the replica now.
+func (l *ReplicaLimits) Allows(replica Key, now time.Time) bool {
+	if l.active.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.limitOf(replica, now)
+	return r == nil || r.allowed >= r.needed
+}
+
 // Take counts a request that is sent to the replica, if that is allowed.
 func (l *ReplicaLimits) Take(replica Key, now time.Time) bool {
 	if l.active.Load() == 0 {
@@ -255,12 +262,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.replicas[replica]
-	if r == nil || r.withdrawn {
+	r := l.limitOf(replica, now)
+	switch {
+	case r == nil:
 		return true
-	}
-	r.refill(now)
-	if r.allowed < r.needed {
+	case r.allowed < r.needed:
 		return false
 	}
 	r.allowed--
@@ -286,8 +292,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for replica, n := range sends {
-		if r := l.replicas[replica]; r != nil && !r.withdrawn {
-			r.refill(now)
+		if r := l.limitOf(replica, now); r != nil {
 			r.allowed = max(-maxOverdrawn, r.allowed-float64(n))
 		}
 	}
@@ -307,11 +312,10 @@
 func (l *ReplicaLimits) Wait(replica Key, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.replicas[replica]
-	if r == nil || r.withdrawn {
+	r := l.limitOf(replica, now)
+	if r == nil {
 		return 0
 	}
-	r.refill(now)
 	return min(maxLimitWait, time.Duration(max(0, r.needed-r.allowed)/r.rate*float64(time.Second)))
 }
 
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -128,7 +128,7 @@
 type Placer struct {
 	Loads  *LoadTracker
 	Health *Health
-	// Limits are those of a single entry; several that divide the limits have others.
+	// Limits are those that replicas have named. New sets those of a single entry; one of several replaces them.
 	Limits *ReplicaLimits
 	sizes  *PromptSizes
 	cached *cachedParts
