quarantine: a trial is one request that is sent, not one that is checked

A request is checked when it arrives and again when it is sent. The first check already counted as the trial, so that the second one refused it: a part that had become sound was never tried. With the simulation checking twice, as an edge does, TestPartThatIsSoundAgainIsTriedRarely fails without this change.

--- a/internal/app/edge/quarantine.go
+++ b/internal/app/edge/quarantine.go
@@ -97,11 +97,11 @@
 }
 
 // Admit implements forward.Guard.
-func (g *guard) Admit(r *forward.Request) (time.Duration, bool) {
+func (g *guard) Admit(r *forward.Request, sending bool) (time.Duration, bool) {
 	if g.tracker.Active() == 0 {
 		return 0, true
 	}
-	a := g.tracker.Admit(r.SharedParts(), time.Now())
+	a := g.tracker.Admit(r.SharedParts(), sending, time.Now())
 	return a.RetryAfter, a.Allowed
 }
 
--- a/internal/process/quarantine/entries.go
+++ b/internal/process/quarantine/entries.go
@@ -67,8 +67,9 @@
 	RetryAfter time.Duration
 }
 
-// Admit decides whether a request with the shared parts may be sent. It allows the trials of quarantined parts.
-func (t *Tracker) Admit(parts []string, now time.Time) Admission {
+// Admit decides whether a request with the shared parts may be sent. It allows the trials of quarantined parts; with sending set,
+// the request is sent now and counts as the trial.
+func (t *Tracker) Admit(parts []string, sending bool, now time.Time) Admission {
 	if t.active.Load() == 0 {
 		return Admission{Allowed: true}
 	}
@@ -86,6 +87,9 @@
 		trials = append(trials, e)
 	}
 	for _, e := range trials {
+		if !sending {
+			break
+		}
 		e.Trials, e.Reason = min(e.Trials+1, maxTrials), ReasonTrial
 		t.set(e, now)
 	}
--- a/internal/process/quarantine/fleet_test.go
+++ b/internal/process/quarantine/fleet_test.go
@@ -176,7 +176,8 @@
 
 func (s *simulation) send(e *entry, parts []string, retry bool) {
 	bad := s.isBad(parts)
-	allowed := e.tracker.Admit(parts, s.now).Allowed
+	// A request is checked when it arrives and when it is sent.
+	allowed := e.tracker.Admit(parts, false, s.now).Allowed && e.tracker.Admit(parts, true, s.now).Allowed
 	if !bad {
 		s.sent++
 		if !allowed {
--- a/internal/process/quarantine/quarantine_test.go
+++ b/internal/process/quarantine/quarantine_test.go
@@ -140,7 +140,7 @@
 	}
 	other.Merge(o.Entries(), o.now)
 	old := other.Entries()
-	if a := other.Admit([]string{"bad"}, o.now); a.Allowed || a.RetryAfter <= 0 {
+	if a := other.Admit([]string{"bad"}, true, o.now); a.Allowed || a.RetryAfter <= 0 {
 		t.Errorf("an entry that was told does not hold it back: %+v", a)
 	}
 	if !o.Lift("bad", o.now) || o.Lift("bad", o.now) {
@@ -149,7 +149,7 @@
 	o.Merge(old, o.now)
 	other.Merge(o.Entries(), o.now)
 	for _, tracker := range []*observer{o, other} {
-		if held := heldParts(tracker.Tracker); len(held) > 0 || !tracker.Admit([]string{"bad"}, o.now).Allowed {
+		if held := heldParts(tracker.Tracker); len(held) > 0 || !tracker.Admit([]string{"bad"}, true, o.now).Allowed {
 			t.Errorf("held %v after the quarantine was lifted", held)
 		}
 	}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -178,8 +178,9 @@
 
 // Guard decides by the shared parts of a request's prompt whether it may be sent. It is safe for concurrent use.
 type Guard interface {
-	// Admit reports whether the request may be sent. If not, it returns the time after which the caller should return.
-	Admit(r *Request) (retryAfter time.Duration, ok bool)
+	// Admit reports whether the request may be sent; with sending set, it is sent now. If not, it returns the time after which the
+	// caller should return.
+	Admit(r *Request, sending bool) (retryAfter time.Duration, ok bool)
 	// Interrupted reports whether an interrupted request may be sent to another replica. It may block for a moment to find out
 	// whether the replica has crashed.
 	Interrupted(ctx context.Context, i Interruption) bool
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -65,7 +65,7 @@
 		if err := ctx.Err(); err != nil {
 			return s.endByContext(err)
 		}
-		if retryAfter, ok := s.f.Guard.Admit(s.r); !ok {
+		if retryAfter, ok := s.f.Guard.Admit(s.r, false); !ok {
 			return s.refuse(CodeQuarantined, retryAfter)
 		}
 		waiter, ok := s.f.Placer.Enqueue(s.job(), time.Now())
@@ -152,7 +152,7 @@
 	if left < minTimeLeft {
 		return stop(s.endByContext(context.DeadlineExceeded))
 	}
-	if retryAfter, ok := s.f.Guard.Admit(r); !ok {
+	if retryAfter, ok := s.f.Guard.Admit(r, true); !ok {
 		return stop(s.refuse(CodeQuarantined, retryAfter)) // quarantined while the request waited
 	}
 	s.choice = c
