--- a/internal/app/edge/exchange.go
+++ b/internal/app/edge/exchange.go
@@ -40,10 +40,9 @@
 
 	mu sync.Mutex
 	// current is the object of the configuration in force, for other edges.
-	current store.Object
-	// behindSince is when another edge first reported a newer configuration, or zero.
-	behindSince time.Time
-	fetching    bool
+	current  store.Object
+	lag      versionLag
+	fetching bool
 }
 
 func newConfigurationExchange(e *Edge) *configurationExchange {
@@ -66,19 +65,31 @@
 func (x *configurationExchange) onReport(from netip.Addr, f gossip.Freshness, now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	switch own := x.edge.version(); {
-	case f.Version == own:
-		x.behindSince = time.Time{}
-	case f.Version < own || x.fetching:
-	case own == 0: // a new process serves nothing before it has read the store: others may have been cut off from it
-	case x.behindSince.IsZero():
-		x.behindSince = now
-	case now.Sub(x.behindSince) >= behindDelay:
+	if !x.fetching && x.lag.isFetchDue(x.edge.version(), f.Version, now) {
 		x.fetching = true
 		go x.fetch(from)
 	}
 }
 
+// versionLag tells how long another edge has had a newer configuration.
+type versionLag struct {
+	// since is when another edge first reported a newer version than own, which was in force here.
+	since time.Time
+	own   uint64
+}
+
+// isFetchDue reports whether the edge, which has the version own, should fetch the configuration of one that reports another version.
+// A new process, without a version, should not: it serves nothing before it has read the store, from which others may be cut off.
+func (l *versionLag) isFetchDue(own, reported uint64, now time.Time) bool {
+	if own == 0 || reported <= own {
+		return false
+	}
+	if l.own != own {
+		l.since, l.own = now, own
+	}
+	return now.Sub(l.since) >= behindDelay
+}
+
 // fetch gets and applies the configuration of another edge.
 func (x *configurationExchange) fetch(from netip.Addr) {
 	o, err := x.get(from)
@@ -91,7 +102,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.fetching, x.behindSince = false, time.Time{}
+	x.fetching, x.lag = false, versionLag{}
 }
 
 func (x *configurationExchange) get(from netip.Addr) (store.Object, error) {
