replicas: an outage of the store that only some edges had does not keep removed replicas

Cause: edges that had been cut off reported the end of an outage, and all edges kept registrations that were removed since. The store had served the others meanwhile. Now such a report counts only if no response of the store was known for 2 s.

--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -77,6 +77,9 @@
 	// outageEnd is the end of the last outage of the store, or the zero time if there was none.
 	outageEnd time.Time
 	outage    bool
+	// respondedAt is the last response of the store, to this process or another one, and silenceEnd the first one after a time
+	// of minOutage without any.
+	respondedAt, silenceEnd time.Time
 	// listed is set once a complete list was read.
 	listed bool
 	view   atomic.Pointer[View]
@@ -123,13 +126,23 @@
 	if r.outage {
 		r.outage, r.outageEnd = false, now
 	}
+	if now.Sub(r.respondedAt) >= minOutage {
+		r.silenceEnd = now
+	}
+	r.respondedAt = now
 }
 
-// StoreRecovered records that an outage of the store, which this process may not have noticed, ended at the given time.
+// minOutage is the shortest time without a response of the store to any process that counts as an outage for all of them. The
+// processes together call it more than once in this time, also when the first ones are cut off.
+const minOutage = 2 * time.Second
+
+// StoreRecovered records that an outage of the store, which this process may not have noticed, ended at the given time for another
+// process. It does not count if the store has responded to others meanwhile: then only that process was cut off or refused.
 func (r *Registry) StoreRecovered(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at.After(r.outageEnd) {
+	wasSilent := at.Sub(r.respondedAt) >= minOutage || at.Sub(r.silenceEnd).Abs() < minOutage
+	if wasSilent && at.After(r.outageEnd) {
 		r.outageEnd = at
 	}
 }
--- a/internal/process/replicas/replicas_test.go
+++ b/internal/process/replicas/replicas_test.go
@@ -109,3 +109,33 @@
 		}
 	})
 }
+
+// Guards against a replica that has left and is kept for the time after an outage of the store, because some processes could not reach
+// the store while it served the others (tilemend-tw-grown trouble-1, seed 379104803487: DRAIN); and against the reverse after
+// a real outage.
+func TestOutageOfOtherProcessesIsNoneHere(t *testing.T) {
+	epoch := time.Unix(1000, 0)
+	removed := func(responses []time.Duration, recovered time.Duration) bool {
+		r := replicas.NewRegistry()
+		r.Replace([]replicas.Change{{ID: "r-1", Replica: &replicas.Replica{ID: "r-1", Service: "s"}}}, epoch)
+		for _, at := range responses {
+			if at > recovered {
+				break
+			}
+			r.StoreResponded(epoch.Add(at))
+		}
+		r.StoreRecovered(epoch.Add(recovered))
+		r.Apply([]replicas.Change{{ID: "r-1"}}, epoch.Add(recovered+100*time.Millisecond))
+		return r.View().Len() == 0
+	}
+	const ms = time.Millisecond
+	if !removed([]time.Duration{0, 700 * ms, 1400 * ms, 2700 * ms, 3400 * ms}, 3500*ms) {
+		t.Error("a replica that has left is kept although the store has served this process all the time")
+	}
+	if removed([]time.Duration{0, 700 * ms}, 4000*ms) {
+		t.Error("a replica is removed after an outage that this process has not noticed")
+	}
+	if removed([]time.Duration{0, 700 * ms, 4010 * ms}, 4020*ms) {
+		t.Error("a replica is removed because the first response after an outage came before the message about it")
+	}
+}
