--- a/internal/app/edge/schedules_test.go
+++ b/internal/app/edge/schedules_test.go
@@ -150,9 +150,12 @@
 	rng   *rand.Rand
 	store *configStore
 	edges []*scheduledEdge
-	loss  float64
-	lossM sync.Mutex
 	log   []string
+
+	// lossMu guards the share of the messages that is lost, and what draws them.
+	lossMu  sync.Mutex
+	loss    float64
+	lossRng *rand.Rand
 }
 
 func (s *schedule) newEdge(index int) *scheduledEdge {
@@ -223,9 +226,9 @@
 		return
 	}
 	for _, to := range s.edges {
-		s.lossM.Lock()
-		lost := s.rng.Float64() < s.loss
-		s.lossM.Unlock()
+		s.lossMu.Lock()
+		lost := s.lossRng.Float64() < s.loss
+		s.lossMu.Unlock()
 		if to == from || lost {
 			continue
 		}
@@ -288,8 +291,11 @@
 		event = "compact"
 		s.store.compact()
 	case 5:
-		s.loss = []float64{0, 0.1, 0.4}[s.rng.IntN(3)]
-		event = fmt.Sprint("loss ", s.loss)
+		loss := []float64{0, 0.1, 0.4}[s.rng.IntN(3)]
+		s.lossMu.Lock()
+		s.loss = loss
+		s.lossMu.Unlock()
+		event = fmt.Sprint("loss ", loss)
 	default:
 		event = "change"
 		s.store.change()
@@ -363,7 +369,7 @@
 func TestConfigurationIsInForceInDrawnSchedules(t *testing.T) {
 	for n := range *schedules {
 		seed := *firstSchedule + uint64(n)
-		s := &schedule{rng: rand.New(rand.NewPCG(seed, 24)), store: &configStore{revision: 10}}
+		s := &schedule{rng: rand.New(rand.NewPCG(seed, 24)), lossRng: rand.New(rand.NewPCG(seed, 25)), store: &configStore{revision: 10}}
 		if broken := s.run(t); broken != "" {
 			t.Fatalf("schedule %d: %s; %s", seed, broken, strings.Join(s.log, ", "))
 		}
