--- a/review/standin/edge.go
+++ b/review/standin/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -82,16 +83,22 @@
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "DRAGONFLYPIN_NODE_FILE=" + e.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopped {
+		return errStopped
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	e.mu.Lock()
 	e.cmd = cmd
-	e.mu.Unlock()
 	e.rec.line("%s started", e.name)
 	return nil
 }
 
+// errStopped is returned by start after stop: the process must not be started again.
+var errStopped = errors.New("stopped")
+
 // restartDelay is the platform's delay before it starts an ended process again.
 const restartDelay = 500 * time.Millisecond
 
@@ -131,7 +138,11 @@
 		}
 		e.rec.line("%s ended: %v", e.name, err)
 		time.Sleep(restartDelay)
-		if err := e.start(); err != nil {
+		err = e.start()
+		if errors.Is(err, errStopped) {
+			return
+		}
+		if err != nil {
 			e.rec.line("%s does not start: %v", e.name, err)
 			return
 		}
