edge: the log says after which event a stream resumed, which event was last and how the response was framed

The hypotheses of the ORDER incident could not be told apart by the logs: a delivered stream of two parts looked the same whatever the second replica had sent, and a stream that ended with its connection looked like one that ended in chunks.

--- a/internal/app/edge/observe.go
+++ b/internal/app/edge/observe.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/metrics"
 	"github.com/dragonflypin/dragonflypin/internal/request/forward"
+	"github.com/dragonflypin/dragonflypin/internal/version/routes"
 )
 
 // errorLogInterval is the minimum time between two log lines of the same error event.
@@ -101,9 +102,19 @@
 	if !o.allowLine() {
 		return
 	}
-	o.log.Emit(eventlog.EdgeAttemptFailed,
+	fields := []eventlog.Field{
 		eventlog.Request(r.ID), eventlog.Class(r.Route.Name), eventlog.Upstream(a.Choice.Replica.ID), eventlog.Reason(string(a.Choice.Reason)),
-		eventlog.Attempts(a.Number), eventlog.Status(a.Status), eventlog.Took(a.Took), eventlog.Answering(a.Answering), eventlog.PromptParts(r.SharedParts()), eventlog.Err(a.Err))
+		eventlog.Attempts(a.Number), eventlog.Status(a.Status), eventlog.Took(a.Took), eventlog.Answering(a.Answering), eventlog.PromptParts(r.SharedParts()), eventlog.Err(a.Err),
+	}
+	o.log.Emit(eventlog.EdgeAttemptFailed, append(fields, streamFields(r, a.Stream)...)...)
+}
+
+// streamFields describes the part of a stream that one replica has sent.
+func streamFields(r *forward.Request, part forward.StreamPart) []eventlog.Field {
+	if r.Route.Kind != routes.Streaming {
+		return nil
+	}
+	return []eventlog.Field{eventlog.ResumedAfter(part.ResumedAfter), eventlog.LastEvent(part.LastEvent), eventlog.Framing(string(part.Framing))}
 }
 
 // Ended implements forward.Observer.
@@ -126,7 +137,7 @@
 	if e.Choice.Source != nil {
 		fields = append(fields, eventlog.FetchedFrom(e.Choice.Source.ID))
 	}
-	o.log.Emit(eventlog.EdgeRequestEnded, fields...)
+	o.log.Emit(eventlog.EdgeRequestEnded, append(fields, streamFields(r, e.Stream)...)...)
 }
 
 // inTime reports whether a successful response reached the caller within the latency targets of its route.
--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -140,8 +140,8 @@
 
 // discard reads and drops the body of a response that belongs to another request.
 func discard(resp *http.Response) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return errUnmatched // the body ends with the connection, so no other response can follow
+	if framingOf(resp) == FramedByConnection {
+		return errUnmatched // no other response can follow
 	}
 	n, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBytes)
 	switch {
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -65,6 +65,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
+	// Framing says what ends the body.
+	Framing Framing
 
 	body     io.ReadCloser
 	exchange *exchange
@@ -74,6 +76,27 @@
 	connectionClose bool
 }
 
+// Framing is what ends the body of a response.
+type Framing string
+
+// Framings.
+const (
+	FramedByLength     Framing = "length"
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection"
+)
+
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	case resp.ContentLength >= 0:
+		return FramedByLength
+	default:
+		return FramedByConnection
+	}
+}
+
 // Pool is a pool of connections to replicas. It is safe for concurrent use.
 type Pool struct {
 	dialer *net.Dialer
@@ -235,7 +258,7 @@
 		}
 		if request.Matches == nil || request.Matches(resp.StatusCode, resp.Header) {
 			return &Response{
-				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp),
 				body: resp.Body, exchange: x, connectionClose: resp.Close,
 			}, nil
 		}
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -143,6 +143,15 @@
 // Answering is the time from the first event of a response to its interruption, in milliseconds; 0 before the first event.
 func Answering(d time.Duration) Field { return Field{"answering_ms", milliseconds(d)} }
 
+// ResumedAfter is the ID of the stream event after which an upstream was asked to begin; empty for the start of the stream.
+func ResumedAfter(id string) Field { return Field{"resumed_after", truncate(id)} }
+
+// LastEvent is the ID of the last stream event that the caller has received.
+func LastEvent(id string) Field { return Field{"last_event", truncate(id)} }
+
+// Framing is what ends the body of a response: its length, chunks or the connection.
+func Framing(name string) Field { return Field{"framing", name} }
+
 // PromptParts are the IDs of prompt parts, which are opaque to the router. It is empty for requests without a prompt.
 func PromptParts(ids []string) Field { return Field{"prompt_parts", truncate(strings.Join(ids, ","))} }
 
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -108,7 +108,7 @@
 	if errors.As(err, &caller) {
 		return stop(End{Outcome: OutcomeAbandoned, Err: err})
 	}
-	attempt.Err, attempt.Answering = err, tracker.answering()
+	attempt.Err, attempt.Answering, attempt.Stream = err, tracker.answering(), s.streamPart()
 	s.f.Observer.Attempted(s.r, attempt)
 	s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, true, time.Now())
 	return s.retryInterrupted(ctx, tracker, err)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -142,7 +142,19 @@
 	Total     time.Duration
 	// LongestGap is the longest gap between two writes of the response body.
 	LongestGap time.Duration
-	Err        error
+	// Stream describes the response of the last send, if it was a stream.
+	Stream StreamPart
+	Err    error
+}
+
+// StreamPart is the part of a stream that one replica has sent.
+type StreamPart struct {
+	// ResumedAfter is the ID of the event after which the replica was asked to begin, or empty for the start of the stream.
+	ResumedAfter string
+	// LastEvent is the ID of the last event that the caller has received, from this replica or one before it.
+	LastEvent string
+	// Framing is empty before a response.
+	Framing direct.Framing
 }
 
 // Outcomes of an End.
@@ -165,6 +177,8 @@
 	Took time.Duration
 	// Answering is the time between the first event and an interruption of the response, or 0 before the first event.
 	Answering time.Duration
+	// Stream is set for streams.
+	Stream StreamPart
 }
 
 // Interruption is a request whose response was interrupted or never began.
@@ -219,6 +233,6 @@
 	end := s.run(ctx)
 	end.Total = time.Since(r.Arrived)
 	end.Attempts, end.Choice = s.sends, s.choice
-	end.Queued, end.FirstByte, end.LongestGap = s.queued, s.firstByte, s.longestGap
+	end.Queued, end.FirstByte, end.LongestGap, end.Stream = s.queued, s.firstByte, s.longestGap, s.streamPart()
 	f.Observer.Ended(r, end)
 }
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -42,6 +42,8 @@
 	responseStarted bool
 	// resumeAfter is the ID of the last event that the caller has received.
 	resumeAfter string
+	// part describes the last send of a stream; its LastEvent is resumeAfter.
+	part StreamPart
 	// mayHaveRun is set when a replica may have worked on the request.
 	mayHaveRun bool
 
@@ -163,11 +165,12 @@
 		Matches: func(status int, h http.Header) bool { return s.f.Dialect.Matches(r, status, h) },
 	}
 	tracker.sent = time.Now()
+	s.part = StreamPart{ResumedAfter: s.resumeAfter}
 	response, err := s.f.Pool.Do(ctx, request)
 	if s.sends == 0 {
 		s.queued = sent.Sub(r.Arrived)
 	}
-	attempt := Attempt{Choice: c, Number: s.sends + 1, Took: time.Since(sent), Err: err}
+	attempt := Attempt{Choice: c, Number: s.sends + 1, Took: time.Since(sent), Stream: s.streamPart(), Err: err}
 	if err != nil && ctx.Err() != nil {
 		// The connection was closed because the context ended, so that the error of the connection is of no use.
 		attempt.Err = context.Cause(ctx)
@@ -182,7 +185,9 @@
 		return s.handleNoResponse(ctx, tracker, err)
 	}
 	defer response.Close()
+	s.part.Framing = response.Framing
 	attempt.Status, attempt.Verdict = response.Status, s.f.Dialect.Verdict(response.Status, response.Header)
+	attempt.Stream = s.streamPart()
 	if attempt.Verdict != WrongReplica {
 		s.recordLimit(tracker, response)
 	}
@@ -193,6 +198,15 @@
 	return s.deliver(ctx, tracker, response, attempt)
 }
 
+// streamPart describes the last send if the request is one for a stream.
+func (s *serving) streamPart() StreamPart {
+	if s.r.Route.Kind != routes.Streaming {
+		return StreamPart{}
+	}
+	s.part.LastEvent = s.resumeAfter
+	return s.part
+}
+
 // recordLimit applies the limit that a response names. A success that names none ends the replica's limit.
 func (s *serving) recordLimit(tracker *sendTracker, response *direct.Response) {
 	named := place.NamedLimit{Replica: tracker.choice.Key, Sent: tracker.sent, At: time.Now()}
