forward: a stream goes on only with events that follow those the caller has

What callers saw: the text of an error inside a stream, events twice, events missing, and streams that ended as complete too early. Cause: deliver appended whatever a replica answered when a stream went on there: a status below 500 that does not say 'not run' went through forwardBody, which also ends the stream as complete; a 200 was copied whatever its events were. Why this works: eventSequence has the ID of the last event that the caller received. A response with another status than 200, an event that does not follow, or an empty continuation never reaches the caller; the stream goes on elsewhere, or is cut. After an event without an ID no replica can be told where to go on, so such a stream is cut as well.

--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -77,10 +76,13 @@
 	if !ok {
 		s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, true, time.Now())
 		s.mayHaveRun = true
-		if s.responseStarted {
-			s.f.Observer.Attempted(s.r, attempt)
-			return s.continueElsewhere(tracker.choice, nil)
-		}
+	}
+	if s.responseStarted && response.Status != http.StatusOK {
+		attempt.Err = errNoContinuation
+		s.f.Observer.Attempted(s.r, attempt)
+		return s.continueElsewhere(tracker.choice, errNoContinuation)
+	}
+	if !ok {
 		if _, allowed := s.mayRetry(retry.MayHaveRun); allowed {
 			s.f.Observer.Attempted(s.r, attempt)
 			s.excluded = append(s.excluded, tracker.choice.Replica.ID)
@@ -183,6 +185,7 @@
 // forwardStream forwards events as they arrive, each of them whole, so that an interrupted stream can resume after the
 // last one.
 func (s *serving) forwardStream(tracker *sendTracker, response *direct.Response) error {
+	s.sequence.begin(s.responseStarted)
 	var pending []byte
 	buffer := make([]byte, readBufferSize)
 	for {
@@ -201,6 +204,9 @@
 			pending = append(pending[:0], rest...)
 		}
 		switch {
+		case errors.Is(err, io.EOF) && s.sequence.joining:
+			// It may be a true end, but nothing shows that all events have been sent.
+			return errEmptyContinuation
 		case errors.Is(err, io.EOF) && len(pending) == 0:
 			s.startResponse(response, -1)
 			return nil
@@ -214,18 +220,18 @@
 	}
 }
 
-// forwardEvents sends the complete events at the start of data and returns the rest.
+// forwardEvents sends the complete events at the start of data and returns the rest. It stops at an event that does not follow
+// the one before it.
 func (s *serving) forwardEvents(response *direct.Response, data []byte) ([]byte, error) {
-	end := bytes.LastIndex(data, []byte("\n\n"))
-	if end < 0 {
-		return data, nil
-	}
-	end += 2
-	if id := lastID(data[:end]); id != "" {
-		s.resumeAfter = id
+	end, err := s.sequence.accept(data[:eventsEnd(data)])
+	if end == 0 {
+		return data, err
 	}
 	s.startResponse(response, -1)
-	return data[end:], s.write(data[:end])
+	if err := s.write(data[:end]); err != nil {
+		return nil, err
+	}
+	return data[end:], err
 }
 
 // recordEvent reports the gap before the events that just arrived to the placer.
@@ -235,14 +241,3 @@
 	}
 	t.lastEvents = now
 }
-
-// lastID returns the ID of the last event, or "" when no event has one.
-func lastID(events []byte) string {
-	id := ""
-	for line := range bytes.Lines(events) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-	}
-	return id
-}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -228,7 +228,7 @@
 func (f *Forwarder) Serve(ctx context.Context, r *Request, to Responder) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	s := &serving{f: f, r: r, to: to, resumeAfter: r.ResumeAfter}
+	s := &serving{f: f, r: r, to: to, sequence: newEventSequence(r.ResumeAfter, r.Route.Repeatable())}
 	f.Budgets.get(r.Service).OnRequest(r.Arrived)
 	end := s.run(ctx)
 	end.Total = time.Since(r.Arrived)
--- /dev/null
+++ b/internal/request/forward/sequence.go
@@ -0,0 +1,142 @@
+package forward
+
+import (
+	"bytes"
+	"errors"
+)
+
+// Errors of responses that don't continue the caller's stream.
+var (
+	errNoContinuation    = errors.New("the response is not a continuation of the stream")
+	errEmptyContinuation = errors.New("the continuation of the stream has no events")
+	errOutOfOrder        = errors.New("a stream event does not follow the one before it")
+)
+
+// eventSequence checks that the events of a stream follow each other, within the response of one replica and where the stream
+// continues at another one. The IDs of events increase if they are numbers.
+type eventSequence struct {
+	// last is the ID of the last event that the caller has received.
+	last []byte
+	// number is last as a number, if numbered is set.
+	number   uint64
+	numbered bool
+	// counted is set while each number is the one before it plus 1.
+	counted bool
+	// joining is set until the first event of a response that continues the stream.
+	joining bool
+	// unnamed is set while an event without an ID follows last, so that no replica can be told where to continue.
+	unnamed bool
+}
+
+// newEventSequence returns the sequence of a stream. A stream that the caller resumes begins after the event with the ID.
+func newEventSequence(resumeAfter string, resumable bool) eventSequence {
+	q := eventSequence{last: []byte(resumeAfter)}
+	if resumable {
+		q.number, q.numbered = parseNumber(q.last)
+	}
+	return q
+}
+
+// begin starts the response of a replica. continuing is set if the caller has received a part of the stream.
+func (q *eventSequence) begin(continuing bool) { q.joining = continuing }
+
+// accept checks complete events. It returns the size of those that may be forwarded, which is less than all of them with an error.
+func (q *eventSequence) accept(events []byte) (int, error) {
+	accepted := 0
+	for accepted < len(events) {
+		event := events[accepted:]
+		if end := eventEnd(event); end > 0 {
+			event = event[:end]
+		}
+		if err := q.acceptEvent(event); err != nil {
+			return accepted, err
+		}
+		accepted += len(event)
+	}
+	return accepted, nil
+}
+
+func (q *eventSequence) acceptEvent(event []byte) error {
+	id, hasData := eventFields(event)
+	if len(id) == 0 {
+		if q.joining && hasData {
+			return errOutOfOrder
+		}
+		q.unnamed = q.unnamed || hasData
+		return nil
+	}
+	number, numbered := parseNumber(id)
+	switch {
+	case len(q.last) == 0 || !q.numbered || !numbered:
+		if q.joining && bytes.Equal(id, q.last) {
+			return errOutOfOrder
+		}
+		q.counted = numbered && len(q.last) == 0 && number <= 1
+	case number <= q.number, q.joining && q.counted && number != q.number+1:
+		return errOutOfOrder
+	default:
+		q.counted = q.counted && number == q.number+1
+	}
+	q.last = append(q.last[:0], id...)
+	q.number, q.numbered, q.joining, q.unnamed = number, numbered, false, false
+	return nil
+}
+
+// maxNumberDigits bounds the IDs that are compared as numbers.
+const maxNumberDigits = 18
+
+// parseNumber returns the value of an ID of decimal digits.
+func parseNumber(id []byte) (number uint64, ok bool) {
+	if len(id) == 0 || len(id) > maxNumberDigits {
+		return 0, false
+	}
+	for _, digit := range id {
+		if digit < '0' || digit > '9' {
+			return 0, false
+		}
+		number = 10*number + uint64(digit-'0')
+	}
+	return number, true
+}
+
+// eventFields returns the ID of an event, or none, and whether the event has any field that concerns the caller.
+func eventFields(event []byte) (id []byte, hasData bool) {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		switch value, ok := bytes.CutPrefix(line, []byte("id:")); {
+		case ok:
+			id = bytes.TrimSpace(value)
+		case len(line) > 0 && line[0] != ':':
+			hasData = true
+		}
+	}
+	return id, hasData
+}
+
+// eventEnd returns the size of the first event in data with the blank line that ends it, or 0 if there is no whole event.
+func eventEnd(data []byte) int {
+	for end := 0; ; {
+		newline := bytes.IndexByte(data[end:], '\n')
+		if newline < 0 {
+			return 0
+		}
+		end += newline + 1
+		switch rest := data[end:]; {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return end + 1
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return end + 2
+		}
+	}
+}
+
+// eventsEnd returns the size of all whole events in data.
+func eventsEnd(data []byte) int {
+	end := 0
+	for _, blankLine := range [][]byte{[]byte("\n\n"), []byte("\n\r\n")} {
+		if i := bytes.LastIndex(data, blankLine); i >= 0 {
+			end = max(end, i+len(blankLine))
+		}
+	}
+	return end
+}
--- /dev/null
+++ b/internal/request/forward/sequence_test.go
@@ -0,0 +1,100 @@
+package forward
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func event(id string) string { return "id: " + id + "\ndata: x\n\n" }
+
+// Guards against streams with an event missing, twice or from another place, within a response and where it goes on, and against sound
+// streams that are cut.
+func TestEventSequence(t *testing.T) {
+	const unnamed = "data: [DONE]\n\n"
+	for name, c := range map[string]struct {
+		resumeAfter string
+		// parts are the responses of one replica after the other.
+		parts []string
+		// want is what is forwarded of the last part.
+		want string
+	}{
+		"counted":                         {"", []string{event("1") + event("2") + event("3")}, event("1") + event("2") + event("3")},
+		"from 0":                          {"", []string{event("0") + event("1"), event("2")}, event("2")},
+		"with gaps":                       {"", []string{event("5") + event("10"), event("15")}, event("15")},
+		"CRLF":                            {"", []string{"id: 1\r\ndata: x\r\n\r\nid: 2\r\n\r\n"}, "id: 1\r\ndata: x\r\n\r\nid: 2\r\n\r\n"},
+		"twice":                           {"", []string{event("1") + event("1")}, event("1")},
+		"back":                            {"", []string{event("1") + event("2") + event("1")}, event("1") + event("2")},
+		"continued":                       {"", []string{event("1") + event("2"), event("3")}, event("3")},
+		"continued from the start":        {"", []string{event("1") + event("2"), event("1") + event("2") + event("3")}, ""},
+		"continued too late":              {"", []string{event("1"), event("3")}, ""},
+		"continued with the same event":   {"", []string{event("1"), event("1") + event("2")}, ""},
+		"continued without an ID":         {"", []string{event("1"), unnamed}, ""},
+		"continued after a comment":       {"", []string{event("1"), ": wait\n\n" + event("2")}, ": wait\n\n" + event("2")},
+		"continued with text":             {"", []string{event("1"), "<h1>no</h1>\n\n"}, ""},
+		"resumed by the caller":           {"12", []string{event("13") + event("14")}, event("13") + event("14")},
+		"resumed by the caller, gaps":     {"10", []string{event("15"), event("20")}, event("20")},
+		"resumed by the caller, at start": {"12", []string{event("1")}, ""},
+		"words as IDs":                    {"", []string{event("b") + event("a"), event("c")}, event("c")},
+		"words as IDs, same event":        {"", []string{event("b"), event("b")}, ""},
+		"very long number":                {"", []string{event(strings.Repeat("9", 40)) + event(strings.Repeat("8", 40))}, event(strings.Repeat("9", 40)) + event(strings.Repeat("8", 40))},
+		"blank lines":                     {"", []string{event("1") + "\n\n\n" + event("2")}, event("1") + "\n\n\n" + event("2")},
+	} {
+		q := newEventSequence(c.resumeAfter, true)
+		var accepted int
+		for i, part := range c.parts {
+			q.begin(i > 0)
+			accepted, _ = q.accept([]byte(part))
+		}
+		if got := c.parts[len(c.parts)-1][:accepted]; got != c.want {
+			t.Errorf("%s: forwarded %q, want %q", name, got, c.want)
+		}
+	}
+}
+
+// Guards against a stream that is continued after an event without an ID, which the next replica would send once more.
+func TestUnnamedEventsEndResumption(t *testing.T) {
+	for stream, want := range map[string]bool{event("1"): false, event("1") + "data: x\n\n": true, event("1") + ": comment\n\n": false, event("1") + "data: x\n\n" + event("2"): false} {
+		q := newEventSequence("", true)
+		if _, err := q.accept([]byte(stream)); err != nil || q.unnamed != want {
+			t.Errorf("%q: unnamed %t, %v", stream, q.unnamed, err)
+		}
+	}
+}
+
+// Guards against partial events that are taken for whole ones, and the reverse, wherever a read ends.
+func TestEventsEnd(t *testing.T) {
+	for _, newline := range []string{"\n", "\r\n"} {
+		first, second := "id: 1"+newline+"data: a"+newline+newline, "id: 2"+newline+newline
+		data := first + second
+		for n := range len(data) + 1 {
+			want := 0
+			switch {
+			case n == len(data):
+				want = n
+			case n >= len(first):
+				want = len(first)
+			}
+			if got := eventsEnd([]byte(data[:n])); got != want {
+				t.Errorf("%q: %d, want %d", data[:n], got, want)
+			}
+		}
+	}
+}
+
+func BenchmarkAcceptEvent(b *testing.B) {
+	q := newEventSequence("", true)
+	var events [][]byte
+	for n := range 1000 {
+		events = append(events, []byte(fmt.Sprintf("id: %d\ndata: %s\n\n", n+1, strings.Repeat("x", 40))))
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		if n%len(events) == 0 {
+			q = newEventSequence("", true)
+		}
+		if _, err := q.accept(events[n%len(events)]); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -40,9 +40,9 @@
 	connectFailures int
 	sends           int
 	responseStarted bool
-	// resumeAfter is the ID of the last event that the caller has received.
-	resumeAfter string
-	// part describes the last send of a stream; its LastEvent is resumeAfter.
+	// sequence has the events that the caller has received.
+	sequence eventSequence
+	// part describes the last send of a stream; its LastEvent is that of the sequence.
 	part StreamPart
 	// mayHaveRun is set when a replica may have worked on the request.
 	mayHaveRun bool
@@ -160,12 +160,12 @@
 	s.choice = c
 	request := &direct.Request{
 		Address: c.Replica.Address, Method: r.Method, Target: r.Target, Host: r.Host,
-		Header: s.f.Dialect.Headers(r, &c, left, s.resumeAfter),
+		Header: s.f.Dialect.Headers(r, &c, left, string(s.sequence.last)),
 		Body:   r.Body, Chunked: r.Chunked, NonIdempotent: !r.Route.Repeatable(),
 		Matches: func(status int, h http.Header) bool { return s.f.Dialect.Matches(r, status, h) },
 	}
 	tracker.sent = time.Now()
-	s.part = StreamPart{ResumedAfter: s.resumeAfter}
+	s.part = StreamPart{ResumedAfter: string(s.sequence.last)}
 	response, err := s.f.Pool.Do(ctx, request)
 	if s.sends == 0 {
 		s.queued = sent.Sub(r.Arrived)
@@ -203,7 +203,7 @@
 	if s.r.Route.Kind != routes.Streaming {
 		return StreamPart{}
 	}
-	s.part.LastEvent = s.resumeAfter
+	s.part.LastEvent = string(s.sequence.last)
 	return s.part
 }
 
@@ -275,7 +275,7 @@
 // execution. If not, it returns the code of the refusal.
 func (s *serving) mayRetry(execution retry.Execution) (Code, bool) {
 	r := s.r
-	if s.sends >= r.Route.MaxAttempts {
+	if s.sends >= r.Route.MaxAttempts || s.responseStarted && s.sequence.unnamed {
 		return CodeMayHaveRun, false
 	}
 	verdict := s.f.Budgets.get(r.Service).Decide(time.Now(), retry.Failure{
