direct: a body that ends with its connection is complete only if the replica still accepts connections

What callers saw: a stream that ended as complete before its last event. Cause: the end of input was taken for the end of the message. The system closes the connections of a process that was killed just as the process closes one after a response with neither length nor chunks. Why this works: a process that is gone has lost its listener too, and that before its connections. The connection that shows the replica alive is kept for reuse in place of the one that ended. A replica that closes its listener before it ends such a response has that response cut.

--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -334,3 +334,26 @@
 		t.Errorf("%d connections for 50 requests in a row, want 1", p.Opened())
 	}
 }
+
+// Guards against a body that looks complete although its replica was killed: the system closes the connections of the process.
+func TestBodyOfKilledReplicaIsNotComplete(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nX-Attempt: a\r\n\r\nfirst part"
+	for name, killed := range map[string]bool{"killed": true, "alive": false} {
+		var s *rawServer
+		s = serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(conn, response)
+			if killed {
+				_ = s.Close()
+			}
+			return false
+		})
+		p := direct.NewPool()
+		body, err := do(t, p, newRequest(s, "a"))
+		if (err != nil) != killed || body != "first part" && !killed {
+			t.Errorf("%s: got %q, %v", name, body, err)
+		}
+		if !killed && p.Opened() != 2 {
+			t.Errorf("%d connections, want one for the request and one to see whether the replica lives", p.Opened())
+		}
+	}
+}
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
+	x := &exchange{pool: p, conn: c, written: make(chan error, 1), dial: func() (*conn, error) { return p.dial(ctx, request.Address) }}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if len(request.Body) <= maxInlineBody {
 		x.write(request)
@@ -240,6 +240,8 @@
 	conn *conn
 	// written receives the result of writing the request.
 	written chan error
+	// dial opens another connection to the replica.
+	dial func() (*conn, error)
 	// stop cancels the closing of the connection at the end of the context.
 	stop func() bool
 	done bool
@@ -309,6 +311,17 @@
 	}
 }
 
+// replicaAccepts reports whether the replica accepts a new connection, which is kept for reuse. The system closes the connections
+// of a process that was killed in the same way as the process itself closes one after a complete response, but its listener too.
+func (x *exchange) replicaAccepts() bool {
+	c, err := x.dial()
+	if err != nil {
+		return false
+	}
+	x.pool.put(c, defaultMaxIdleTime)
+	return true
+}
+
 // fail closes the connection.
 func (x *exchange) fail() {
 	x.done = true
@@ -316,10 +329,18 @@
 	_ = x.conn.Close()
 }
 
+// errReplicaGone reports a body that ended with its connection when the replica accepted no connections any more.
+var errReplicaGone = errors.New("the connection ended and the replica is gone")
+
 // Read reads the body. io.EOF means that the body is complete.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	r.complete = r.complete || errors.Is(err, io.EOF)
+	if errors.Is(err, io.EOF) && !r.complete {
+		if r.Framing == FramedByConnection && !r.exchange.replicaAccepts() {
+			return n, errReplicaGone
+		}
+		r.complete = true
+	}
 	return n, err
 }
 
