forward: a request that ends because its caller seems to have left never ends in a complete response

Cause: the request's context ends at the end of the caller's input, and the handler returned without a response, which net/http makes a 200. Why this works: every end of that kind aborts the connection, whether or not a part of the response was sent.

--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -108,7 +108,7 @@
 	}
 	var caller *callerError
 	if errors.As(err, &caller) {
-		return stop(End{Outcome: OutcomeAbandoned, Err: err})
+		return stop(s.abandon(err))
 	}
 	attempt.Err, attempt.Answering, attempt.Stream = err, tracker.answering(), s.streamPart()
 	s.f.Observer.Attempted(s.r, attempt)
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -317,13 +317,17 @@
 	return End{Outcome: OutcomeFailed, Code: code, Status: status, Err: err}
 }
 
+// abandon ends a request whose caller seems to have left. It may still read: a caller that closes only its sending side looks the
+// same.
+func (s *serving) abandon(err error) End {
+	s.to.Abort()
+	return End{Outcome: OutcomeAbandoned, Err: err}
+}
+
 // endByContext ends a request whose caller disconnected or whose deadline passed.
 func (s *serving) endByContext(err error) End {
 	if errors.Is(err, context.Canceled) {
-		if s.responseStarted {
-			s.to.Abort()
-		}
-		return End{Outcome: OutcomeAbandoned, Err: err}
+		return s.abandon(err)
 	}
 	if s.mayHaveRun || s.responseStarted {
 		return s.fail(CodeTimeout, http.StatusGatewayTimeout, err)
