forward: text that is no event does not reach a stream

What callers saw: the whole head of a second response in the middle of their stream. Cause: a stream with neither length nor chunks ends with its connection, so that bytes a replica sends after it are read as more of it, and any text up to a blank line was forwarded as an event. Why this works: lines without a field of the event stream format are no event; the stream is cut there, or goes on elsewhere.

--- a/internal/request/forward/sequence.go
+++ b/internal/request/forward/sequence.go
@@ -10,6 +10,7 @@
 	errNoContinuation    = errors.New("the response is not a continuation of the stream")
 	errEmptyContinuation = errors.New("the continuation of the stream has no events")
 	errOutOfOrder        = errors.New("a stream event does not follow the one before it")
+	errNoEvent           = errors.New("the stream has text that is no event")
 )
 
 // eventSequence checks that the events of a stream follow each other, within the response of one replica and where the stream
@@ -57,12 +58,16 @@
 }
 
 func (q *eventSequence) acceptEvent(event []byte) error {
-	id, hasData := eventFields(event)
-	if len(id) == 0 {
-		if q.joining && hasData {
-			return errOutOfOrder
-		}
-		q.unnamed = q.unnamed || hasData
+	id, kind := eventFields(event)
+	switch {
+	case kind == noEvent:
+		return errNoEvent
+	case len(id) == 0 && kind == comment:
+		return nil
+	case len(id) == 0 && q.joining:
+		return errOutOfOrder
+	case len(id) == 0:
+		q.unnamed = true
 		return nil
 	}
 	number, numbered := parseNumber(id)
@@ -99,18 +104,34 @@
 	return number, true
 }
 
-// eventFields returns the ID of an event, or none, and whether the event has any field that concerns the caller.
-func eventFields(event []byte) (id []byte, hasData bool) {
+// eventKind says what lines up to a blank one are.
+type eventKind uint8
+
+const (
+	// comment is only comments, or nothing.
+	comment eventKind = iota
+	// fields are an event: at least one line is a field that the event stream format defines.
+	fields
+	// noEvent is text of another kind, for example the head of another response.
+	noEvent
+)
+
+// eventFields returns the ID of an event, or none, and its kind.
+func eventFields(event []byte) (id []byte, kind eventKind) {
 	for line := range bytes.Lines(event) {
 		line = bytes.TrimRight(line, "\r\n")
-		switch value, ok := bytes.CutPrefix(line, []byte("id:")); {
-		case ok:
-			id = bytes.TrimSpace(value)
-		case len(line) > 0 && line[0] != ':':
-			hasData = true
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case len(name) == 0: // a comment or the blank line
+		case string(name) == "id":
+			id, kind = bytes.TrimSpace(value), fields
+		case string(name) == "data", string(name) == "event", string(name) == "retry":
+			kind = fields
+		case kind == comment:
+			kind = noEvent // unless a field follows
 		}
 	}
-	return id, hasData
+	return id, kind
 }
 
 // eventEnd returns the size of the first event in data with the blank line that ends it, or 0 if there is no whole event.
--- a/internal/request/forward/sequence_test.go
+++ b/internal/request/forward/sequence_test.go
@@ -38,6 +38,8 @@
 		"words as IDs":                    {"", []string{event("b") + event("a"), event("c")}, event("c")},
 		"words as IDs, same event":        {"", []string{event("b"), event("b")}, ""},
 		"very long number":                {"", []string{event(strings.Repeat("9", 40)) + event(strings.Repeat("8", 40))}, event(strings.Repeat("9", 40)) + event(strings.Repeat("8", 40))},
+		"head of another response":        {"", []string{event("1") + "HTTP/1.1 200 OK\r\nX-Id: 2\r\n\r\n" + event("2")}, event("1")},
+		"a field that is not defined":     {"", []string{event("1") + "x-weight-versions: 3\n" + event("2")}, event("1") + "x-weight-versions: 3\n" + event("2")},
 		"blank lines":                     {"", []string{event("1") + "\n\n\n" + event("2")}, event("1") + "\n\n\n" + event("2")},
 	} {
 		q := newEventSequence(c.resumeAfter, true)
