direct: another connection tells whether the process that sent a body without framing still runs

Cause: the check dialled the replica after the end. The edge had been paused meanwhile, and the killed replica had been started again at the same address, so that another process accepted. Class: a check of an address, not of the process that is meant. Evidence: TestBodyOfKilledReplicaIsNotComplete/restarted failed before. Why this works: an idle connection, opened while the response runs, ends together with the process. What remains: a response that ended before the edge read its head has no such connection; then any process at the address counts.

--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,6 +21,19 @@
 type rawServer struct {
 	net.Listener
 	connections, requests atomic.Int32
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// kill closes the listener and all connections, as the system does when a process ends.
+func (s *rawServer) kill() {
+	_ = s.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
 }
 
 // serve starts a rawServer. A connection is closed when respond returns false.
@@ -38,6 +52,9 @@
 				return
 			}
 			s.connections.Add(1)
+			s.mu.Lock()
+			s.conns = append(s.conns, conn)
+			s.mu.Unlock()
 			go s.serveConn(conn, respond)
 		}
 	}()
@@ -335,25 +352,45 @@
 	}
 }
 
-// Guards against a body that looks complete although its replica was killed: the system closes the connections of the process.
+// Guards against a body that looks complete although its replica was killed, which closes all connections of the process, also when
+// another process listens at its address by then.
 func TestBodyOfKilledReplicaIsNotComplete(t *testing.T) {
-	const response = "HTTP/1.1 200 OK\r\nX-Attempt: a\r\n\r\nfirst part"
-	for name, killed := range map[string]bool{"killed": true, "alive": false} {
-		var s *rawServer
-		s = serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
-			_, _ = io.WriteString(conn, response)
-			if killed {
-				_ = s.Close()
+	const head, body = "HTTP/1.1 200 OK\r\nX-Attempt: a\r\n\r\n", "first part"
+	for name, c := range map[string]struct{ killed, restarted bool }{"alive": {}, "killed": {killed: true}, "restarted": {true, true}} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(conn, head)
+				time.Sleep(50 * time.Millisecond)
+				_, _ = io.WriteString(conn, body)
+				return false
+			})
+			p := direct.NewPool()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			response, err := p.Do(ctx, newRequest(s, "a"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Close()
+			if _, err := io.ReadFull(response, make([]byte, len(body))); err != nil {
+				t.Fatal(err)
+			}
+			if c.killed {
+				s.kill()
+			}
+			if c.restarted {
+				other, err := net.Listen("tcp4", s.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = other.Close() }()
+			}
+			if _, err := response.Read(make([]byte, 1)); errors.Is(err, io.EOF) == c.killed {
+				t.Errorf("the body ends with %v", err)
+			}
+			if p.Opened() != 2 {
+				t.Errorf("%d connections, want one for the request and one to see whether the replica lives", p.Opened())
 			}
-			return false
 		})
-		p := direct.NewPool()
-		body, err := do(t, p, newRequest(s, "a"))
-		if (err != nil) != killed || body != "first part" && !killed {
-			t.Errorf("%s: got %q, %v", name, body, err)
-		}
-		if !killed && p.Opened() != 2 {
-			t.Errorf("%d connections, want one for the request and one to see whether the replica lives", p.Opened())
-		}
 	}
 }
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{pool: p, conn: c, written: make(chan error, 1), dial: func() (*conn, error) { return p.dial(ctx, request.Address) }}
+	x := &exchange{pool: p, conn: c, written: make(chan error, 1), open: func() (*conn, error) { return p.get(ctx, &Request{Address: request.Address}) }}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if len(request.Body) <= maxInlineBody {
 		x.write(request)
@@ -240,8 +240,10 @@
 	conn *conn
 	// written receives the result of writing the request.
 	written chan error
-	// dial opens another connection to the replica.
-	dial func() (*conn, error)
+	// open returns another connection to the replica.
+	open func() (*conn, error)
+	// witness is set while the response is one that ends with its connection.
+	witness *witness
 	// stop cancels the closing of the connection at the end of the context.
 	stop func() bool
 	done bool
@@ -259,8 +261,12 @@
 			return nil, err
 		}
 		if request.Matches == nil || request.Matches(resp.StatusCode, resp.Header) {
+			framing := framingOf(resp)
+			if framing == FramedByConnection {
+				x.witness = x.newWitness()
+			}
 			return &Response{
-				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp),
+				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framing,
 				body: resp.Body, exchange: x, connectionClose: resp.Close,
 			}, nil
 		}
@@ -311,17 +317,6 @@
 	}
 }
 
-// replicaAccepts reports whether the replica accepts a new connection, which is kept for reuse. The system closes the connections
-// of a process that was killed in the same way as the process itself closes one after a complete response, but its listener too.
-func (x *exchange) replicaAccepts() bool {
-	c, err := x.dial()
-	if err != nil {
-		return false
-	}
-	x.pool.put(c, defaultMaxIdleTime)
-	return true
-}
-
 // fail closes the connection.
 func (x *exchange) fail() {
 	x.done = true
@@ -329,23 +324,30 @@
 	_ = x.conn.Close()
 }
 
-// errReplicaGone reports a body that ended with its connection when the replica accepted no connections any more.
-var errReplicaGone = errors.New("the connection ended and the replica is gone")
+// errReplicaGone reports a body that ended with its connection, as did another connection to the replica.
+var errReplicaGone = errors.New("the connection ended because the replica is gone")
 
 // Read reads the body. io.EOF means that the body is complete.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if errors.Is(err, io.EOF) && !r.complete {
-		if r.Framing == FramedByConnection && !r.exchange.replicaAccepts() {
-			return n, errReplicaGone
-		}
-		r.complete = true
+	x := r.exchange
+	switch {
+	case x.witness == nil:
+	case errors.Is(err, io.EOF) && !r.complete && !x.witness.processRuns():
+		return n, errReplicaGone
+	case err == nil && time.Since(x.witness.opened) > witnessMaxAge:
+		x.witness.release()
+		x.witness = x.newWitness()
 	}
+	r.complete = r.complete || errors.Is(err, io.EOF)
 	return n, err
 }
 
 // Close returns the connection to the pool if the body was read to its end, and closes it otherwise.
 func (r *Response) Close() {
+	if r.exchange.witness != nil {
+		r.exchange.witness.release()
+	}
 	if r.complete {
 		_ = r.body.Close()
 	} // otherwise closing the body would read it to its end, which an upstream in trouble may never send
