direct: a response that names no request counts only as the first one of its connection

Cause: refusals may lack the attempt ID, and one without it was taken for the answer to whatever request was on the connection. A replica that writes an earlier refusal once more ahead of its answer made the edge send the order to a second replica. Why this works: on a connection that has carried a response before, a refusal without ID proves nothing; the request may have run then. A true refusal without ID on a kept connection costs an order its 503: it gets 502.

--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -72,6 +72,8 @@
 	reusableUntil time.Time
 	// idleSince is the end of the last response.
 	idleSince time.Time
+	// responses is the number of final responses that have arrived.
+	responses int
 }
 
 func newConn(c net.Conn, address string) *conn {
@@ -135,8 +137,11 @@
 	return defaultMaxIdleTime
 }
 
-// errUnmatched reports a response that belongs to another request.
-var errUnmatched = errors.New("response belongs to another request")
+// Errors of responses that are not shown to belong to the request.
+var (
+	errUnmatched = errors.New("response belongs to another request")
+	errUnnamed   = errors.New("response names no request and is not the first one on its connection")
+)
 
 // discard reads and drops the body of a response that belongs to another request.
 func discard(resp *http.Response) error {
--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -88,7 +88,12 @@
 func newRequest(s *rawServer, id string) *direct.Request {
 	return &direct.Request{
 		Address: s.Addr().String(), Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"X-Attempt": {id}},
-		Matches: func(_ int, h http.Header) bool { return h.Get("X-Attempt") == id },
+		Match: func(_ int, h http.Header) direct.Match {
+			if h.Get("X-Attempt") != id {
+				return direct.MatchOther
+			}
+			return direct.MatchNamed
+		},
 	}
 }
 
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -54,11 +54,23 @@
 	// NonIdempotent marks a request that must not run twice. It is not sent on a connection that has been idle for longer
 	// than nonIdempotentMaxIdleTime.
 	NonIdempotent bool
-	// Matches reports whether a response's headers identify this request. Responses to other requests are skipped. If it is
-	// nil, every response matches.
-	Matches func(status int, h http.Header) bool
+	// Match reports whether a response belongs to this request. If it is nil, every response does.
+	Match func(status int, h http.Header) Match
 }
 
+// Match is what a response's head says about the request that it belongs to.
+type Match uint8
+
+// Matches.
+const (
+	// MatchNamed means that the response names this request.
+	MatchNamed Match = iota
+	// MatchOther means that the response names another request, or can't belong to this one. It is skipped.
+	MatchOther
+	// MatchUnnamed means that the response names no request. It can be a late copy unless it is the first one of its connection.
+	MatchUnnamed
+)
+
 // Response is the response to a request. Its body is read with Read. Close must be called.
 type Response struct {
 	Status int
@@ -260,7 +272,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if request.Matches == nil || request.Matches(resp.StatusCode, resp.Header) {
+		match := MatchNamed
+		if request.Match != nil {
+			match = request.Match(resp.StatusCode, resp.Header)
+		}
+		if match == MatchUnnamed && x.conn.responses > 0 {
+			return nil, errUnnamed
+		}
+		x.conn.responses++
+		if match != MatchOther {
 			framing := framingOf(resp)
 			if framing == FramedByConnection {
 				x.witness = x.newWitness()
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -72,8 +72,8 @@
 	// Headers returns the headers of a request to a replica. left is the time that the replica may use, and resumeAfter
 	// the ID of the last event that the caller has received.
 	Headers(r *Request, c *place.Choice, left time.Duration, resumeAfter string) http.Header
-	// Matches reports whether a response belongs to the request.
-	Matches(r *Request, status int, h http.Header) bool
+	// Match reports whether a response belongs to the request.
+	Match(r *Request, status int, h http.Header) direct.Match
 	// Verdict interprets the status and the headers of a response.
 	Verdict(status int, h http.Header) Verdict
 	// Limit returns the requests a second that the replica takes from all entries together, if the response names a limit.
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -162,7 +162,7 @@
 		Address: c.Replica.Address, Method: r.Method, Target: r.Target, Host: r.Host,
 		Header: s.f.Dialect.Headers(r, &c, left, string(s.sequence.last)),
 		Body:   r.Body, Chunked: r.Chunked, NonIdempotent: !r.Route.Repeatable(),
-		Matches: func(status int, h http.Header) bool { return s.f.Dialect.Matches(r, status, h) },
+		Match: func(status int, h http.Header) direct.Match { return s.f.Dialect.Match(r, status, h) },
 	}
 	tracker.sent = time.Now()
 	s.part = StreamPart{ResumedAfter: string(s.sequence.last)}
