edge: a replica that says it leaves gets no new requests

What callers would see: requests at a replica that ends under them. Cause: only the list said that a replica leaves, and a list can be old. Why this works: the statement is kept in the registry for the start of the replica that made it and counts more than any list; the view that placement uses is built without it, so that first sends, retries, resumed streams and last resorts all keep to it. Other edges are told at once.

--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -32,6 +32,7 @@
 	quarantineBroadcast
 	limitBroadcast
 	sendsBroadcast
+	leavingBroadcast
 )
 
 // evidence tells the other edges what a request of this one has shown about a replica.
@@ -287,6 +288,8 @@
 		return e.onLimits(message)
 	case sendsBroadcast:
 		return e.onSends(message)
+	case leavingBroadcast:
+		return e.onLeaving(message)
 	default:
 		return errUnknownBroadcast
 	}
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -104,4 +104,5 @@
 	EdgeReplicaLimited       = define(1519, "edge_replica_limited", logrus.InfoLevel, "A replica takes this many requests a second from all edges together; own says whether a response to this edge said so.")
 	EdgeReplicaUnlimited     = define(1520, "edge_replica_unlimited", logrus.InfoLevel, "A replica names no limit any more.")
 	EdgeConfigurationFetched = define(1521, "edge_configuration_fetched", logrus.WarnLevel, "Another edge had a newer configuration, which the store did not deliver to this one in time; it was fetched from there.")
+	EdgeReplicaLeaving       = define(1522, "edge_replica_leaving", logrus.InfoLevel, "A replica says in its responses that it leaves and gets no new requests, whatever the list says; own says whether a response to this edge said so.")
 )
--- /dev/null
+++ b/internal/process/replicas/leaving.go
@@ -0,0 +1,60 @@
+package replicas
+
+import "time"
+
+const (
+	// leavingRetention is how long it is kept in mind that a replica leaves after its last registration was removed. An old list
+	// may name it again until then.
+	leavingRetention = 10 * time.Minute
+	// maxLeaving bounds the replicas that leave. It is above the 7,600 replicas of the target scale.
+	maxLeaving = 16384
+)
+
+// leaving is a start of a replica that has said itself that it leaves. This counts more than any list: only another start at its
+// address ends it.
+type leaving struct {
+	startUnixMs int64
+	// registeredAt is when the replica was last seen in the list.
+	registeredAt time.Time
+}
+
+// Leave records that a replica has said that it leaves, and reports whether that is new. startUnixMs is 0 for the start that is
+// registered.
+func (r *Registry) Leave(id string, startUnixMs int64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if startUnixMs == 0 {
+		startUnixMs = r.registrations[id].StartUnixMs
+	}
+	if old, ok := r.leaving[id]; ok && sameStart(old.startUnixMs, startUnixMs) {
+		return false
+	}
+	if len(r.leaving) >= maxLeaving {
+		r.forgetLeaving(now, 0)
+	}
+	r.leaving[id] = leaving{startUnixMs, now}
+	r.publish()
+	return true
+}
+
+// leaves reports whether the registered start of the replica has said that it leaves.
+func (r *Registry) leaves(replica *Replica) bool {
+	l, ok := r.leaving[replica.ID]
+	return ok && sameStart(l.startUnixMs, replica.StartUnixMs)
+}
+
+// sameStart reports whether two start times are of the same start. Clocks may jump, so that a later start can have an earlier time.
+// An unknown start counts as the same one.
+func sameStart(a, b int64) bool { return a == b || a == 0 || b == 0 }
+
+// forgetLeaving forgets replicas that have not been registered for the time.
+func (r *Registry) forgetLeaving(now time.Time, retention time.Duration) {
+	for id, l := range r.leaving {
+		if _, registered := r.registrations[id]; registered {
+			l.registeredAt = now
+			r.leaving[id] = l
+		} else if now.Sub(l.registeredAt) >= retention {
+			delete(r.leaving, id)
+		}
+	}
+}
--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -74,6 +74,8 @@
 type Registry struct {
 	mu            sync.Mutex
 	registrations map[string]registration
+	// leaving has the replicas that have said that they leave, by ID.
+	leaving map[string]leaving
 	// outageEnd is the end of the last outage of the store, or the zero time if there was none.
 	outageEnd time.Time
 	outage    bool
@@ -96,7 +98,7 @@
 
 // NewRegistry returns a Registry without replicas.
 func NewRegistry() *Registry {
-	r := &Registry{registrations: map[string]registration{}}
+	r := &Registry{registrations: map[string]registration{}, leaving: map[string]leaving{}}
 	r.publish()
 	return r
 }
@@ -198,6 +200,7 @@
 func (r *Registry) Expire(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forgetLeaving(now, leavingRetention)
 	var expired []string
 	for id, e := range r.registrations {
 		if !e.missingSince.IsZero() && !r.inExpiryGrace(now) {
@@ -256,7 +259,7 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		e := r.registrations[id]
-		if e.Draining {
+		if e.Draining || r.leaves(&e.Replica) {
 			continue
 		}
 		replica := e.Replica
--- a/internal/process/replicas/replicas_test.go
+++ b/internal/process/replicas/replicas_test.go
@@ -139,3 +139,40 @@
 		t.Error("a replica is removed because the first response after an outage came before the message about it")
 	}
 }
+
+// Guards against a list that brings back a replica which has said that it leaves, and against a later start that stays out.
+func TestLeavingReplicas(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entry := func(start int64, address string) []replicas.Change {
+		return []replicas.Change{{ID: "a", Replica: &replicas.Replica{ID: "a", Service: "s", Address: address, StartUnixMs: start}}}
+	}
+	r := replicas.NewRegistry()
+	used := func() bool { _, ok := r.View().Get("a"); return ok }
+	r.Replace(entry(5, "10.0.0.1:80"), now)
+	if !r.Leave("a", 5, now) || r.Leave("a", 5, now) || r.Leave("a", 0, now) || used() {
+		t.Error("the replica leaves, which is new once")
+	}
+	for name, c := range map[string]struct {
+		list []replicas.Change
+		used bool
+	}{
+		"listed again": {entry(5, "10.0.0.1:80"), false}, "another address": {entry(5, "10.0.0.2:80"), false}, "unknown start": {entry(0, "10.0.0.1:80"), false},
+		"another start": {entry(6, "10.0.0.1:80"), true}, "a start before a clock jumped": {entry(4, "10.0.0.1:80"), true},
+	} {
+		r.Replace(nil, now)
+		r.Replace(c.list, now)
+		if used() != c.used {
+			t.Errorf("%s: used %t", name, used())
+		}
+	}
+	r.Replace(entry(7, "10.0.0.1:80"), now)
+	if !r.Leave("a", 0, now) || used() {
+		t.Error("the registered start leaves")
+	}
+	r.Replace(nil, now)
+	r.Expire(now.Add(time.Hour))
+	r.Replace(entry(7, "10.0.0.1:80"), now)
+	if !used() {
+		t.Error("a replica that left is never forgotten")
+	}
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -80,6 +80,9 @@
 	Verdict(status int, h http.Header) Verdict
 	// Limit returns the requests a second that the replica takes from all entries together, if the response names a limit.
 	Limit(h http.Header) (perSecond float64, ok bool)
+	// Leaving reports whether the replica that sent a response says that it leaves. id is set if it is another replica than the
+	// one that the request was sent to.
+	Leaving(status int, h http.Header) (id string, leaving bool)
 	// Forwarded returns the response headers that are forwarded to the caller.
 	Forwarded(h http.Header) http.Header
 }
@@ -223,7 +226,9 @@
 	Share func(place.Evidence)
 	// ShareLimit tells the other entries that a replica has named another limit, or none any more; it may be nil.
 	ShareLimit func(place.NamedLimit)
-	Guard      Guard
+	// Leaving is told of each response whose replica says that it leaves. startUnixMs is 0 if it is not known. It may be nil.
+	Leaving func(id string, startUnixMs int64)
+	Guard   Guard
 }
 
 // Serve handles one request. ctx ends when the caller disconnects.
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -188,6 +188,7 @@
 	s.part.Framing = response.Framing
 	attempt.Status, attempt.Verdict = response.Status, s.f.Dialect.Verdict(response.Status, response.Header)
 	attempt.Stream = s.streamPart()
+	s.recordLeaving(c, response)
 	if attempt.Verdict != WrongReplica {
 		s.recordLimit(tracker, response)
 	}
@@ -207,6 +208,18 @@
 	return s.part
 }
 
+// recordLeaving reports a replica that says that it leaves. Work that runs there goes on.
+func (s *serving) recordLeaving(c place.Choice, response *direct.Response) {
+	id, leaving := s.f.Dialect.Leaving(response.Status, response.Header)
+	switch {
+	case !leaving || s.f.Leaving == nil:
+	case id != "":
+		s.f.Leaving(id, 0)
+	default:
+		s.f.Leaving(c.Replica.ID, c.Replica.StartUnixMs)
+	}
+}
+
 // recordLimit applies the limit that a response names. A success that names none ends the replica's limit.
 func (s *serving) recordLimit(tracker *sendTracker, response *direct.Response) {
 	named := place.NamedLimit{Replica: tracker.choice.Key, Sent: tracker.sent, At: time.Now()}
