place: a replica that refuses with Retry-After gets nothing from this edge for so long

What callers would see: refusals of a replica that had said when to come back. Cause: the header was not read. Why this works: Pauses is asked by every choice, also of last resorts, retries and resumed streams, and by the queues; jobs that wait move. When all replicas pause, callers are refused truthfully at once, and told to return one after the other after the first pause ends.

--- a/internal/app/edge/observe.go
+++ b/internal/app/edge/observe.go
@@ -140,6 +140,13 @@
 	o.log.Emit(eventlog.EdgeRequestEnded, append(fields, streamFields(r, e.Stream)...)...)
 }
 
+// logPause records that a replica has asked this edge for a pause.
+func (e *Edge) logPause(replicaID string, duration time.Duration) {
+	if e.observer.allowLine() {
+		e.deps.Log.Emit(eventlog.EdgeReplicaPaused, eventlog.Upstream(replicaID), eventlog.Pause(duration))
+	}
+}
+
 // inTime reports whether a successful response reached the caller within the latency targets of its route.
 func inTime(r *forward.Request, e *forward.End) bool {
 	return e.Outcome == forward.OutcomeDelivered && e.Status < http.StatusBadRequest && r.Route.MeetsTargets(e.FirstByte, e.LongestGap, e.Total)
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -105,4 +105,5 @@
 	EdgeReplicaUnlimited     = define(1520, "edge_replica_unlimited", logrus.InfoLevel, "A replica names no limit any more.")
 	EdgeConfigurationFetched = define(1521, "edge_configuration_fetched", logrus.WarnLevel, "Another edge had a newer configuration, which the store did not deliver to this one in time; it was fetched from there.")
 	EdgeReplicaLeaving       = define(1522, "edge_replica_leaving", logrus.InfoLevel, "A replica says in its responses that it leaves and gets no new requests, whatever the list says; own says whether a response to this edge said so.")
+	EdgeReplicaPaused        = define(1523, "edge_replica_paused", logrus.InfoLevel, "A replica has refused a request and wants no other one from this edge for pause_ms.")
 )
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -158,6 +158,9 @@
 // Limit is the number of requests a second that a replica takes.
 func Limit(perSecond float64) Field { return Field{"limit_per_s", perSecond} }
 
+// Pause is for how long an upstream wants no requests, in milliseconds.
+func Pause(d time.Duration) Field { return Field{"pause_ms", milliseconds(d)} }
+
 // Own reports whether this process has decided what the line says, rather than learned it from another one.
 func Own(ok bool) Field { return Field{"own", ok} }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -80,6 +80,8 @@
 	Verdict(status int, h http.Header) Verdict
 	// Limit returns the requests a second that the replica takes from all entries together, if the response names a limit.
 	Limit(h http.Header) (perSecond float64, ok bool)
+	// Pause returns for how long the replica that refused a request wants no other one, if the response says so.
+	Pause(status int, h http.Header) (duration time.Duration, ok bool)
 	// Leaving reports whether the replica that sent a response says that it leaves. id is set if it is another replica than the
 	// one that the request was sent to.
 	Leaving(status int, h http.Header) (id string, leaving bool)
@@ -124,6 +126,8 @@
 	CodeTimeout      Code = "timeout"
 	CodeMayHaveRun   Code = "may_have_run"
 	CodeRetryBudget  Code = "retry_budget"
+	// CodePaused refuses a request because all replicas have asked for a pause.
+	CodePaused Code = "replicas_paused"
 	// CodeQuarantined refuses a request with a prompt part that crashes replicas, and CodeSuspect ends one that may have crashed
 	// its replica.
 	CodeQuarantined Code = "quarantined_prompt"
@@ -226,6 +230,8 @@
 	Share func(place.Evidence)
 	// ShareLimit tells the other entries that a replica has named another limit, or none any more; it may be nil.
 	ShareLimit func(place.NamedLimit)
+	// Paused is told when a replica asks for a longer pause than before; it may be nil.
+	Paused func(replicaID string, duration time.Duration)
 	// Leaving is told of each response whose replica says that it leaves. startUnixMs is 0 if it is not known. It may be nil.
 	Leaving func(id string, startUnixMs int64)
 	Guard   Guard
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -79,6 +79,9 @@
 		case waitContextDone:
 			continue
 		case waitTimedOut:
+			if retryAfter, ok := s.f.Placer.ReturnAfterPause(s.job(), time.Now()); ok {
+				return s.refuseUntil(CodePaused, retryAfter)
+			}
 			s.choice = s.f.Placer.PendingChoice(waiter, time.Now())
 			code := CodeNoCapacity
 			if waiter.Unplaced() {
@@ -189,6 +192,7 @@
 	attempt.Status, attempt.Verdict = response.Status, s.f.Dialect.Verdict(response.Status, response.Header)
 	attempt.Stream = s.streamPart()
 	s.recordLeaving(c, response)
+	s.recordPause(c, response)
 	if attempt.Verdict != WrongReplica {
 		s.recordLimit(tracker, response)
 	}
@@ -220,6 +224,14 @@
 	}
 }
 
+// recordPause applies the pause that a refusal asks for.
+func (s *serving) recordPause(c place.Choice, response *direct.Response) {
+	pause, ok := s.f.Dialect.Pause(response.Status, response.Header)
+	if ok && s.f.Placer.Pauses.Apply(c.Replica, pause, time.Now()) && s.f.Paused != nil {
+		s.f.Paused(c.Replica.ID, pause)
+	}
+}
+
 // recordLimit applies the limit that a response names. A success that names none ends the replica's limit.
 func (s *serving) recordLimit(tracker *sendTracker, response *direct.Response) {
 	named := place.NamedLimit{Replica: tracker.choice.Key, Sent: tracker.sent, At: time.Now()}
@@ -308,10 +320,15 @@
 
 // refuse reports that the request has not run, unless a replica may have worked on it.
 func (s *serving) refuse(code Code, retryAfter time.Duration) End {
+	return s.refuseUntil(code, jitter(retryAfter))
+}
+
+// refuseUntil is refuse with the exact time after which the caller should return.
+func (s *serving) refuseUntil(code Code, retryAfter time.Duration) End {
 	if s.mayHaveRun || s.responseStarted {
 		return s.fail(code, http.StatusBadGateway, nil)
 	}
-	s.to.Refuse(Refusal{Status: http.StatusServiceUnavailable, Code: code, RetryAfter: jitter(retryAfter)})
+	s.to.Refuse(Refusal{Status: http.StatusServiceUnavailable, Code: code, RetryAfter: retryAfter})
 	return End{Outcome: OutcomeRefused, Code: code, Status: http.StatusServiceUnavailable}
 }
 
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -130,6 +130,7 @@
 	Health *Health
 	// Limits are those that replicas have named. New sets those of a single entry; one of several replaces them.
 	Limits *ReplicaLimits
+	Pauses *Pauses
 	sizes  *PromptSizes
 	cached *cachedParts
 	zone   string
@@ -156,7 +157,7 @@
 // New returns a Placer for an entry in the availability zone. The seed randomizes the choice between equally good
 // replicas, so that entries which decide at the same time choose differently.
 func New(zone string, set settings.Placement, seed uint64) *Placer {
-	p := &Placer{set: set, random: rand.New(rand.NewPCG(seed, seed)), Loads: NewLoadTracker(), Health: NewHealth(), Limits: NewReplicaLimits(""), sizes: NewPromptSizes(), cached: newCachedParts(), zone: zone, queues: newQueues(), pools: map[string]*shortPool{}}
+	p := &Placer{set: set, random: rand.New(rand.NewPCG(seed, seed)), Loads: NewLoadTracker(), Health: NewHealth(), Limits: NewReplicaLimits(""), Pauses: NewPauses(), sizes: NewPromptSizes(), cached: newCachedParts(), zone: zone, queues: newQueues(), pools: map[string]*shortPool{}}
 	p.layout.Store(&map[string]*layout{})
 	return p
 }
@@ -366,7 +367,7 @@
 		start := p.randomN(n)
 		for i := range n {
 			m := candidates[(start+i)%n]
-			if !slices.Contains(job.Excluded, m.ID) && p.Limits.Allows(m.key, now) {
+			if !slices.Contains(job.Excluded, m.ID) && p.accepts(m, now) {
 				return Choice{Replica: m.Replica, Key: m.key, Reason: ReasonLastResort, Prefill: job.Tokens, Load: p.Loads.Total(m.key, now)}, true
 			}
 		}
@@ -374,8 +375,13 @@
 	return Choice{}, false
 }
 
+// accepts reports whether the replica takes another request now, by what it has said itself.
+func (p *Placer) accepts(m member, now time.Time) bool {
+	return p.Limits.Allows(m.key, now) && p.Pauses.Wait(m, now) == 0
+}
+
 func (p *Placer) usable(job *Job, m member, now time.Time) bool {
-	return !slices.Contains(job.Excluded, m.ID) && p.Limits.Allows(m.key, now) && p.Health.Usable(job.Service, m.key, job.Repeatable, now)
+	return !slices.Contains(job.Excluded, m.ID) && p.accepts(m, now) && p.Health.Usable(job.Service, m.key, job.Repeatable, now)
 }
 
 // ReplicaID returns the ID of a replica in the list, or "".
@@ -422,6 +428,7 @@
 	p.Loads.Expire(now)
 	p.Health.Expire(now)
 	p.Limits.Expire(now)
+	p.Pauses.Expire(now)
 	p.cached.expire(now)
 	p.serveAllQueues(now)
 }
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -62,12 +62,15 @@
 		QueueDeadline: job.Arrived.Add(time.Duration(p.set.QueueTimeoutTargets * float64(job.Target))),
 	}
 	placed := p.choose(w, now)
-	if !placed && !p.hasLimitedReplica(job) {
+	if !placed && !p.heldBack(job, now) {
 		return nil, false
 	}
 	p.queues.mu.Lock()
 	defer p.queues.mu.Unlock()
 	if !placed {
+		if now.Add(p.pauseWait(job, now)).After(w.QueueDeadline) {
+			w.QueueDeadline = now
+		}
 		w.waiting = true
 		p.queues.unplaced = append(p.queues.unplaced, w)
 		return w, true
@@ -98,11 +101,11 @@
 	}
 }
 
-// hasLimitedReplica reports whether the limit of a replica that the job was not sent to keeps the job from it.
-func (p *Placer) hasLimitedReplica(job *Job) bool {
+// heldBack reports whether the limit or the pause of a replica that the job was not sent to keeps the job from it.
+func (p *Placer) heldBack(job *Job, now time.Time) bool {
 	l := (*p.layout.Load())[job.Service]
-	return p.Limits.Active() > 0 && l != nil && slices.ContainsFunc(l.all, func(m member) bool {
-		return !slices.Contains(job.Excluded, m.ID) && p.Limits.isLimited(m.key)
+	return p.Limits.Active()+p.Pauses.Active() > 0 && l != nil && slices.ContainsFunc(l.all, func(m member) bool {
+		return !slices.Contains(job.Excluded, m.ID) && (p.Limits.isLimited(m.key) || p.Pauses.Wait(m, now) > 0)
 	})
 }
 
@@ -203,6 +206,29 @@
 	return max(wait, minLimitWait)
 }
 
+// pauseWait returns the time until the first replica of the job's service ends its pause, or 0 if one of them does not pause.
+func (p *Placer) pauseWait(job *Job, now time.Time) time.Duration {
+	l := (*p.layout.Load())[job.Service]
+	if p.Pauses.Active() == 0 || l == nil || len(l.all) == 0 {
+		return 0
+	}
+	wait := MaxPause
+	for _, m := range l.all {
+		wait = min(wait, p.Pauses.Wait(m, now))
+	}
+	return wait
+}
+
+// ReturnAfterPause returns when the caller of a job that was refused because all replicas pause should come back, and false if they
+// don't. Those who are refused in the same pause return one after the other, none of them before its end.
+func (p *Placer) ReturnAfterPause(job *Job, now time.Time) (time.Duration, bool) {
+	wait := p.pauseWait(job, now)
+	if wait == 0 {
+		return 0, false
+	}
+	return wait + p.Pauses.returnDelay(job.Service), true
+}
+
 // minLimitWait is the shortest time for which a caller is told to wait for a limited replica.
 const minLimitWait = 50 * time.Millisecond
 
@@ -390,9 +416,22 @@
 	p.startWaiting(w)
 }
 
+// pauses reports whether the replica pauses; jobs that wait for it go elsewhere or are refused at their queue timeout.
+func (p *Placer) pauses(replica Key, now time.Time) bool {
+	if p.Pauses.Active() == 0 {
+		return false
+	}
+	for _, l := range *p.layout.Load() {
+		if m, ok := l.byKey[replica]; ok {
+			return p.Pauses.Wait(m, now) > 0
+		}
+	}
+	return false
+}
+
 func (p *Placer) serveQueueLocked(replica Key, now time.Time) {
 	queue := p.queues.byKey[replica]
-	for len(queue) > 0 {
+	for len(queue) > 0 && !p.pauses(replica, now) {
 		next := first(queue, now)
 		w := queue[next]
 		if !p.hasCapacity(w, now) {
