edge: one memory budget for all that is read ahead

Cause: each response was bounded (8 MiB), all together were not. Responses are read in blocks, without copying into larger buffers. Lists of the store are decoded page by page.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
+	"github.com/dragonflypin/dragonflypin/internal/process/memory"
 	"github.com/dragonflypin/dragonflypin/internal/process/metrics"
 	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
@@ -119,6 +120,7 @@
 	gossip    *gossip.Node
 	observer  *observer
 	guard     *guard
+	memory    *memory.Budget
 	exchange  *configurationExchange
 	// configuration and replicas follow the store.
 	configuration, replicas *followed
@@ -146,16 +148,19 @@
 	if node.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryBytes)))
 	}
-	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement, rand.Uint64()), pool: direct.NewPool()}
+	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement, rand.Uint64()), pool: direct.NewPool(), memory: memory.NewBudget(node.MemoryBytes)}
 	e.exchange = newConfigurationExchange(e)
 	e.configuration, e.replicas = e.followConfiguration(), e.followReplicas()
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
 	e.placer.Limits = place.NewReplicaLimits(node.Address.String())
 	e.guard = newGuard(e)
 	e.forwarder = &forward.Forwarder{
-		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, Paused: e.logPause, Guard: e.guard,
+		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory, Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, Paused: e.logPause, Guard: e.guard,
+	}
+	err := deps.Metrics.ReadAhead(e.memory.Used, e.memory.Refused)
+	if err != nil {
+		return nil, err
 	}
-	var err error
 	if e.gossip, err = gossip.New(e.gossipOptions()); err != nil {
 		return nil, err
 	}
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -158,11 +158,11 @@
 			}
 		},
 		func(ctx context.Context, f *followed) error {
-			all, err := listAll(ctx, e.deps.Store, kind)
+			all, err := listAll(ctx, e.deps.Store, kind, e.decodeReplicas)
 			if err != nil {
 				return err
 			}
-			changed := e.registry.Replace(e.decodeReplicas(all), time.Now())
+			changed := e.registry.Replace(all, time.Now())
 			f.synced.onList(changed, time.Now())
 			if changed {
 				e.onListChanged("listed")
@@ -171,9 +171,10 @@
 		})
 }
 
-// listAll lists all objects of a kind.
-func listAll(ctx context.Context, client store.Client, kind string) ([]store.Object, error) {
-	var all []store.Object
+// listAll lists all objects of a kind. Each page is decoded at once, so that large objects of other writers are not kept until the
+// last one.
+func listAll[T any](ctx context.Context, client store.Client, kind string, decode func([]store.Object) []T) ([]T, error) {
+	var all []T
 	after := ""
 	for range maxPages {
 		objects, err := client.List(ctx, kind, "", after, pageSize)
@@ -183,7 +184,7 @@
 		if len(objects) == 0 {
 			return all, nil
 		}
-		all, after = append(all, objects...), objects[len(objects)-1].Name
+		all, after = append(all, decode(objects)...), objects[len(objects)-1].Name
 	}
 	return nil, errListTooLong
 }
--- a/internal/app/edge/serve.go
+++ b/internal/app/edge/serve.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
+	"github.com/dragonflypin/dragonflypin/internal/process/memory"
 	"github.com/dragonflypin/dragonflypin/internal/request/forward"
 )
 
@@ -14,6 +16,8 @@
 	retryAfterStart = 500 * time.Millisecond
 	// retryAfterDrain is the Retry-After of a draining edge. The caller's next connection reaches another edge.
 	retryAfterDrain = 30 * time.Millisecond
+	// retryAfterMemory is the Retry-After of an edge without memory for a request body: about the time of a few responses.
+	retryAfterMemory = 200 * time.Millisecond
 	// maxDiscardBytes and discardTimeout bound how much of a body refused for its size is still read, so that the caller
 	// receives the refusal instead of a connection reset.
 	maxDiscardBytes = 128 << 20
@@ -28,6 +32,7 @@
 	codeKey             forward.Code = "invalid_key"
 	codeBodySize        forward.Code = "body_too_large"
 	codeBody            forward.Code = "body_unreadable"
+	codeMemory          forward.Code = "no_memory"
 )
 
 // ServeHTTP serves one request of a caller. It implements http.Handler.
@@ -46,8 +51,17 @@
 		e.deny(responder, id, codeNoConfiguration, forward.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterStart})
 		return
 	}
+	body := &chargedBody{ReadCloser: r.Body, charge: e.memory.Charge()}
+	defer body.charge.Release()
+	r.Body = body
 	request, denial := e.deps.Front.Decode(v, r, arrived)
-	if denial != Allowed {
+	r.Body = body.ReadCloser // what is discarded of a refused body is not kept
+	switch {
+	case body.refused:
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		e.deny(responder, id, codeMemory, forward.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterMemory})
+		return
+	case denial != Allowed:
 		e.denyRequest(w, r, responder, id, denial)
 		return
 	}
@@ -61,6 +75,29 @@
 	}
 }
 
+// errMemory reports a request body for which there is not enough memory.
+var errMemory = errors.New("no memory is left for the request body")
+
+// chargedBody charges what is read of a request body to the memory budget, until the request has ended.
+type chargedBody struct {
+	io.ReadCloser
+	charge memory.Charge
+	read   int64
+	// refused is set when there was not enough memory.
+	refused bool
+}
+
+// Read implements io.Reader.
+func (b *chargedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.read += int64(n)
+	if !b.charge.Grow(b.read) {
+		b.refused = true
+		return 0, errMemory
+	}
+	return n, err
+}
+
 // denyRequest responds to a request that was denied by Front.Decode.
 func (e *Edge) denyRequest(w http.ResponseWriter, r *http.Request, responder Responder, id string, denial Denial) {
 	switch denial {
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -363,6 +363,9 @@
 	return n, err
 }
 
+// Complete reports whether Read has returned io.EOF.
+func (r *Response) Complete() bool { return r.complete }
+
 // Close returns the connection to the pool if the body was read to its end, and closes it otherwise.
 func (r *Response) Close() {
 	if r.exchange.witness != nil {
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -125,6 +125,22 @@
 	return b.err
 }
 
+// ReadAhead makes the metrics show the memory in use for bodies that are read ahead, and how often there was not enough.
+func (m *Metrics) ReadAhead(used, refused func() int64) error {
+	if m == nil {
+		return nil
+	}
+	meter := m.provider.Meter("dragonflypin")
+	_, err := meter.Int64ObservableGauge("dragonflypin.read.ahead", metric.WithUnit("By"), metric.WithDescription("Memory in use for bodies that are read ahead."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error { o.Observe(used()); return nil }))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Int64ObservableCounter("dragonflypin.read.ahead.refused", metric.WithDescription("Bodies for which there was not enough memory."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error { o.Observe(refused()); return nil }))
+	return err
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	if m == nil {
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
+	"github.com/dragonflypin/dragonflypin/internal/process/memory"
 	"github.com/dragonflypin/dragonflypin/internal/process/quarantine"
 	"github.com/dragonflypin/dragonflypin/internal/request/place"
 	"github.com/dragonflypin/dragonflypin/internal/request/retry"
@@ -24,9 +25,18 @@
 // published deployment specifications have up to 5 kB.
 const maxBodyBytes = 8 << 20
 
+// bodyBlockSize is the size of the blocks in which a body of unknown length is read, in bytes, and firstBlockSize that of the first one.
+const (
+	bodyBlockSize  = 64 << 10
+	firstBlockSize = 4 << 10
+)
+
 // errBodyTooLong reports a body above maxBodyBytes.
 var errBodyTooLong = errors.New("response body is too long")
 
+// errMemory reports a body or an event for which there is not enough memory.
+var errMemory = errors.New("no memory is left to read the response ahead")
+
 // errEventTooLong reports an event above maxEventSize.
 var errEventTooLong = errors.New("stream event is too long")
 
@@ -177,22 +187,55 @@
 // forwardBody forwards a response that is not a stream. Responses of known length are short; they are read completely
 // before the first byte is sent, so that an interrupted one can still be retried.
 func (s *serving) forwardBody(tracker *sendTracker, response *direct.Response) error {
-	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes+1))
+	charge := s.f.Memory.Charge()
+	defer charge.Release()
+	body, size, err := readBody(response, &charge)
 	tracker.firstEvent()
 	if err != nil {
 		return err
 	}
-	if len(body) > maxBodyBytes {
-		return errBodyTooLong
+	s.startResponse(response, size)
+	for _, block := range body {
+		if err := s.write(block); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readBody reads a whole body in blocks, so that it is never copied into a larger buffer, and returns its size.
+func readBody(response *direct.Response, charge *memory.Charge) (body [][]byte, size int64, err error) {
+	next := int64(firstBlockSize)
+	if response.Length >= 0 {
+		next = min(response.Length+1, bodyBlockSize) // one more for the end of the body
+	}
+	for {
+		if !charge.Grow(size + next) {
+			return nil, 0, errMemory
+		}
+		block := make([]byte, next)
+		n, err := io.ReadFull(response, block)
+		body, size = append(body, block[:n]), size+int64(n)
+		switch {
+		case size > maxBodyBytes:
+			return nil, 0, errBodyTooLong
+		case errors.Is(err, io.EOF):
+			return body, size, nil
+		case errors.Is(err, io.ErrUnexpectedEOF) && response.Complete():
+			return body, size, nil
+		case err != nil:
+			return nil, 0, err
+		}
+		next = bodyBlockSize
 	}
-	s.startResponse(response, int64(len(body)))
-	return s.write(body)
 }
 
 // forwardStream forwards events as they arrive, each of them whole, so that an interrupted stream can resume after the
 // last one.
 func (s *serving) forwardStream(tracker *sendTracker, response *direct.Response) error {
 	s.sequence.begin(s.responseStarted)
+	charge := s.f.Memory.Charge()
+	defer charge.Release()
 	var pending []byte
 	buffer := make([]byte, readBufferSize)
 	for {
@@ -223,6 +266,8 @@
 			return err
 		case len(pending) > maxEventSize:
 			return errEventTooLong
+		case cap(pending) > bodyBlockSize && !charge.Grow(int64(cap(pending))):
+			return errMemory
 		}
 	}
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
+	"github.com/dragonflypin/dragonflypin/internal/process/memory"
 	"github.com/dragonflypin/dragonflypin/internal/request/place"
 	"github.com/dragonflypin/dragonflypin/internal/version/routes"
 )
@@ -221,10 +222,12 @@
 
 // Forwarder serves requests. It is safe for concurrent use.
 type Forwarder struct {
-	Placer   *place.Placer
-	Pool     *direct.Pool
-	Dialect  Dialect
-	Budgets  *Budgets
+	Placer  *place.Placer
+	Pool    *direct.Pool
+	Dialect Dialect
+	Budgets *Budgets
+	// Memory bounds what is read ahead of all responses together.
+	Memory   *memory.Budget
 	Observer Observer
 	// Share sends evidence about a replica to the other entries; it may be nil.
 	Share func(place.Evidence)
