edge: parts of two calls that read up to the same revision are not put together

Two calls without a write in between have the same one and different first revisions, so that a lost part could be replaced by one of another call and its changes be skipped. Evidence: TestPartsOfTwoCallsAreNotPutTogether failed before. Why this works: a call is known by both revisions and its number of parts.

--- a/internal/app/edge/synced_test.go
+++ b/internal/app/edge/synced_test.go
@@ -432,3 +432,22 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// Guards against parts of two calls that read up to the same revision and are put together as one update: changes of the first part
+// would be missing.
+func TestPartsOfTwoCallsAreNotPutTogether(t *testing.T) {
+	sender := netip.MustParseAddr("10.0.0.1")
+	part := func(from uint64, part uint8, id string) *update {
+		return &update{Kind: replicaObjects, From: from, To: 10, Part: part, Parts: 2, Changes: []replicaChange{{ID: id, Removed: true}}}
+	}
+	var a assembly
+	for _, u := range []*update{part(1, 0, "a"), part(3, 1, "b")} {
+		if changes, complete := a.add(sender, u); complete {
+			t.Errorf("parts of two calls are applied as one: %v", changes)
+		}
+	}
+	changes, complete := a.add(sender, part(3, 0, "c"))
+	if !complete || len(changes) != 2 || changes[0].ID != "c" || changes[1].ID != "b" {
+		t.Errorf("got %v, complete %t, want both parts of the later call", changes, complete)
+	}
+}
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -126,10 +126,14 @@
 }
 
 type pendingCall struct {
-	to    uint64
-	parts map[uint8][]replicaChange
+	from, to uint64
+	count    uint8
+	parts    map[uint8][]replicaChange
 }
 
+// has reports whether an update is a part of the call.
+func (p *pendingCall) has(u *update) bool { return p.from == u.From && p.to == u.To && p.count == u.Parts }
+
 // maxPendingCalls bounds the senders with incomplete updates.
 const maxPendingCalls = 64
 
@@ -142,8 +146,8 @@
 		a.bySender = map[netip.Addr]*pendingCall{}
 	}
 	p := a.bySender[from]
-	if p == nil || p.to != u.To {
-		p = &pendingCall{to: u.To, parts: map[uint8][]replicaChange{}}
+	if p == nil || !p.has(u) {
+		p = &pendingCall{from: u.From, to: u.To, count: u.Parts, parts: map[uint8][]replicaChange{}}
 		a.bySender[from] = p
 	}
 	p.parts[u.Part] = u.Changes
