edge: a reload says when more than the seeds has changed

The pages do not say that it changes while a process runs, so a reload goes on applying the seeds only; edge_needs_restart names the rest.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"reflect"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -348,9 +349,21 @@
 		return 0, err
 	}
 	e.gossip.SetSeeds(node.Seeds)
+	if needsRestart(e.node, node) {
+		e.observer.logError(eventlog.EdgeNeedsRestart, errNeedsRestart)
+	}
 	return len(node.Seeds), nil
 }
 
+// errNeedsRestart reports settings that changed and stay as they were until a restart.
+var errNeedsRestart = errors.New("settings other than the seeds have changed")
+
+// needsRestart reports whether settings differ that a running edge does not apply: all but the seeds.
+func needsRestart(running, changed settings.Node) bool {
+	running.Seeds, changed.Seeds = nil, nil
+	return !reflect.DeepEqual(running, changed)
+}
+
 func (e *Edge) reload() {
 	seeds, err := e.reloadSeeds()
 	if err != nil {
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -132,7 +132,9 @@
 }
 
 // has reports whether an update is a part of the call.
-func (p *pendingCall) has(u *update) bool { return p.from == u.From && p.to == u.To && p.count == u.Parts }
+func (p *pendingCall) has(u *update) bool {
+	return p.from == u.From && p.to == u.To && p.count == u.Parts
+}
 
 // maxPendingCalls bounds the senders with incomplete updates.
 const maxPendingCalls = 64
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -106,4 +106,5 @@
 	EdgeConfigurationFetched = define(1521, "edge_configuration_fetched", logrus.WarnLevel, "Another edge had a newer configuration, which the store did not deliver to this one in time; it was fetched from there.")
 	EdgeReplicaLeaving       = define(1522, "edge_replica_leaving", logrus.InfoLevel, "A replica says in its responses that it leaves and gets no new requests, whatever the list says; own says whether a response to this edge said so.")
 	EdgeReplicaPaused        = define(1523, "edge_replica_paused", logrus.InfoLevel, "A replica has refused a request and wants no other one from this edge for pause_ms.")
+	EdgeNeedsRestart         = define(1524, "edge_needs_restart", logrus.WarnLevel, "The machine's settings have changed in more than the seeds; only those are applied without a restart.")
 )
