--- a/internal/process/replicas/schedules_test.go
+++ b/internal/process/replicas/schedules_test.go
@@ -1,6 +1,7 @@
 package replicas_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,12 +12,13 @@
 	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
 )
 
+var outageSchedules = flag.Int("outages.count", 600, "number of schedules")
+
 const (
-	outageSchedules = 600
-	outageLength    = 24 * time.Second
-	outageStep      = 50 * time.Millisecond
-	outageEdges     = 4
-	outageReplicas  = 6
+	outageLength   = 24 * time.Second
+	outageStep     = 50 * time.Millisecond
+	outageEdges    = 4
+	outageReplicas = 6
 	// Times of the platform: heartbeats, the lapse of an entry, the return of lapsed ones after an outage, the bound for replicas that
 	// leave, and the time without disruption after which it holds.
 	beatInterval   = 1200 * time.Millisecond
@@ -233,7 +235,7 @@
 // Guards against replicas that have left and are kept by an edge that was cut off from a store which served the others, and against
 // replicas that lapsed in an outage and are given up; cuts, outages and refusals of single edges come in any order and overlap.
 func TestDrawnOutagesAndCuts(t *testing.T) {
-	for seed := range uint64(outageSchedules) {
+	for seed := range uint64(*outageSchedules) {
 		if broken := newOutageSchedule(seed).run(); broken != "" {
 			t.Errorf("schedule %d: %s", seed, broken)
 		}
