replicas: an unknown start that leaves stands only for the one that is registered

What callers would have seen: a replica that gets no work for as long as it is listed. Cause: a 421 names only the ID of the replica that leaves. Without a registration its start was recorded as unknown, which matches every later start under that ID; and the message to the other edges left the start open, so that one with a newer list blamed a later start. Evidence: TestUnknownStartThatLeavesDoesNotStayAway failed before. Why this works: without a registration the statement is ignored, as the edge sends that replica nothing; otherwise the edge that was told resolves the start before it tells the others.

--- a/internal/app/edge/leaving.go
+++ b/internal/app/edge/leaving.go
@@ -17,6 +17,9 @@
 
 // recordLeaving applies what a response to this edge says, and tells the other edges if it is new.
 func (e *Edge) recordLeaving(id string, startUnixMs int64) {
+	if startUnixMs == 0 {
+		startUnixMs = e.registry.RegisteredStart(id) // the others may know a later start
+	}
 	if e.applyLeaving(id, startUnixMs, true) {
 		e.broadcast(leavingBroadcast, &leavingMessage{ID: id, StartUnixMs: startUnixMs})
 	}
--- a/internal/process/replicas/leaving.go
+++ b/internal/process/replicas/leaving.go
@@ -18,13 +18,24 @@
 	registeredAt time.Time
 }
 
-// Leave records that a replica has said that it leaves, and reports whether that is new. startUnixMs is 0 for the start that is
-// registered.
+// RegisteredStart returns the start time of the replica that is registered under the ID, or 0 if there is none.
+func (r *Registry) RegisteredStart(id string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.registrations[id].StartUnixMs
+}
+
+// Leave records that a start of a replica has said that it leaves, and reports whether that is new. An unknown start, 0, is the one
+// that is registered; it is ignored if none is, because it would stand for all later ones.
 func (r *Registry) Leave(id string, startUnixMs int64, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if startUnixMs == 0 {
-		startUnixMs = r.registrations[id].StartUnixMs
+		registered, ok := r.registrations[id]
+		if !ok {
+			return false
+		}
+		startUnixMs = registered.StartUnixMs
 	}
 	if old, ok := r.leaving[id]; ok && sameStart(old.startUnixMs, startUnixMs) {
 		return false
--- a/internal/process/replicas/replicas_test.go
+++ b/internal/process/replicas/replicas_test.go
@@ -176,3 +176,17 @@
 		t.Error("a replica that left is never forgotten")
 	}
 }
+
+// Guards against a replica that never gets work again because another edge, or a response from its address, said that an unknown start
+// of it leaves while it was not in the list.
+func TestUnknownStartThatLeavesDoesNotStayAway(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := replicas.NewRegistry()
+	if r.Leave("a", 0, now) {
+		t.Error("a replica that is not in the list and of which no start is known leaves")
+	}
+	r.Replace([]replicas.Change{{ID: "a", Replica: &replicas.Replica{ID: "a", Service: "s", StartUnixMs: 9}}}, now)
+	if _, ok := r.View().Get("a"); !ok {
+		t.Error("the start that is registered later gets no work")
+	}
+}
