direct: only a response that ends with its connection pays for its witness

Every request allocated a closure that opens another connection, and the exchange kept it, for the few responses without framing. The witness has it now. Behaviour is unchanged; the package's tests pass with the race detector.

--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -136,14 +136,14 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{pool: p, conn: c, written: make(chan error, 1), open: func() (*conn, error) { return p.get(ctx, &Request{Address: request.Address}) }}
+	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if len(request.Body) <= maxInlineBody {
 		x.write(request)
 	} else {
 		go x.write(request)
 	}
-	response, err := x.read(request)
+	response, err := x.read(ctx, request)
 	if err != nil {
 		x.fail()
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
@@ -252,8 +252,6 @@
 	conn *conn
 	// written receives the result of writing the request.
 	written chan error
-	// open returns another connection to the replica.
-	open func() (*conn, error)
 	// witness is set while the response is one that ends with its connection.
 	witness *witness
 	// stop cancels the closing of the connection at the end of the context.
@@ -265,7 +263,7 @@
 	x.written <- writeRequest(x.conn.writer, request)
 }
 
-func (x *exchange) read(request *Request) (*Response, error) {
+func (x *exchange) read(ctx context.Context, request *Request) (*Response, error) {
 	for unmatched := 0; ; {
 		//nolint:bodyclose // Response.Close closes the body; discard reads the body of a response to another request
 		resp, err := x.conn.readHead(request.Method)
@@ -283,7 +281,7 @@
 		if match != MatchOther {
 			framing := framingOf(resp)
 			if framing == FramedByConnection {
-				x.witness = x.newWitness()
+				x.witness = newWitness(x.pool, func() (*conn, error) { return x.pool.get(ctx, &Request{Address: request.Address}) })
 			}
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framing,
@@ -357,7 +355,7 @@
 		return n, errReplicaGone
 	case err == nil && time.Since(x.witness.opened) > witnessMaxAge:
 		x.witness.release()
-		x.witness = x.newWitness()
+		x.witness = newWitness(x.pool, x.witness.open)
 	}
 	r.complete = r.complete || errors.Is(err, io.EOF)
 	return n, err
--- a/internal/connection/direct/witness.go
+++ b/internal/connection/direct/witness.go
@@ -18,17 +18,19 @@
 // connection: the system closes the connections of a process that was killed in the same way as the process does after a complete
 // response, but all of them.
 type witness struct {
-	pool   *Pool
+	pool *Pool
+	// open returns a connection to the replica.
+	open   func() (*conn, error)
 	opened time.Time
 	// conn receives the connection, or nil without one.
 	conn chan *conn
 }
 
 // newWitness takes an idle connection or opens one in the background.
-func (x *exchange) newWitness() *witness {
-	w := &witness{pool: x.pool, opened: time.Now(), conn: make(chan *conn, 1)}
+func newWitness(pool *Pool, open func() (*conn, error)) *witness {
+	w := &witness{pool: pool, open: open, opened: time.Now(), conn: make(chan *conn, 1)}
 	go func() {
-		c, err := x.open()
+		c, err := open()
 		if err != nil {
 			c = nil
 		}
