forward: one place reports a send that did not produce the response

The stream's part was filled in at three places before six reports, and for requests without a stream tested twice. A status that falsely promises 'not run' was the only such send without a log line; it has one now. The line about a pause is written by the observer, like the other lines about requests.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -156,7 +156,7 @@
 	e.placer.Limits = place.NewReplicaLimits(node.Address.String())
 	e.guard = newGuard(e)
 	e.forwarder = &forward.Forwarder{
-		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory, Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, Paused: e.logPause, Guard: e.guard,
+		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory, Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, Paused: e.observer.paused, Guard: e.guard,
 	}
 	err := deps.Metrics.ReadAhead(e.memory.Used, e.memory.Refused)
 	if err != nil {
--- a/internal/app/edge/observe.go
+++ b/internal/app/edge/observe.go
@@ -140,10 +140,10 @@
 	o.log.Emit(eventlog.EdgeRequestEnded, append(fields, streamFields(r, e.Stream)...)...)
 }
 
-// logPause records that a replica has asked this edge for a pause.
-func (e *Edge) logPause(replicaID string, duration time.Duration) {
-	if e.observer.allowLine() {
-		e.deps.Log.Emit(eventlog.EdgeReplicaPaused, eventlog.Upstream(replicaID), eventlog.Pause(duration))
+// paused records that a replica has asked this edge for a pause.
+func (o *observer) paused(replicaID string, duration time.Duration) {
+	if o.allowLine() {
+		o.log.Emit(eventlog.EdgeReplicaPaused, eventlog.Upstream(replicaID), eventlog.Pause(duration))
 	}
 }
 
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -93,17 +93,19 @@
 	}
 	if s.responseStarted && response.Status != http.StatusOK {
 		attempt.Err = errNoContinuation
-		s.f.Observer.Attempted(s.r, attempt)
+		s.reportAttempt(attempt)
 		return s.continueElsewhere(tracker.choice, errNoContinuation)
 	}
 	if !ok {
 		if _, allowed := s.mayRetry(retry.MayHaveRun); allowed {
-			s.f.Observer.Attempted(s.r, attempt)
+			s.reportAttempt(attempt)
 			s.excluded = append(s.excluded, tracker.choice.Replica.ID)
 			return step{retry: true}
 		}
 	}
 	if promise {
+		attempt.Err = errFalsePromise
+		s.reportAttempt(attempt)
 		return stop(s.fail(CodeMayHaveRun, http.StatusBadGateway, errFalsePromise))
 	}
 	var err error
@@ -127,8 +129,8 @@
 	if errors.As(err, &caller) {
 		return stop(s.abandon(err))
 	}
-	attempt.Err, attempt.Answering, attempt.Stream = err, tracker.answering(), s.streamPart()
-	s.f.Observer.Attempted(s.r, attempt)
+	attempt.Err, attempt.Answering = err, tracker.answering()
+	s.reportAttempt(attempt)
 	s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, true, time.Now())
 	return s.retryInterrupted(ctx, tracker, err)
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -152,7 +152,7 @@
 	Total     time.Duration
 	// LongestGap is the longest gap between two writes of the response body.
 	LongestGap time.Duration
-	// Stream describes the response of the last send, if it was a stream.
+	// Stream describes the last send; it is only of use for streams.
 	Stream StreamPart
 	Err    error
 }
@@ -187,7 +187,7 @@
 	Took time.Duration
 	// Answering is the time between the first event and an interruption of the response, or 0 before the first event.
 	Answering time.Duration
-	// Stream is set for streams.
+	// Stream is only of use for streams.
 	Stream StreamPart
 }
 
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -42,7 +42,7 @@
 	responseStarted bool
 	// sequence has the events that the caller has received.
 	sequence eventSequence
-	// part describes the last send of a stream; its LastEvent is that of the sequence.
+	// part describes the last send, without its LastEvent, which is that of the sequence.
 	part StreamPart
 	// mayHaveRun is set when a replica may have worked on the request.
 	mayHaveRun bool
@@ -173,43 +173,46 @@
 	if s.sends == 0 {
 		s.queued = sent.Sub(r.Arrived)
 	}
-	attempt := Attempt{Choice: c, Number: s.sends + 1, Took: time.Since(sent), Stream: s.streamPart(), Err: err}
+	attempt := Attempt{Choice: c, Number: s.sends + 1, Took: time.Since(sent), Err: err}
 	if err != nil && ctx.Err() != nil {
 		// The connection was closed because the context ended, so that the error of the connection is of no use.
 		attempt.Err = context.Cause(ctx)
 	}
 	if errors.Is(err, direct.ErrNotSent) {
-		s.f.Observer.Attempted(r, attempt)
+		s.reportAttempt(attempt)
 		return s.handleNotSent(ctx, c, err)
 	}
 	s.sends++
 	if err != nil {
-		s.f.Observer.Attempted(r, attempt)
+		s.reportAttempt(attempt)
 		return s.handleNoResponse(ctx, tracker, err)
 	}
 	defer response.Close()
 	s.part.Framing = response.Framing
 	attempt.Status, attempt.Verdict = response.Status, s.f.Dialect.Verdict(response.Status, response.Header)
-	attempt.Stream = s.streamPart()
 	s.recordLeaving(c, response)
 	s.recordPause(c, response)
 	if attempt.Verdict != WrongReplica {
 		s.recordLimit(tracker, response)
 	}
 	if attempt.Verdict != Ran {
-		s.f.Observer.Attempted(r, attempt)
+		s.reportAttempt(attempt)
 		return s.handleNotRun(c, attempt.Verdict)
 	}
 	return s.deliver(ctx, tracker, response, attempt)
 }
 
-// streamPart describes the last send if the request is one for a stream.
+// streamPart describes the last send.
 func (s *serving) streamPart() StreamPart {
-	if s.r.Route.Kind != routes.Streaming {
-		return StreamPart{}
-	}
-	s.part.LastEvent = string(s.sequence.last)
-	return s.part
+	part := s.part
+	part.LastEvent = string(s.sequence.last)
+	return part
+}
+
+// reportAttempt tells the observer of a send that did not produce the response.
+func (s *serving) reportAttempt(a Attempt) {
+	a.Stream = s.streamPart()
+	s.f.Observer.Attempted(s.r, a)
 }
 
 // recordLeaving reports a replica that says that it leaves. Work that runs there goes on.
