place, replicas: one reading of whether two starts of a replica are the same

Pauses compared start times by themselves, so that a pause was forgotten when the list told the replica's start only later, while a replica that leaves is remembered then. replicas.SameStart serves both; TestPauseHoldsForAnUnknownStart failed before. ReturnAfterPause takes the waiter, as RetryAfter does, instead of building the job again. Two comments said what the code no longer did or stood at the wrong field.

--- a/internal/process/replicas/leaving.go
+++ b/internal/process/replicas/leaving.go
@@ -37,7 +37,7 @@
 		}
 		startUnixMs = registered.StartUnixMs
 	}
-	if old, ok := r.leaving[id]; ok && sameStart(old.startUnixMs, startUnixMs) {
+	if old, ok := r.leaving[id]; ok && SameStart(old.startUnixMs, startUnixMs) {
 		return false
 	}
 	if len(r.leaving) >= maxLeaving {
@@ -51,12 +51,12 @@
 // leaves reports whether the registered start of the replica has said that it leaves.
 func (r *Registry) leaves(replica *Replica) bool {
 	l, ok := r.leaving[replica.ID]
-	return ok && sameStart(l.startUnixMs, replica.StartUnixMs)
+	return ok && SameStart(l.startUnixMs, replica.StartUnixMs)
 }
 
-// sameStart reports whether two start times are of the same start. Clocks may jump, so that a later start can have an earlier time.
+// SameStart reports whether two start times are of the same start. Clocks may jump, so that a later start can have an earlier time.
 // An unknown start counts as the same one.
-func sameStart(a, b int64) bool { return a == b || a == 0 || b == 0 }
+func SameStart(a, b int64) bool { return a == b || a == 0 || b == 0 }
 
 // forgetLeaving forgets replicas that have not been registered for the time.
 func (r *Registry) forgetLeaving(now time.Time, retention time.Duration) {
--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -343,7 +343,7 @@
 	}
 }
 
-// inExpiryGrace reports whether the store is unavailable, or was until less than expiryGrace before now.
+// inExpiryGrace reports whether the store is unavailable, or was until shortly before now.
 func (r *Registry) inExpiryGrace(now time.Time) bool {
 	return r.failing && !r.servedOthers() || !r.outageEnd.IsZero() && now.Before(r.graceEnd)
 }
--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -52,9 +52,9 @@
 	// catchingUp ends the current wait.
 	catchingUp bool
 	// wakeup receives a value when the end of the current wait may have changed.
-	// began is only used by the goroutine of Run.
-	began  time.Time
 	wakeup chan struct{}
+	// began is the start of the call in progress. It is only used by the goroutine of Run.
+	began time.Time
 }
 
 // pollTimeout is the watch timeout of a Feed that polls.
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -79,7 +79,7 @@
 		case waitContextDone:
 			continue
 		case waitTimedOut:
-			if retryAfter, ok := s.f.Placer.ReturnAfterPause(s.job(), time.Now()); ok {
+			if retryAfter, ok := s.f.Placer.ReturnAfterPause(waiter, time.Now()); ok {
 				return s.refuseUntil(CodePaused, retryAfter)
 			}
 			s.choice = s.f.Placer.PendingChoice(waiter, time.Now())
--- a/internal/request/place/pauses.go
+++ b/internal/request/place/pauses.go
@@ -47,7 +47,7 @@
 	defer p.mu.Unlock()
 	key := KeyOf(replica.ID)
 	old, ok := p.replicas[key]
-	if ok && old.startUnixMs == replica.StartUnixMs && !until.After(old.until) {
+	if ok && replicas.SameStart(old.startUnixMs, replica.StartUnixMs) && !until.After(old.until) {
 		return false
 	}
 	if !ok && len(p.replicas) >= maxPauses {
@@ -65,7 +65,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if paused, ok := p.replicas[m.key]; ok && paused.startUnixMs == m.StartUnixMs {
+	if paused, ok := p.replicas[m.key]; ok && replicas.SameStart(paused.startUnixMs, m.StartUnixMs) {
 		return max(0, paused.until.Sub(now))
 	}
 	return 0
--- a/internal/request/place/pauses_test.go
+++ b/internal/request/place/pauses_test.go
@@ -67,3 +67,12 @@
 		t.Error("a pause has no bound")
 	}
 }
+
+// Guards against a pause that is forgotten because the list tells the replica's start only later.
+func TestPauseHoldsForAnUnknownStart(t *testing.T) {
+	p, now := place.NewPauses(), epoch
+	p.Apply(&replicas.Replica{ID: "a"}, 2*time.Second, now)
+	if p.Apply(&replicas.Replica{ID: "a", StartUnixMs: 3}, time.Second, now) {
+		t.Error("a shorter pause of the same start counts")
+	}
+}
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -221,12 +221,12 @@
 
 // ReturnAfterPause returns when the caller of a job that was refused because all replicas pause should come back, and false if they
 // don't. Those who are refused in the same pause return one after the other, none of them before its end.
-func (p *Placer) ReturnAfterPause(job *Job, now time.Time) (time.Duration, bool) {
-	wait := p.pauseWait(job, now)
+func (p *Placer) ReturnAfterPause(w *Waiter, now time.Time) (time.Duration, bool) {
+	wait := p.pauseWait(w.job, now)
 	if wait == 0 {
 		return 0, false
 	}
-	return wait + p.Pauses.returnDelay(job.Service), true
+	return wait + p.Pauses.returnDelay(w.job.Service), true
 }
 
 // minLimitWait is the shortest time for which a caller is told to wait for a limited replica.
