--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -37,4 +37,25 @@
 	RetryRatio   float64
 	RetryWindow  time.Duration
 	RetryReserve float64
+	// Duties are those at the platform that one of the entries performs for all.
+	Duties Duties
 }
+
+// Duties describes the calls to the platform that are the duty of one entry at a time. The zero value names none.
+type Duties struct {
+	// Address is the IP:PORT of the platform's API.
+	Address netip.AddrPort
+	// ReportUsage and OrderReplicas are set for the duties that the platform asks for.
+	ReportUsage, OrderReplicas bool
+	// CallsPerSecond is the rate of such calls that the platform accepts from all entries together.
+	CallsPerSecond float64
+	// Lease is the time within which a holder must not act again after another one has acted.
+	Lease time.Duration
+	// Window is the length of the windows of true time, counted from the start of 1970, whose usage is reported.
+	Window time.Duration
+	// ReportBound is the time after the end of a window within which its report is due.
+	ReportBound time.Duration
+}
+
+// Any reports whether there is a duty to perform.
+func (d *Duties) Any() bool { return d.ReportUsage || d.OrderReplicas }
