duty: one holder of the duties at the platform, and each window's usage reported once

Change: duty.Node (election by the lease lease/duties, candidates in the order of addresses, announcements between edges), duty reports (seal by one create, read back, send what is stored, backoff, late, retention) as a state machine without calls, platform.Duties, wiring into the edge with empty counts, events DP1601 to DP1610, metrics.

--- a/internal/app/cli/edge.go
+++ b/internal/app/cli/edge.go
@@ -10,6 +10,8 @@
 	"github.com/dragonflypin/dragonflypin/internal/app/compose"
 	"github.com/dragonflypin/dragonflypin/internal/app/edge"
 	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
+	"github.com/dragonflypin/dragonflypin/internal/process/boottime"
+	"github.com/dragonflypin/dragonflypin/internal/process/duty"
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/metrics"
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
@@ -55,8 +57,13 @@
 	if err != nil {
 		return err
 	}
+	var api duty.Platform
+	if node.Duties.Any() {
+		api = platform.NewDuties(node.Duties.Address, boottime.Now)
+	}
 	e, err := edge.New(node, cfg, edge.Deps{
-		Store: client, Source: platform.Source(), Front: platform.Front{}, Dialect: platform.Dialect{},
+		Platform: api,
+		Store:    client, Source: platform.Source(), Front: platform.Front{}, Dialect: platform.Dialect{},
 		Log: eventlog.New(lines, cfg.Log.Level, roleEdge, node.Name), Metrics: m,
 		Reload: func() (settings.Node, error) { return platform.LoadNode(platform.NodeFile()) },
 		Hangup: hangup, DroppedLines: lines.Dropped,
--- /dev/null
+++ b/internal/app/edge/duties.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/boottime"
+	"github.com/dragonflypin/dragonflypin/internal/process/duty"
+	"github.com/dragonflypin/dragonflypin/internal/process/tally"
+)
+
+// newDuties returns this edge's part in the duties at the platform, or nil if its settings name none: then the edge makes no call and
+// sends no message for them.
+func (e *Edge) newDuties(counts duty.Counts) *duty.Node {
+	if !e.node.Duties.Any() || e.deps.Platform == nil {
+		return nil
+	}
+	return duty.New(duty.Options{
+		Duties: e.node.Duties, Name: e.node.Name, Address: e.node.Address.String(),
+		Store: e.deps.Store, Platform: e.deps.Platform, Counts: counts,
+		Clock: boottime.Now, Wall: time.Now,
+		Rank: func() int { return e.gossip.Rank(true) }, Live: e.liveEdges,
+		Announce: func(a duty.Announcement) { e.broadcast(dutiesBroadcast, &a) },
+		Log:      e.deps.Log, Metrics: e.deps.Metrics,
+	})
+}
+
+// liveEdges returns the addresses of the other live edges.
+func (e *Edge) liveEdges() []string {
+	peers := e.gossip.LivePeers()
+	list := make([]string, 0, len(peers))
+	for _, peer := range peers {
+		list = append(list, peer.String())
+	}
+	return list
+}
+
+// runDuties takes part in the duties until ctx ends.
+func (e *Edge) runDuties(ctx context.Context) {
+	if e.duties != nil {
+		e.duties.Run(ctx)
+	}
+}
+
+// leaveDuties gives the duties up at the start of a drain, so that another edge goes on at once.
+func (e *Edge) leaveDuties() {
+	if e.duties == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), e.node.StopGrace)
+	defer cancel()
+	e.duties.Leave(ctx)
+}
+
+func (e *Edge) onDuties(from netip.Addr, payload []byte) error {
+	var a duty.Announcement
+	if err := cbor.Unmarshal(payload, &a); err != nil {
+		return err
+	}
+	if e.duties != nil {
+		e.duties.Heard(from.String(), a)
+	}
+	return nil
+}
+
+// emptyCounts counts nothing, by this machine's time of day.
+type emptyCounts struct{ window time.Duration }
+
+func (emptyCounts) Segments(uint64) []tally.Segment { return nil }
+func (emptyCounts) Final(uint64, []string) bool     { return true }
+func (c emptyCounts) Window(now time.Time) uint64   { return uint64(now.UnixNano() / int64(c.window)) }
+func (c emptyCounts) Ends(window uint64) time.Duration {
+	return time.Until(time.Unix(0, int64(window+1)*int64(c.window)))
+}
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
+	"github.com/dragonflypin/dragonflypin/internal/process/duty"
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
 	"github.com/dragonflypin/dragonflypin/internal/process/memory"
@@ -79,8 +80,10 @@
 	Source  Source
 	Front   Front
 	Dialect forward.Dialect
-	Log     *eventlog.Log
-	Metrics *metrics.Metrics
+	// Platform makes the calls of the duties. It may be nil if the settings name none.
+	Platform duty.Platform
+	Log      *eventlog.Log
+	Metrics  *metrics.Metrics
 	// Reload reads the node settings again.
 	Reload func() (settings.Node, error)
 	// Hangup receives SIGHUP when the settings have changed.
@@ -123,6 +126,8 @@
 	guard     *guard
 	memory    *memory.Budget
 	exchange  *configurationExchange
+	// duties is nil if the settings name none.
+	duties *duty.Node
 	// configuration and replicas follow the store.
 	configuration, replicas *followed
 	// pending has the incomplete updates of other edges. It is only used by the goroutine that receives datagrams.
@@ -155,6 +160,7 @@
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
 	e.placer.Limits = place.NewReplicaLimits(node.Address.String())
 	e.guard = newGuard(e)
+	e.duties = e.newDuties(emptyCounts{node.Duties.Window})
 	e.forwarder = &forward.Forwarder{
 		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory, Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, Paused: e.observer.paused, Guard: e.guard,
 	}
@@ -278,7 +284,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var tasks sync.WaitGroup
-	for _, run := range []func(context.Context){e.configuration.feed.Run, e.replicas.feed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run, e.newKeeper().run, e.runLimits} {
+	for _, run := range []func(context.Context){e.configuration.feed.Run, e.replicas.feed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run, e.newKeeper().run, e.runLimits, e.runDuties} {
 		tasks.Go(func() { run(background) })
 	}
 	server := &http.Server{
--- a/internal/app/edge/serve.go
+++ b/internal/app/edge/serve.go
@@ -159,6 +159,7 @@
 	e.exitDeadline.Store(&deadline)
 	e.draining.Store(true)
 	e.deps.Log.Emit(eventlog.DrainStarted, eventlog.Count(int(e.inFlight.Load())))
+	go e.leaveDuties()
 	idleSince := began
 	for range time.Tick(drainPollInterval) {
 		now := time.Now()
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -33,6 +33,7 @@
 	limitBroadcast
 	sendsBroadcast
 	leavingBroadcast
+	dutiesBroadcast
 )
 
 // evidence tells the other edges what a request of this one has shown about a replica.
@@ -296,6 +297,8 @@
 		return e.onSends(message)
 	case leavingBroadcast:
 		return e.onLeaving(message)
+	case dutiesBroadcast:
+		return e.onDuties(from, message)
 	default:
 		return errUnknownBroadcast
 	}
--- /dev/null
+++ b/internal/process/duty/history_test.go
@@ -0,0 +1,391 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/lease"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+)
+
+var (
+	schedules = flag.Int("duty.schedules", 60, "number of drawn schedules")
+	firstSeed = flag.Uint64("duty.seed", 1, "seed of the first schedule")
+)
+
+type acquireInput struct{ edge int }
+
+type acquireOutput struct {
+	fence uint64
+	err   error
+	took  time.Duration
+}
+
+// unknown reports whether the acquisition may have taken effect although it failed. One that lasted for a lease, because the
+// machine was frozen, may have been replaced before the edge learned of it.
+func (o acquireOutput) unknown() bool {
+	if errors.Is(o.err, lease.ErrHeld) {
+		return o.took >= simLease
+	}
+	return o.err != nil && (!errors.Is(o.err, store.ErrUnavailable) || errors.Is(o.err, store.ErrUnknown))
+}
+
+type reportInput struct {
+	edge   int
+	fence  uint64
+	window uint64
+	sum    string
+}
+
+// fenceState is the state of the model of the lease: the highest number granted, its holder, and the highest number with which a
+// report was accepted.
+type fenceState struct {
+	granted uint64
+	holder  int
+	acted   uint64
+}
+
+// fenceModel specifies that a new holder gets the next number, and that no report is accepted after one with a higher number.
+var fenceModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{fenceState{holder: -1}} },
+	Step: func(s, in, out any) []any {
+		st := s.(fenceState)
+		if i, ok := in.(reportInput); ok {
+			err, _ := out.(error)
+			return stepReport(st, i, err)
+		}
+		id, o := in.(acquireInput).edge, out.(acquireOutput)
+		next := fenceState{st.granted + 1, id, st.acted}
+		switch {
+		case o.err == nil && o.fence == next.granted:
+			return []any{next}
+		case o.err == nil && o.fence == st.granted && st.holder == id:
+			return []any{st}
+		case o.err == nil:
+			return nil
+		case o.unknown():
+			return []any{st, next}
+		default:
+			return []any{st}
+		}
+	},
+}
+
+func stepReport(st fenceState, i reportInput, err error) []any {
+	raised := fenceState{st.granted, st.holder, i.fence}
+	legal := i.fence >= st.acted && i.fence <= st.granted && (i.fence < st.granted || st.holder == i.edge)
+	switch outcome := outcomeOf(err); {
+	case outcome == accepted && legal:
+		return []any{raised}
+	case outcome == accepted:
+		return nil
+	case outcome == unknown && legal:
+		return []any{st, raised}
+	default:
+		return []any{st}
+	}
+}
+
+// windowModel specifies that all reports of one window that are accepted have the same counts.
+var windowModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byWindow := map[uint64][]porcupine.Operation{}
+		for _, op := range history {
+			window := op.Input.(reportInput).window
+			byWindow[window] = append(byWindow[window], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byWindow {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() []any { return []any{""} },
+	Step: func(s, in, out any) []any {
+		have, i := s.(string), in.(reportInput)
+		err, _ := out.(error)
+		outcome := outcomeOf(err)
+		equal := have == "" || have == i.sum
+		switch {
+		case outcome == accepted && equal:
+			return []any{i.sum}
+		case outcome == accepted:
+			return nil
+		case outcome == unknown && equal:
+			return []any{have, i.sum}
+		default:
+			return []any{have}
+		}
+	},
+}
+
+const (
+	// simTrouble is the length of the part of a schedule with faults, simCalm that of the part after it.
+	simTrouble = 75 * time.Second
+	simCalm    = 45 * time.Second
+	simEdges   = 4
+	// checkTimeout bounds the search of porcupine.
+	checkTimeout = 30 * time.Second
+)
+
+// fault is one kind of disruption. It returns the function that ends it, which may be nil.
+type fault func(s *sim, e *simEdge, ctx context.Context) (lasts time.Duration, end func())
+
+// set returns a fault that sets a value under the lock and sets it back at the end.
+func set[T any](longest time.Duration, field func(*sim, *simEdge) *T, value T) fault {
+	return func(s *sim, e *simEdge, _ context.Context) (time.Duration, func()) {
+		assign := func(v T) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			*field(s, e) = v
+		}
+		assign(value)
+		return s.random(longest), func() {
+			var zero T
+			assign(zero)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			e.thawedAt = time.Now()
+		}
+	}
+}
+
+// faults are the disruptions of the published deployments, as far as they concern duties.
+var faults = map[string]fault{
+	"freeze": func(s *sim, e *simEdge, _ context.Context) (time.Duration, func()) {
+		e.freeze(s.random(8*time.Second), false)
+		return 0, nil
+	},
+	"suspension": func(s *sim, e *simEdge, _ context.Context) (time.Duration, func()) {
+		e.freeze(s.random(8*time.Second), true)
+		return 0, nil
+	},
+	"kill": func(s *sim, e *simEdge, ctx context.Context) (time.Duration, func()) {
+		e.kill()
+		return 200*time.Millisecond + s.random(2*time.Second), func() { e.start(ctx) }
+	},
+	"stop": func(s *sim, e *simEdge, ctx context.Context) (time.Duration, func()) {
+		e.node.Leave(ctx)
+		time.Sleep(s.random(3 * time.Second))
+		e.kill()
+		return s.random(2 * time.Second), func() { e.start(ctx) }
+	},
+	// Reports accumulate, and then the holders stop one after the other while they send them.
+	"stops in turn": func(s *sim, _ *simEdge, ctx context.Context) (time.Duration, func()) {
+		s.setPlatform(true, 0)
+		time.Sleep(15*time.Second + s.random(10*time.Second))
+		s.setPlatform(false, 300*time.Millisecond)
+		for range 4 {
+			time.Sleep(200*time.Millisecond + s.random(600*time.Millisecond))
+			e := s.holder()
+			if e == nil || e.frozenUntil.After(time.Now()) {
+				continue
+			}
+			e.node.Leave(ctx)
+			e.kill()
+			e.start(ctx)
+		}
+		s.setPlatform(false, 0)
+		return 0, nil
+	},
+	"cut from the store":    set(9*time.Second, func(_ *sim, e *simEdge) *bool { return &e.noStore }, true),
+	"cut from the platform": set(9*time.Second, func(_ *sim, e *simEdge) *bool { return &e.noPlatform }, true),
+	"cut from edges":        set(9*time.Second, func(_ *sim, e *simEdge) *bool { return &e.noPeers }, true),
+	"dark store":            set(9*time.Second, func(s *sim, _ *simEdge) *bool { return &s.storeDark }, true),
+	"dark platform":         set(9*time.Second, func(s *sim, _ *simEdge) *bool { return &s.platformDark }, true),
+	"slow store":            set(9*time.Second, func(s *sim, _ *simEdge) *time.Duration { return &s.storeDelay }, 240*time.Millisecond),
+	"slow platform":         set(9*time.Second, func(s *sim, _ *simEdge) *time.Duration { return &s.platformDelay }, 900*time.Millisecond),
+	"lost writes":           set(9*time.Second, func(s *sim, _ *simEdge) *float64 { return &s.lossRate }, 0.4),
+	"late writes":           set(9*time.Second, func(s *sim, _ *simEdge) *float64 { return &s.lateRate }, 0.4),
+	"lost responses":        set(9*time.Second, func(s *sim, _ *simEdge) *float64 { return &s.responseLossRate }, 0.5),
+	"lost datagrams":        set(9*time.Second, func(s *sim, _ *simEdge) *float64 { return &s.datagramLossRate }, 0.5),
+	"clock step":            set(9*time.Second, func(_ *sim, e *simEdge) *time.Duration { return &e.clockError }, 2*time.Second),
+}
+
+// faultNames has a fixed order, so that a seed always draws the same faults.
+var faultNames = []string{
+	"freeze", "suspension", "kill", "stop", "stops in turn", "cut from the store", "cut from the platform", "cut from edges", "dark store", "dark platform",
+	"slow store", "slow platform", "lost writes", "late writes", "lost responses", "lost datagrams", "clock step",
+}
+
+// play plays one schedule.
+func (s *sim) play(ctx context.Context) {
+	for _, e := range s.edges {
+		e.start(ctx)
+	}
+	ends := make(chan struct{}, 1000)
+	pending := 0
+	for time.Since(s.began) < simTrouble {
+		time.Sleep(s.random(3 * time.Second))
+		e := s.target()
+		name := faultNames[int(s.random(time.Duration(len(faultNames)-1)))]
+		if e.frozenUntil.After(time.Now()) {
+			continue // a frozen process is not signalled
+		}
+		lasts, end := faults[name](s, e, ctx)
+		if end == nil {
+			continue
+		}
+		if name == "kill" || name == "stop" {
+			time.Sleep(lasts)
+			end()
+			continue
+		}
+		pending++
+		time.AfterFunc(lasts, func() { end(); ends <- struct{}{} })
+	}
+	for range pending {
+		<-ends
+	}
+	s.calm = time.Now()
+	time.Sleep(simCalm)
+}
+
+// holder returns the edge that may act, or nil.
+func (s *sim) holder() *simEdge {
+	for _, e := range s.edges {
+		if _, ok := e.node.Fence(); ok {
+			return e
+		}
+	}
+	return nil
+}
+
+func (s *sim) setPlatform(dark bool, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.platformDark, s.platformDelay = dark, delay
+}
+
+// target returns the holder, or any edge.
+func (s *sim) target() *simEdge {
+	if s.chance(0.7) {
+		if e := s.holder(); e != nil {
+			return e
+		}
+	}
+	return s.edges[int(s.random(time.Duration(len(s.edges)-1)))]
+}
+
+// result is what a schedule has shown.
+type result struct {
+	violations       []string
+	windows, missed  int
+	lateInCalm       int
+	fences           uint64
+	reports, applied int
+}
+
+func runSchedule(t *testing.T, seed uint64, broken defect) result {
+	t.Helper()
+	var r result
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSim(seed, simEdges, broken)
+		s.requireFence = seed%4 == 0
+		s.play(ctx)
+		cancel()
+		time.Sleep(10 * time.Second) // writes that take effect late
+		r = s.judge()
+	})
+	return r
+}
+
+// judge checks the histories, the platform's verdicts and the stored windows.
+func (s *sim) judge() result {
+	r := result{violations: s.platform.violations, fences: s.platform.highest, reports: s.sent, applied: s.appliedLate}
+	end := int64(time.Since(s.began))
+	fences := make([]porcupine.Operation, 0, len(s.acquisitions)+len(s.reports))
+	for _, op := range s.acquisitions {
+		if o := op.Output.(acquireOutput); o.unknown() && !errors.Is(o.err, lease.ErrHeld) {
+			op.Return = end // the write may take effect later
+		}
+		fences = append(fences, op)
+	}
+	fences = append(fences, s.reports...)
+	if got := porcupine.CheckOperationsTimeout(fenceModel.ToModel(), fences, checkTimeout); got != porcupine.Ok {
+		r.violations = append(r.violations, fmt.Sprintf("the history of the lease is %s", got))
+	}
+	if got := porcupine.CheckOperationsTimeout(windowModel.ToModel(), s.reports, checkTimeout); got != porcupine.Ok {
+		r.violations = append(r.violations, fmt.Sprintf("the history of the windows is %s", got))
+	}
+	r.violations = append(r.violations, s.judgeWindows(&r)...)
+	return r
+}
+
+// judgeWindows checks that each window was reported as it is stored, and counts those that were reported late or not at all.
+func (s *sim) judgeWindows(r *result) (violations []string) {
+	stored := s.stored()
+	first := uint64(s.began.UnixNano() / int64(simWindow))
+	troubleEnd := s.calm.Add(simBound)
+	for window := first; ; window++ {
+		ends := time.Unix(0, int64(window+1)*int64(simWindow))
+		if ends.Add(2 * simBound).After(s.calm.Add(simCalm)) {
+			return violations
+		}
+		r.windows++
+		sum, ok := s.platform.sums[window]
+		if !ok || !s.platform.onTime[window] {
+			r.missed++
+			if ends.After(troubleEnd) {
+				r.lateInCalm++
+			}
+		}
+		if !ok {
+			violations = append(violations, fmt.Sprintf("window %d was never reported", window))
+			continue
+		}
+		if want := fmt.Sprint(stored[window].Sum); want != sum {
+			violations = append(violations, fmt.Sprintf("window %d: reported %s, stored %s", window, sum, want))
+		}
+	}
+}
+
+// Guards against two holders with one fencing number, actions of a replaced holder, holders that act in turns within a lease, two
+// counts for one window, reports that differ from what is stored, and windows that are never reported, in drawn schedules of freezes,
+// suspensions, cuts, kills, stops, lost and late writes, and a dark or slow store and platform.
+func TestDutiesInDrawnSchedules(t *testing.T) {
+	windows, missed, reports, applied := 0, 0, 0, 0
+	for i := range uint64(*schedules) {
+		seed := *firstSeed + i
+		r := runSchedule(t, seed, noDefect)
+		for _, v := range r.violations {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		if r.lateInCalm > 0 {
+			t.Errorf("seed %d: %d windows were late although the faults had ended", seed, r.lateInCalm)
+		}
+		windows, missed, reports, applied = windows+r.windows, missed+r.missed, reports+r.reports, applied+r.applied
+	}
+	t.Logf("%d windows, %d of them late or missing in the trouble, %d reports sent, %d late writes took effect", windows, missed, reports, applied)
+	if applied == 0 {
+		t.Error("no write took effect late: the schedules do not cover it")
+	}
+}
+
+// Guards against checks that accept every schedule: they must find each deliberate defect.
+func TestDrawnSchedulesFindDefects(t *testing.T) {
+	for name, broken := range map[string]defect{
+		"clock without suspensions": clockWithoutSuspensions, "lease not checked before calls": leaseNotChecked,
+		"returning holder that does not wait": noWaitOfReturningHolder, "window not read back": noReadBack, "unconditional writes": unconditionalStore,
+	} {
+		found := 0
+		const tries = 40
+		for seed := range uint64(tries) {
+			if len(runSchedule(t, seed+1, broken).violations) > 0 {
+				found++
+			}
+		}
+		t.Logf("%s: found in %d of %d schedules", name, found, tries)
+		if found == 0 {
+			t.Errorf("%s: not found", name)
+		}
+	}
+}
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -108,3 +108,17 @@
 	EdgeReplicaPaused        = define(1523, "edge_replica_paused", logrus.InfoLevel, "A replica has refused a request and wants no other one from this edge for pause_ms.")
 	EdgeNeedsRestart         = define(1524, "edge_needs_restart", logrus.WarnLevel, "The machine's settings have changed in more than the seeds; only those are applied without a restart.")
 )
+
+// Events of the duties at the platform.
+var (
+	DutiesAcquired = define(1601, "duties_acquired", logrus.InfoLevel, "This edge holds the duties at the platform; fence is its fencing number.")
+	DutiesLost     = define(1602, "duties_lost", logrus.WarnLevel, "This edge no longer holds the duties: its lease could not be renewed (reason expired) or another edge has it (reason replaced).")
+	DutiesReleased = define(1603, "duties_released", logrus.InfoLevel, "This edge has given up the duties; without settled the next edge waits for the end of the lease, because a call may still arrive.")
+	UsageSealed    = define(1604, "usage_sealed", logrus.InfoLevel, "The usage of a window is stored and will not change; count is the number of segments.")
+	UsageReported  = define(1605, "usage_reported", logrus.InfoLevel, "The platform has accepted the usage of a window in time.")
+	UsageLate      = define(1606, "usage_late", logrus.WarnLevel, "The platform has accepted the usage of a window after its time; the lines before say what failed.")
+	UsageFailed    = define(1607, "usage_failed", logrus.WarnLevel, "A call for the usage of a window failed and will be repeated.")
+	UsageRefused   = define(1608, "usage_refused", logrus.ErrorLevel, "The platform refuses the usage of a window; it is not sent again and stays in the store.")
+	UsageDiffers   = define(1609, "usage_differs", logrus.WarnLevel, "Counts of a window became known after its seal; they are stored beside what was reported. count is the number of sources.")
+	UsageSkipped   = define(1610, "usage_skipped", logrus.ErrorLevel, "Windows ended so long ago without a holder that they are not reported; count is their number.")
+)
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -98,6 +98,12 @@
 // Fence is a fencing number.
 func Fence(n uint64) Field { return Field{"fence", n} }
 
+// Window is the number of a window of usage.
+func Window(n uint64) Field { return Field{"window", n} }
+
+// Settled is whether no call has an unknown outcome.
+func Settled(ok bool) Field { return Field{"settled", ok} }
+
 // Count is a number; the event's meaning states what it counts.
 func Count(n int) Field { return Field{"count", n} }
 
--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -152,7 +152,7 @@
 	return l.attached
 }
 
-// Attach sets the value that the next writes pass to later holders.
+// Attach sets the value that the next writes pass to later holders. The value of a previous holder replaces it.
 func (l *Lease) Attach(value json.RawMessage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -210,7 +210,9 @@
 func (l *Lease) newTerm(version uint64, attached json.RawMessage) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.attached = attached
+	if attached != nil {
+		l.attached = attached
+	}
 	if l.term == "" || l.termVersion != version {
 		l.term, l.termVersion = l.settings.Term(), version
 		l.writes, l.sentAt = 0, map[uint64]time.Time{}
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -45,6 +45,9 @@
 	held      metric.Int64Gauge
 	limited   metric.Int64Gauge
 	decision  metric.Float64Histogram
+	duties    metric.Int64Gauge
+	fence     metric.Int64Gauge
+	windows   metric.Int64Counter
 }
 
 // New returns the Metrics of an instance.
@@ -122,6 +125,13 @@
 	limited, err := meter.Int64Gauge("dragonflypin.limited.replicas", metric.WithDescription("Replicas that have named a limit."))
 	b.recordError(err)
 	m.limited = limited
+	duties, err := meter.Int64Gauge("dragonflypin.duties.holder", metric.WithDescription("1 while this edge holds the duties at the platform, 0 after that."))
+	b.recordError(err)
+	m.duties = duties
+	fence, err := meter.Int64Gauge("dragonflypin.duties.fence", metric.WithDescription("Fencing number of this edge's last term as the holder of the duties."))
+	b.recordError(err)
+	m.fence = fence
+	m.windows = b.counter("dragonflypin.usage.windows", "Windows whose usage this edge has reported in time or late, that were refused, or too old to report, by result.")
 	return b.err
 }
 
@@ -270,6 +280,27 @@
 	m.limited.Record(context.Background(), int64(n))
 }
 
+// DutyHolder records whether this edge holds the duties at the platform, and its fencing number.
+func (m *Metrics) DutyHolder(holds bool, fence uint64) {
+	if m == nil {
+		return
+	}
+	value := int64(0)
+	if holds {
+		value = 1
+	}
+	m.duties.Record(context.Background(), value)
+	m.fence.Record(context.Background(), int64(fence))
+}
+
+// UsageWindows counts windows by what became of their report.
+func (m *Metrics) UsageWindows(result string, n int) {
+	if m == nil {
+		return
+	}
+	m.windows.Add(context.Background(), int64(n), metric.WithAttributes(attribute.String("result", result)))
+}
+
 // Decision records the duration of one routing decision.
 func (m *Metrics) Decision(d time.Duration) {
 	if m == nil {
