tally, truetime: requests that began are counted and exchanged between edges

Cause: the platform asks for the requests of each workspace that began to run in each window of true time, and no edge counted them. Nothing of it where no usage is reported. The gossip tests name the new protocol version, otherwise they are unchanged.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -123,6 +123,7 @@
 	guard     *guard
 	memory    *memory.Budget
 	exchange  *configurationExchange
+	tally     *tallyExchange
 	// configuration and replicas follow the store.
 	configuration, replicas *followed
 	// pending has the incomplete updates of other edges. It is only used by the goroutine that receives datagrams.
@@ -165,6 +166,13 @@
 	if e.gossip, err = gossip.New(e.gossipOptions()); err != nil {
 		return nil, err
 	}
+	if e.tally = newTallyExchange(e, e.gossip.Epoch()); e.tally != nil {
+		e.forwarder.Began = e.tally.began
+		if err = deps.Metrics.ObserveUsageCounts(e.tally.stats); err != nil {
+			e.gossip.Close()
+			return nil, err
+		}
+	}
 	for _, l := range []struct {
 		address  netip.AddrPort
 		listener *net.Listener
@@ -214,6 +222,7 @@
 	return gossip.Options{
 		Listen: netip.AddrPortFrom(e.node.Address, e.node.PeerPort), Seeds: e.node.Seeds,
 		Collect:  e.collect,
+		Clock:    reportedClock(e.node.Duties),
 		OnReport: e.onReport, OnBroadcast: e.onBroadcast,
 		OnPeer: func(peer netip.Addr, live bool) {
 			state := "silent"
@@ -259,6 +268,7 @@
 	}
 	e.exchange.onReport(from, r.Freshness, now)
 	e.guard.onDigest(from, r.Quarantine, now)
+	e.tally.onClock(from, r.Clock)
 	loads := make(map[place.Key]place.Load, len(r.Loads))
 	for _, l := range r.Loads {
 		loads[place.Key(l.Replica)] = place.Load{
@@ -302,7 +312,9 @@
 	var err error
 	select {
 	case <-ctx.Done():
+		e.tally.flush(false)
 		e.drain(server)
+		e.tally.flush(true)
 	case err = <-failed:
 	}
 	_ = readyServer.Close()
@@ -328,6 +340,7 @@
 			e.placer.Tick(now)
 			e.guard.tick(now)
 			e.tickLimits(now)
+			e.tally.tick()
 			if expired := e.registry.Expire(now); len(expired) > 0 {
 				e.onListChanged("lapsed")
 			}
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -33,6 +33,7 @@
 	limitBroadcast
 	sendsBroadcast
 	leavingBroadcast
+	tallyBroadcast
 )
 
 // evidence tells the other edges what a request of this one has shown about a replica.
@@ -296,6 +297,8 @@
 		return e.onSends(message)
 	case leavingBroadcast:
 		return e.onLeaving(message)
+	case tallyBroadcast:
+		return e.onTally(from, message)
 	default:
 		return errUnknownBroadcast
 	}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -32,6 +32,8 @@
 	peerExpiry = 5 * time.Second
 	// seedInterval is the time between reports to seeds that do not respond.
 	seedInterval = time.Second
+	// clockInterval is the time between two reports with the sender's time of day.
+	clockInterval = time.Second
 	// peersPerReport is the maximum number of peer addresses in a report.
 	peersPerReport = 3
 	// maxPeers bounds the number of peers. It is above the 360 nodes of the target scale.
@@ -41,7 +43,7 @@
 )
 
 // protocolVersion is incremented with every incompatible change. Reports of other versions are dropped.
-const protocolVersion = 4
+const protocolVersion = 5
 
 // Load is the load that the sender has outstanding at a replica.
 type Load struct {
@@ -121,6 +123,8 @@
 	Quarantine uint64
 	// Peers are addresses of live entries, as big-endian IPv4 numbers.
 	Peers []uint32
+	// Clock is the sender's time of day in Unix milliseconds, or 0 if the report does not have it.
+	Clock uint64
 }
 
 // Options configure a Node.
@@ -131,6 +135,8 @@
 	Seeds []netip.Addr
 	// Collect returns the state to report.
 	Collect func() State
+	// Clock returns the time of day in Unix milliseconds, which is reported once a second. With nil it is not reported.
+	Clock func() uint64
 	// OnReport receives the state of another entry.
 	OnReport func(from netip.Addr, report *Report)
 	// OnBroadcast receives the payload of a broadcast of another entry. It may be nil.
@@ -148,6 +154,8 @@
 	conn  *net.UDPConn
 	epoch uint64
 	seq   uint64
+	// clockSent is when the time of day was last reported.
+	clockSent time.Time
 
 	mu    sync.Mutex
 	peers map[netip.Addr]*peer
@@ -186,6 +194,9 @@
 	return &Node{opts: opts, conn: conn, epoch: uint64(time.Now().UnixMilli()), peers: map[netip.Addr]*peer{}, seeds: opts.Seeds}, nil
 }
 
+// Epoch returns the start of this process as the reports carry it, in Unix milliseconds.
+func (n *Node) Epoch() uint64 { return n.epoch }
+
 // Close closes the socket of a Node that does not run.
 func (n *Node) Close() { _ = n.conn.Close() }
 
@@ -280,6 +291,9 @@
 	targets, addresses := n.targets(now)
 	n.seq++
 	report := Report{Protocol: protocolVersion, Epoch: n.epoch, Seq: n.seq, Freshness: state.Freshness, Loads: state.Loads, CacheHints: state.CacheHints, Quarantine: state.Quarantine, Peers: addresses}
+	if n.opts.Clock != nil && now.Sub(n.clockSent) >= clockInterval {
+		report.Clock, n.clockSent = n.opts.Clock(), now
+	}
 	data, err := cbor.Marshal(&report)
 	for err == nil && len(data) > maxDatagramBytes {
 		// Each pass keeps the first half of the report's cache hints and selects three quarters as many loads at random, so
--- a/internal/process/gossip/gossip_test.go
+++ b/internal/process/gossip/gossip_test.go
@@ -100,13 +100,13 @@
 		}
 		_, _ = from.Write(append([]byte{1}, data...))
 	}
-	send(4, 10, 2)
+	send(5, 10, 2)
 	eventually(t, "the first report is accepted", func() bool { return e.received.Load() == 1 })
-	send(4, 10, 1)
-	send(4, 9, 50)
-	send(5, 10, 3)
+	send(5, 10, 1)
+	send(5, 9, 50)
+	send(6, 10, 3)
 	_, _ = from.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
-	send(4, 11, 1)
+	send(5, 11, 1)
 	eventually(t, "the first report of a restarted sender is accepted", func() bool { return e.received.Load() == 2 })
 	time.Sleep(50 * time.Millisecond)
 	if n := e.received.Load(); n != 2 {
@@ -116,7 +116,7 @@
 
 // Guards against a panic while decoding an arbitrary datagram.
 func FuzzReport(f *testing.F) {
-	data, err := cbor.Marshal(&gossip.Report{Protocol: 4, Seq: 1, Loads: []gossip.Load{{Replica: 1}}})
+	data, err := cbor.Marshal(&gossip.Report{Protocol: 5, Seq: 1, Loads: []gossip.Load{{Replica: 1}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -141,6 +141,59 @@
 	return err
 }
 
+// UsageCounts is what an edge has counted for the reports of usage, and exchanged with other edges.
+type UsageCounts struct {
+	// Counted is the number of requests that began, as this edge has counted them.
+	Counted uint64
+	// Windows is the number of windows whose counts are kept.
+	Windows int
+	// Age is the longest time since the last counts of a live edge.
+	Age time.Duration
+	// Messages and Bytes are what was sent to other edges.
+	Messages, Bytes uint64
+	// ClockError is the difference between the machine's time of day and the estimate of the true time.
+	ClockError time.Duration
+}
+
+// ObserveUsageCounts makes the metrics show the counts for the reports of usage.
+func (m *Metrics) ObserveUsageCounts(read func() UsageCounts) error {
+	if m == nil {
+		return nil
+	}
+	b := &builder{meter: m.provider.Meter("dragonflypin")}
+	counter := func(name, help string) metric.Int64ObservableCounter {
+		c, err := b.meter.Int64ObservableCounter(name, metric.WithDescription(help))
+		b.recordError(err)
+		return c
+	}
+	seconds := func(name, help string) metric.Float64ObservableGauge {
+		g, err := b.meter.Float64ObservableGauge(name, metric.WithUnit("s"), metric.WithDescription(help))
+		b.recordError(err)
+		return g
+	}
+	counted := counter("dragonflypin.usage.counted", "Requests that began to run, as this edge has counted them.")
+	messages := counter("dragonflypin.usage.messages", "Datagrams with counts that were sent to other edges.")
+	bytes := counter("dragonflypin.usage.message.bytes", "Bytes of the datagrams with counts that were sent to other edges.")
+	age := seconds("dragonflypin.usage.counts.age", "Longest time since the last counts of a live edge that has sent any to this one.")
+	clock := seconds("dragonflypin.clock.error", "Difference between the machine's time of day and the median of all edges.")
+	windows, err := b.meter.Int64ObservableGauge("dragonflypin.usage.windows.kept", metric.WithDescription("Windows whose counts are kept."))
+	b.recordError(err)
+	if b.err != nil {
+		return b.err
+	}
+	_, err = b.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		u := read()
+		o.ObserveInt64(counted, int64(u.Counted))
+		o.ObserveInt64(messages, int64(u.Messages))
+		o.ObserveInt64(bytes, int64(u.Bytes))
+		o.ObserveInt64(windows, int64(u.Windows))
+		o.ObserveFloat64(age, u.Age.Seconds())
+		o.ObserveFloat64(clock, u.ClockError.Seconds())
+		return nil
+	}, counted, messages, bytes, age, clock, windows)
+	return err
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	if m == nil {
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -57,9 +57,26 @@
 	if t.started.IsZero() {
 		t.started = time.Now()
 		t.s.f.Placer.FirstEvent(t.choice, t.started)
+		t.began()
 	}
 }
 
+// began reports that the replica began to run the request, once for all sends: a repeat at another replica and a stream that goes on
+// there belong to the same attempt of the caller. A stream begins with its first event. Anything else is known to have begun from its
+// response or the loss of it, and is reported as begun when it was sent, since replicas begin such requests at once.
+func (t *sendTracker) began() {
+	s := t.s
+	if s.began || s.f.Began == nil {
+		return
+	}
+	s.began = true
+	since := t.started
+	if since.IsZero() || s.r.Route.Kind != routes.Streaming {
+		since = t.sent
+	}
+	s.f.Began(s.r.Workspace, time.Since(since))
+}
+
 // answering returns the time since the first event, or 0 before it.
 func (t *sendTracker) answering() time.Duration {
 	if t.started.IsZero() {
@@ -90,6 +107,7 @@
 	if !ok {
 		s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, true, time.Now())
 		s.mayHaveRun = true
+		tracker.began()
 	}
 	if s.responseStarted && response.Status != http.StatusOK {
 		attempt.Err = errNoContinuation
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -237,7 +237,9 @@
 	Paused func(replicaID string, duration time.Duration)
 	// Leaving is told of each response whose replica says that it leaves. startUnixMs is 0 if it is not known. It may be nil.
 	Leaving func(id string, startUnixMs int64)
-	Guard   Guard
+	// Began is told once of each request that a replica began to run, with its workspace and the time since then. It may be nil.
+	Began func(workspace string, ago time.Duration)
+	Guard Guard
 }
 
 // Serve handles one request. ctx ends when the caller disconnects.
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -46,6 +46,8 @@
 	part StreamPart
 	// mayHaveRun is set when a replica may have worked on the request.
 	mayHaveRun bool
+	// began is set once the request was reported as begun (see Forwarder.Began).
+	began bool
 
 	choice     place.Choice
 	queued     time.Duration
@@ -292,6 +294,9 @@
 // handleNoResponse handles a send without a response: the replica may have worked on the request.
 func (s *serving) handleNoResponse(ctx context.Context, tracker *sendTracker, err error) step {
 	s.mayHaveRun = true
+	if s.r.Route.Kind != routes.Streaming {
+		tracker.began() // a stream begins with its first event, which has not arrived
+	}
 	if ctx.Err() != nil {
 		return stop(s.endByContext(ctx.Err()))
 	}
