--- a/internal/app/edge/duties.go
+++ b/internal/app/edge/duties.go
@@ -3,25 +3,27 @@
 import (
 	"context"
 	"net/netip"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dragonflypin/dragonflypin/internal/process/boottime"
 	"github.com/dragonflypin/dragonflypin/internal/process/duty"
-	"github.com/dragonflypin/dragonflypin/internal/process/tally"
 )
 
 // newDuties returns this edge's part in the duties at the platform, or nil if its settings name none: then the edge makes no call and
 // sends no message for them.
-func (e *Edge) newDuties(counts duty.Counts) *duty.Node {
+func (e *Edge) newDuties() *duty.Node {
 	if !e.node.Duties.Any() || e.deps.Platform == nil {
 		return nil
 	}
+	var counts duty.Counts
+	if e.tally != nil {
+		counts = e.tally.counter
+	}
 	return duty.New(duty.Options{
 		Duties: e.node.Duties, Name: e.node.Name, Address: e.node.Address.String(),
 		Store: e.deps.Store, Platform: e.deps.Platform, Counts: counts,
-		Clock: boottime.Now, Wall: time.Now,
+		Clock: boottime.Now, Wall: boottime.Now, // the counter takes times of the boot-time clock
 		Rank: func() int { return e.gossip.Rank(true) }, Live: e.liveEdges,
 		Announce: func(a duty.Announcement) { e.broadcast(dutiesBroadcast, &a) },
 		Log:      e.deps.Log, Metrics: e.deps.Metrics,
@@ -62,16 +64,16 @@
 	}
 	if e.duties != nil {
 		e.duties.Heard(from.String(), a)
+		e.tally.setHolder(e.dutyHolder())
 	}
 	return nil
 }
 
-// emptyCounts counts nothing, by this machine's time of day.
-type emptyCounts struct{ window time.Duration }
-
-func (emptyCounts) Segments(uint64) []tally.Segment { return nil }
-func (emptyCounts) Final(uint64, []string) bool     { return true }
-func (c emptyCounts) Window(now time.Time) uint64   { return uint64(now.UnixNano() / int64(c.window)) }
-func (c emptyCounts) Ends(window uint64) time.Duration {
-	return time.Until(time.Unix(0, int64(window+1)*int64(c.window)))
+// dutyHolder returns the address of the edge that holds the duties, as far as this edge knows; the zero value for none.
+func (e *Edge) dutyHolder() netip.Addr {
+	holder, err := netip.ParseAddr(e.duties.Holder())
+	if err != nil {
+		return netip.Addr{} // no holder is known
+	}
+	return holder
 }
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -34,6 +34,7 @@
 	sendsBroadcast
 	leavingBroadcast
 	dutiesBroadcast
+	tallyBroadcast
 )
 
 // evidence tells the other edges what a request of this one has shown about a replica.
@@ -299,6 +300,8 @@
 		return e.onLeaving(message)
 	case dutiesBroadcast:
 		return e.onDuties(from, message)
+	case tallyBroadcast:
+		return e.onTally(from, message)
 	default:
 		return errUnknownBroadcast
 	}
