scale: how many replicas a service should have in each zone

Cause: the platform's replica orders are a duty of one edge, and nothing decided how many replicas a service needs. Not wired to orders yet.

--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -92,6 +92,16 @@
 	MaxConnections int
 	// Engine is nil if the replicas run no model.
 	Engine *Engine
+	// Scaling is nil if the number of replicas is not ordered by the router.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of replicas of a service that the router orders in each availability zone.
+type Scaling struct {
+	// Min and Max bound the replicas in a zone.
+	Min, Max int
+	// Boot is the time from an order until a new replica serves.
+	Boot time.Duration
 }
 
 // Engine describes the inference engine of each replica of a service.
