forward: count a stream from its caller's Last-Event-Id, and check responses to repeated requests

Cause: the numbers of a stream were counted only if it began at 0 or 1 in this request, so a continuation with a piece missing was appended to a stream that its caller had resumed. A response after a run that broke off before its first event was not compared with anything.

Change: numbers count as one by one from the caller's ID, or from any two that follow each other. A response to a request that another replica may have run begins where it was asked to. IDs that are no numbers, and first responses, are treated as before.

--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -235,7 +235,7 @@
 // forwardStream forwards events as they arrive, each of them whole, so that an interrupted stream can resume after the
 // last one.
 func (s *serving) forwardStream(tracker *sendTracker, response *direct.Response) error {
-	s.sequence.begin(s.responseStarted)
+	s.sequence.begin(s.responseStarted, s.mayHaveRun)
 	charge := s.f.Memory.Charge()
 	defer charge.Release()
 	var pending []byte
--- a/internal/request/forward/sequence.go
+++ b/internal/request/forward/sequence.go
@@ -13,18 +13,33 @@
 	errNoEvent           = errors.New("the stream has text that is no event")
 )
 
+// steps is what the numbers of a stream's events have shown so far.
+type steps uint8
+
+const (
+	// stepsUnknown is before a second number.
+	stepsUnknown steps = iota
+	// stepsOfOne means that each number is the one before it plus 1, so that a missing event shows.
+	stepsOfOne
+	// stepsVary means that the numbers only increase, or that not all IDs are numbers.
+	stepsVary
+)
+
 // eventSequence checks that the events of a stream follow each other, within the response of one replica and where the stream
 // continues at another one. The IDs of events increase if they are numbers.
 type eventSequence struct {
-	// last is the ID of the last event that the caller has received.
+	// last is the ID of the last event that the caller has received, in this request or before it.
 	last []byte
 	// number is last as a number, if numbered is set.
 	number   uint64
 	numbered bool
-	// counted is set while each number is the one before it plus 1.
-	counted bool
+	steps    steps
+	// sent is set once the caller has received an event with an ID in this request.
+	sent bool
 	// joining is set until the first event of a response that continues the stream.
 	joining bool
+	// repeating is set until the first event with an ID, in the response to a request that another replica may have run before.
+	repeating bool
 	// unnamed is set while an event without an ID follows last, so that no replica can be told where to continue.
 	unnamed bool
 }
@@ -38,8 +53,11 @@
 	return q
 }
 
-// begin starts the response of a replica. continuing is set if the caller has received a part of the stream.
-func (q *eventSequence) begin(continuing bool) { q.joining = continuing }
+// begin starts the response of a replica. continuing is set if the caller has received a part of the stream, and repeated if
+// another replica may have run the request before.
+func (q *eventSequence) begin(continuing, repeated bool) {
+	q.joining, q.repeating = continuing, repeated && !q.sent
+}
 
 // accept checks complete events. It returns the size of those that may be forwarded, which is less than all of them with an error.
 func (q *eventSequence) accept(events []byte) (int, error) {
@@ -71,22 +89,48 @@
 		return nil
 	}
 	number, numbered := parseNumber(id)
-	switch {
-	case len(q.last) == 0 || !q.numbered || !numbered:
-		if q.joining && bytes.Equal(id, q.last) {
-			return errOutOfOrder
-		}
-		q.counted = numbered && len(q.last) == 0 && number <= 1
-	case number <= q.number, q.joining && q.counted && number != q.number+1:
+	if !q.follows(id, number, numbered) {
 		return errOutOfOrder
-	default:
-		q.counted = q.counted && number == q.number+1
 	}
+	q.steps = q.stepsWith(number, numbered)
 	q.last = append(q.last[:0], id...)
-	q.number, q.numbered, q.joining, q.unnamed = number, numbered, false, false
+	q.number, q.numbered, q.sent, q.joining, q.repeating, q.unnamed = number, numbered, true, false, false, false
 	return nil
 }
 
+// maxFirstNumber is the largest number of a stream's first event of which it is known that none is missing before it.
+const maxFirstNumber = 1
+
+// follows reports whether an event may be the next one of the stream.
+func (q *eventSequence) follows(id []byte, number uint64, numbered bool) bool {
+	first := q.joining || !q.sent
+	switch {
+	case len(q.last) == 0:
+		return !q.repeating || !numbered || number <= maxFirstNumber
+	case !q.numbered || !numbered:
+		return !first || !bytes.Equal(id, q.last)
+	case q.repeating, q.joining && q.steps == stepsOfOne:
+		return number == q.number+1
+	default:
+		return number > q.number
+	}
+}
+
+// stepsWith returns the steps with the number of the next event. A step from the ID of the caller counts only if it is 1: a larger
+// one may be that of a response with an event missing.
+func (q *eventSequence) stepsWith(number uint64, numbered bool) steps {
+	switch {
+	case len(q.last) == 0 && numbered && number <= maxFirstNumber:
+		return stepsOfOne
+	case q.numbered && numbered && number == q.number+1 && q.steps != stepsVary:
+		return stepsOfOne
+	case !q.sent:
+		return stepsUnknown
+	default:
+		return stepsVary
+	}
+}
+
 // maxNumberDigits bounds the IDs that are compared as numbers.
 const maxNumberDigits = 18
 
--- a/internal/request/forward/sequence_test.go
+++ b/internal/request/forward/sequence_test.go
@@ -35,6 +35,35 @@
 		"resumed by the caller":           {"12", []string{event("13") + event("14")}, event("13") + event("14")},
 		"resumed by the caller, gaps":     {"10", []string{event("15"), event("20")}, event("20")},
 		"resumed by the caller, at start": {"12", []string{event("1")}, ""},
+		"caller's, one late":              {"4", []string{event("5") + event("6") + event("7"), event("9")}, ""},
+		"caller's, continued":             {"4", []string{event("5") + event("6") + event("7"), event("8")}, event("8")},
+		"caller's, one back":              {"4", []string{event("5") + event("6"), event("6") + event("7")}, ""},
+		"caller's, anew":                  {"4", []string{event("5") + event("6"), event("1")}, ""},
+		"caller's, asked place":           {"4", []string{event("5") + event("6"), event("5")}, ""},
+		"caller's, one late twice":        {"4", []string{event("6") + event("7"), event("9")}, ""},
+		"caller's, late within a gap":     {"10", []string{event("15") + event("20"), event("30")}, event("30")},
+		"caller's, one event":             {"4", []string{event("5"), event("7")}, ""},
+		"caller's, the same event":        {"4", []string{event("4") + event("5")}, ""},
+		"caller's word":                   {"x", []string{event("5") + event("6"), event("8")}, ""},
+		"caller's word, the same event":   {"x", []string{event("x") + event("y")}, ""},
+		"caller's word, continued":        {"x", []string{event("y"), event("z")}, event("z")},
+		"counted from 5":                  {"", []string{event("5") + event("6"), event("8")}, ""},
+		"counted from 5, continued":       {"", []string{event("5") + event("6"), event("7")}, event("7")},
+		"numbers after a word":            {"", []string{event("1") + event("x") + event("5") + event("6"), event("8")}, event("8")},
+		"repeated":                        {"", []string{"", event("1")}, event("1")},
+		"repeated from 0":                 {"", []string{"", event("0")}, event("0")},
+		"repeated one late":               {"", []string{"", event("2")}, ""},
+		"repeated after the caller's":     {"4", []string{"", event("5")}, event("5")},
+		"repeated one late after it":      {"4", []string{"", event("6")}, ""},
+		"repeated with the same event":    {"4", []string{"", event("4")}, ""},
+		"repeated anew":                   {"4", []string{"", event("1")}, ""},
+		"repeated twice, one late":        {"4", []string{"", "", event("6")}, ""},
+		"repeated, words":                 {"", []string{"", event("b")}, event("b")},
+		"repeated, no IDs":                {"", []string{"", unnamed}, unnamed},
+		"comment, then one late":          {"4", []string{": wait\n\n", event("6")}, ""},
+		"comment, then as asked":          {"4", []string{": wait\n\n", event("5")}, event("5")},
+		"comment, then late at the start": {"", []string{": wait\n\n", event("2")}, ""},
+		"repeated after a comment":        {"4", []string{"", ": wait\n\n" + event("6")}, ": wait\n\n"},
 		"words as IDs":                    {"", []string{event("b") + event("a"), event("c")}, event("c")},
 		"words as IDs, same event":        {"", []string{event("b"), event("b")}, ""},
 		"very long number":                {"", []string{event(strings.Repeat("9", 40)) + event(strings.Repeat("8", 40))}, event(strings.Repeat("9", 40)) + event(strings.Repeat("8", 40))},
@@ -44,9 +73,11 @@
 	} {
 		q := newEventSequence(c.resumeAfter, true)
 		var accepted int
+		sent := false
 		for i, part := range c.parts {
-			q.begin(i > 0)
+			q.begin(sent, i > 0)
 			accepted, _ = q.accept([]byte(part))
+			sent = sent || accepted > 0
 		}
 		if got := c.parts[len(c.parts)-1][:accepted]; got != c.want {
 			t.Errorf("%s: forwarded %q, want %q", name, got, c.want)
