--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -114,20 +113,57 @@
 	dialer *net.Dialer
 
 	mu sync.Mutex
-	// idle has the idle connections by address, the last used one last.
-	idle   map[string][]*conn
+	// peers has an entry for each address with open connections and those that had some lately.
+	peers  map[string]*peer
 	closed bool
 
-	opened atomic.Int64
+	counts counts
 }
 
+// peer is what the pool knows about one address.
+type peer struct {
+	// idle has the idle connections, the last used one last.
+	idle []*conn
+	// open is the number of connections, also of those that carry a request.
+	open int
+	// lastClosed is why the latest one to be closed was, closedAt the time, and opened is set once one was open.
+	lastClosed CloseReason
+	closedAt   time.Time
+	opened     bool
+}
+
+// peerMemory is how long the pool remembers an address without connections, so that metrics can tell why the next one is opened.
+const peerMemory = 2 * time.Minute
+
 // NewPool returns a Pool without connections.
 func NewPool() *Pool {
-	return &Pool{dialer: Dialer(connectTimeout), idle: map[string][]*conn{}}
+	return &Pool{dialer: Dialer(connectTimeout), peers: map[string]*peer{}}
+}
+
+// peer returns the entry of an address. p.mu must be locked.
+func (p *Pool) peer(address string) *peer {
+	known, ok := p.peers[address]
+	if !ok {
+		known = &peer{}
+		p.peers[address] = known
+	}
+	return known
 }
 
-// Opened returns the number of connections opened since the creation of the pool.
-func (p *Pool) Opened() int64 { return p.opened.Load() }
+// close closes a connection and counts the reason.
+func (p *Pool) close(c *conn, reason CloseReason) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeLocked(c, reason, time.Now())
+}
+
+func (p *Pool) closeLocked(c *conn, reason CloseReason, now time.Time) {
+	_ = c.Close()
+	known := p.peer(c.address)
+	known.open--
+	known.lastClosed, known.closedAt = reason, now
+	p.counts.closed[reason].Add(1)
+}
 
 // Do sends a request and returns its response once the headers were read. Errors wrap ErrNotSent or ErrNoResponse. When ctx
 // ends, the connection is closed, so that the replica can cancel the request.
@@ -145,7 +181,7 @@
 	}
 	response, err := x.read(ctx, request)
 	if err != nil {
-		x.fail()
+		x.fail(ctx)
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
 	return response, nil
@@ -171,65 +207,81 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = p.closed || now.IsZero()
-	for address, list := range p.idle {
-		reusable := list[:0]
-		for _, c := range list {
-			if now.IsZero() || now.After(c.reusableUntil) {
-				_ = c.Close()
-				continue
+	for address, known := range p.peers {
+		reusable := known.idle[:0]
+		for _, c := range known.idle {
+			switch {
+			case now.IsZero():
+				p.closeLocked(c, CloseStopped, time.Now())
+			case now.After(c.reusableUntil):
+				p.closeLocked(c, CloseExpired, now)
+			default:
+				reusable = append(reusable, c)
 			}
-			reusable = append(reusable, c)
 		}
-		if len(reusable) == 0 {
-			delete(p.idle, address)
-			continue
+		clear(known.idle[len(reusable):])
+		known.idle = reusable
+		if known.open == 0 && now.Sub(known.closedAt) > peerMemory {
+			delete(p.peers, address)
 		}
-		p.idle[address] = reusable
 	}
 }
 
 // get returns a healthy idle connection or a new one.
 func (p *Pool) get(ctx context.Context, request *Request) (*conn, error) {
 	for {
-		c := p.takeIdle(request, time.Now())
+		c, reason := p.takeIdle(request, time.Now())
 		if c == nil {
-			return p.dial(ctx, request.Address)
+			return p.dial(ctx, request.Address, reason)
 		}
 		if c.healthy() {
 			return c, nil
 		}
-		_ = c.Close()
+		p.close(c, CloseDropped)
 	}
 }
 
-// takeIdle removes the last used idle connection from the pool and returns it. It returns nil if there is none, if the
-// connection has expired, or if it has been idle too long for a non-idempotent request. An expired connection is closed;
-// one that is idle too long for this request stays in the pool.
-func (p *Pool) takeIdle(request *Request, now time.Time) *conn {
+// takeIdle removes the last used idle connection from the pool and returns it. It returns nil and why a connection has to be opened
+// if there is none, if the connection has expired, or if it has been idle too long for a non-idempotent request. An expired
+// connection is closed; one that is idle too long for this request stays in the pool.
+func (p *Pool) takeIdle(request *Request, now time.Time) (*conn, OpenReason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[request.Address]
-	if len(list) == 0 {
-		return nil
+	known := p.peer(request.Address)
+	last := len(known.idle) - 1
+	if last >= 0 && now.After(known.idle[last].reusableUntil) {
+		c := known.idle[last]
+		known.idle[last], known.idle = nil, known.idle[:last]
+		p.closeLocked(c, CloseExpired, now)
+		return nil, OpenExpired
 	}
-	c := list[len(list)-1]
-	if request.NonIdempotent && now.Sub(c.idleSince) > nonIdempotentMaxIdleTime {
-		return nil
+	switch {
+	case last < 0 && known.open > 0:
+		return nil, OpenInUse
+	case last < 0 && !known.opened:
+		return nil, OpenFirst
+	case last < 0:
+		return nil, nextOpen[known.lastClosed]
 	}
-	p.idle[request.Address] = list[:len(list)-1]
-	if now.After(c.reusableUntil) {
-		_ = c.Close()
-		return nil
+	c := known.idle[last]
+	if request.NonIdempotent && now.Sub(c.idleSince) > nonIdempotentMaxIdleTime {
+		return nil, OpenIdleTooLong
 	}
-	return c
+	known.idle[last], known.idle = nil, known.idle[:last]
+	return c, 0
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, address string, reason OpenReason) (*conn, error) {
 	c, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	p.opened.Add(1)
+	p.counts.opened[reason].Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.peer(address)
+	known.open++
+	known.opened = true
 	return newConn(c, address), nil
 }
 
@@ -239,11 +291,17 @@
 	c.idleSince, c.reusableUntil = now, now.Add(maxIdle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || maxIdle <= 0 || len(p.idle[c.address]) >= maxIdlePerReplica {
-		_ = c.Close()
-		return
+	known := p.peer(c.address)
+	switch {
+	case p.closed:
+		p.closeLocked(c, CloseStopped, now)
+	case maxIdle <= 0:
+		p.closeLocked(c, CloseAsked, now)
+	case len(known.idle) >= maxIdlePerReplica:
+		p.closeLocked(c, CloseExcess, now)
+	default:
+		known.idle = append(known.idle, c)
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
 // exchange is one request and its response on a connection.
@@ -297,20 +355,28 @@
 	}
 }
 
-// finish returns the connection to the pool if the request was written completely and no bytes follow the response, and
-// closes it otherwise.
-func (x *exchange) finish(reusable bool, maxIdle time.Duration) {
+// finish returns the connection to the pool if the response was read to its end, the request was written completely and no bytes
+// follow the response, and closes it otherwise.
+func (x *exchange) finish(r *Response) {
 	if x.done {
 		return
 	}
 	x.done = true
 	open := x.stop()
-	reusable = reusable && x.writtenWhole()
-	if !reusable || !open || x.conn.reader.Buffered() > 0 {
-		_ = x.conn.Close()
-		return
+	switch {
+	case !open:
+		x.pool.close(x.conn, CloseCanceled)
+	case !r.complete:
+		x.pool.close(x.conn, CloseCut)
+	case r.connectionClose:
+		x.pool.close(x.conn, CloseAsked)
+	case !x.writtenWhole():
+		x.pool.close(x.conn, CloseUnwritten)
+	case x.conn.reader.Buffered() > 0:
+		x.pool.close(x.conn, CloseExtraBytes)
+	default:
+		x.pool.put(x.conn, maxIdleTime(r.Header))
 	}
-	x.pool.put(x.conn, maxIdle)
 }
 
 // maxWriteDelay is how long the goroutine that writes a request may need to report the end of its last write, after the
@@ -336,10 +402,14 @@
 }
 
 // fail closes the connection.
-func (x *exchange) fail() {
+func (x *exchange) fail(ctx context.Context) {
 	x.done = true
 	x.stop()
-	_ = x.conn.Close()
+	if ctx.Err() != nil {
+		x.pool.close(x.conn, CloseCanceled)
+		return
+	}
+	x.pool.close(x.conn, CloseCut)
 }
 
 // errReplicaGone reports a body that ended with its connection, as did another connection to the replica.
@@ -372,7 +442,7 @@
 	if r.complete {
 		_ = r.body.Close()
 	} // otherwise closing the body would read it to its end, which an upstream in trouble may never send
-	r.exchange.finish(r.complete && !r.connectionClose, maxIdleTime(r.Header))
+	r.exchange.finish(r)
 }
 
 // writeRequest writes the request line, headers and body. The target is written as the caller sent it.
--- a/internal/connection/direct/witness.go
+++ b/internal/connection/direct/witness.go
@@ -58,7 +58,7 @@
 	_ = c.SetReadDeadline(time.Now().Add(exitDuration))
 	_, err := c.reader.Peek(1)
 	if !errors.Is(err, os.ErrDeadlineExceeded) || c.SetReadDeadline(time.Time{}) != nil {
-		_ = c.Close()
+		w.pool.close(c, CloseDropped)
 		return err == nil // bytes that nobody asked for also come from a running process
 	}
 	w.pool.put(c, defaultMaxIdleTime)
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -141,6 +141,29 @@
 	return err
 }
 
+// Connections makes the metrics show how many connections to replicas were opened and closed, by reason. opened and closed call their
+// argument with each reason and its number; the reasons are a fixed set.
+func (m *Metrics) Connections(opened, closed func(func(reason string, n int64))) error {
+	if m == nil {
+		return nil
+	}
+	meter := m.provider.Meter("dragonflypin")
+	observe := func(each func(func(string, int64))) metric.Int64Callback {
+		return func(_ context.Context, o metric.Int64Observer) error {
+			each(func(reason string, n int64) { o.Observe(n, metric.WithAttributes(attribute.String("reason", reason))) })
+			return nil
+		}
+	}
+	_, err := meter.Int64ObservableCounter("dragonflypin.connections.opened", metric.WithDescription("Connections opened to replicas, by why none was in use again."),
+		metric.WithInt64Callback(observe(opened)))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Int64ObservableCounter("dragonflypin.connections.closed", metric.WithDescription("Connections to replicas that were closed, by reason."),
+		metric.WithInt64Callback(observe(closed)))
+	return err
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	if m == nil {
