--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -128,7 +128,7 @@
 	exchange  *configurationExchange
 	// duties is nil if the settings name none.
 	duties *duty.Node
-	tally     *tallyExchange
+	tally  *tallyExchange
 	// configuration and replicas follow the store.
 	configuration, replicas *followed
 	// pending has the incomplete updates of other edges. It is only used by the goroutine that receives datagrams.
