--- a/internal/process/duty/duty.go
+++ b/internal/process/duty/duty.go
@@ -14,6 +14,8 @@
 	Name string
 	// Fence is the fencing number of its lease. It increases with each new holder.
 	Fence uint64
+	// Until is the time on the lease's clock from which on nothing of the call may be sent any more.
+	Until time.Time
 }
 
 // Platform makes the calls of the duties. An error wraps ErrNotSent, ErrThrottled or ErrRefused if the platform certainly did not
--- a/internal/process/duty/node.go
+++ b/internal/process/duty/node.go
@@ -29,7 +29,7 @@
 	// storeTimeout is the timeout of a call for a window. The store's responses take 4 ms, or 240 ms while it is slow.
 	storeTimeout = time.Second
 	// callTimeout is the timeout of a call to the platform.
-	callTimeout = 1200 * time.Millisecond
+	callTimeout = 1800 * time.Millisecond
 	// callMargin is the time that the lease must still be valid for at the end of a call's timeout.
 	callMargin = 50 * time.Millisecond
 	// minCallTime is the least time for which a call is made: a new connection and a response of a slow platform.
@@ -44,8 +44,10 @@
 	// holder tries for awayTime.
 	maxAway  = 3
 	awayTime = 10 * time.Second
-	// forgetEdgeAfter is the time after which an edge that is no longer live is not waited for in any window.
-	forgetEdgeAfter = 2 * time.Minute
+	// isolationShare is the share of the edges heard within isolationSpan below which a holder stands back: it would seal windows without
+	// the counts of the others.
+	isolationShare = 0.5
+	isolationSpan  = 30 * time.Second
 	// releaseTimeout bounds the release of the lease.
 	releaseTimeout = time.Second
 	// defaultLease is used where the platform names no time within which two holders must not act in turns.
@@ -109,11 +111,12 @@
 	fence   uint64
 	since   time.Time
 	renewAt time.Time
-	// leaving is set once the process stops; left is closed once the lease has been given up after that. standingBack is set when
-	// the platform can't be reached.
-	leaving, standingBack bool
-	left                  chan struct{}
-	leftOnce              sync.Once
+	// leaving is set once the process stops; left is closed once the lease has been given up after that. standBack is the reason for
+	// which this edge gives the lease up to the others, or empty.
+	leaving   bool
+	left      chan struct{}
+	leftOnce  sync.Once
+	standBack string
 
 	// startWindow is the first window to report if there was no holder before.
 	startWindow uint64
@@ -230,12 +233,12 @@
 // stepLease renews the lease, competes for it, or gives it up, and returns the time until the next step.
 func (n *Node) stepLease(ctx context.Context) time.Duration {
 	n.mu.Lock()
-	holds, leaving, standingBack, renewAt := n.holds, n.leaving, n.standingBack, n.renewAt
+	holds, leaving, standBack, renewAt := n.holds, n.leaving, n.standBack, n.renewAt
 	n.mu.Unlock()
 	now := n.opts.Clock()
 	switch {
-	case holds && (leaving || standingBack):
-		n.giveUp(ctx, standingBack)
+	case holds && (leaving || standBack != ""):
+		n.giveUp(ctx, standBack)
 	case holds:
 		if wait := renewAt.Sub(now); wait > 0 {
 			return wait
@@ -331,15 +334,16 @@
 }
 
 // giveUp ends this edge's term. The lease is released only if no call may still arrive at the platform; otherwise it expires.
-func (n *Node) giveUp(ctx context.Context, standingBack bool) {
+func (n *Node) giveUp(ctx context.Context, standBack string) {
 	n.acting <- struct{}{} // no call is under way now, and none begins before holds is unset
 	now := n.opts.Clock()
 	settled := n.unknownAt.IsZero() || now.Sub(n.unknownAt) >= n.duration
 	n.unreached = 0
+	clear(n.edges)
 	n.mu.Lock()
 	fence := n.fence
-	n.holds, n.standingBack, n.holder = false, false, ""
-	if standingBack {
+	n.holds, n.standBack, n.holder = false, "", ""
+	if standBack != "" {
 		n.election.standBack(now)
 	}
 	n.mu.Unlock()
@@ -348,8 +352,8 @@
 	}
 	<-n.acting
 	reason := "stop"
-	if standingBack {
-		reason = "platform not reached"
+	if standBack != "" {
+		reason = standBack
 	}
 	if settled {
 		releaseCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
@@ -372,7 +376,7 @@
 	defer func() { <-n.acting }()
 	now := n.opts.Clock()
 	n.mu.Lock()
-	acts := n.holds && !n.leaving && !n.standingBack
+	acts := n.holds && !n.leaving && n.standBack == ""
 	n.mu.Unlock()
 	fence, remaining := n.lease.Remaining(now)
 	if !acts {
@@ -389,7 +393,10 @@
 		n.reportsFence, n.unreached = fence, 0
 		n.lease.Attach(n.reports.state())
 	}
-	n.trackEdges(now)
+	if n.isolated(now) {
+		n.requestStandBack("others not heard")
+		return pollInterval
+	}
 	s := n.reports.next(now, n.opts.Wall(), n.opts.Counts, func(ended time.Duration) []string { return n.edgesSince(now.Add(-ended - n.opts.Duties.Window)) })
 	n.logSkipped()
 	if s.kind == stepWait {
@@ -513,7 +520,7 @@
 	}
 	n.lastCall = now
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	err := n.opts.Platform.ReportUsage(callCtx, Holder{Name: n.opts.Name, Fence: fence}, s.window, s.content.Sum)
+	err := n.opts.Platform.ReportUsage(callCtx, Holder{Name: n.opts.Name, Fence: fence, Until: now.Add(timeout)}, s.window, s.content.Sum)
 	cancel()
 	now = n.opts.Clock()
 	outcome := outcomeOf(err)
@@ -545,21 +552,31 @@
 	}
 	n.unreached++
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.unreached < unreachableCalls || len(n.opts.Live()) == 0 || n.reports.away >= maxAway && now.Sub(n.since) < awayTime {
+	since := n.since
+	n.mu.Unlock()
+	if n.unreached < unreachableCalls || len(n.opts.Live()) == 0 || n.reports.away >= maxAway && now.Sub(since) < awayTime {
 		return
 	}
 	n.reports.away++
-	n.standingBack = true
+	n.requestStandBack("platform not reached")
+}
+
+// requestStandBack lets the other edges have the lease.
+func (n *Node) requestStandBack(reason string) {
+	n.mu.Lock()
+	n.standBack = reason
+	n.mu.Unlock()
 	wakeUp(n.wakeLease)
 }
 
-// trackEdges records which edges are live, and forgets those that have not been for long.
-func (n *Node) trackEdges(now time.Time) {
-	maps.DeleteFunc(n.edges, func(_ string, at time.Time) bool { return now.Sub(at) > forgetEdgeAfter })
-	for _, edge := range n.opts.Live() {
+// isolated records which edges are live, and reports whether this edge hears far fewer of them than before.
+func (n *Node) isolated(now time.Time) bool {
+	maps.DeleteFunc(n.edges, func(_ string, at time.Time) bool { return now.Sub(at) > isolationSpan })
+	live := n.opts.Live()
+	for _, edge := range live {
 		n.edges[edge] = now
 	}
+	return float64(len(live)) < isolationShare*float64(len(n.edges))
 }
 
 // edgesSince returns the edges that were live at a time or later.
