--- a/internal/app/edge/operator.go
+++ b/internal/app/edge/operator.go
@@ -11,15 +11,25 @@
 	"github.com/dragonflypin/dragonflypin/internal/version/directory"
 )
 
-// operatorHandler serves the metrics, and the quarantine for callers with the operator key.
+// operatorHandler serves the metrics, and the quarantine and the holder of the duties for callers with the operator key.
 func (e *Edge) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", e.deps.Metrics.Handler())
 	mux.Handle("GET /quarantine", e.authorized(e.listQuarantine))
 	mux.Handle("DELETE /quarantine/{part}", e.authorized(e.liftQuarantine))
+	mux.Handle("GET /duties", e.authorized(e.showDuties))
 	return mux
 }
 
+// showDuties says who holds the duties at the platform, as far as this edge knows.
+func (e *Edge) showDuties(w http.ResponseWriter, _ *http.Request) {
+	if e.duties == nil {
+		writeJSON(w, http.StatusNotFound, operatorError("no_duties", "the settings of this machine name no duty"))
+		return
+	}
+	writeJSON(w, http.StatusOK, e.duties.Status())
+}
+
 // authorized passes requests with the operator key on.
 func (e *Edge) authorized(next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/duty/node.go
+++ b/internal/process/duty/node.go
@@ -199,6 +199,24 @@
 	return fence, remaining > 0
 }
 
+// Status is what an edge knows of the duties.
+type Status struct {
+	// Holder is the address of the holder, or empty.
+	Holder string `json:"holder"`
+	// Fence is this edge's fencing number while it may act, 0 otherwise.
+	Fence uint64 `json:"fence"`
+	// Version is the version of the lease that was announced last.
+	Version uint64 `json:"lease_version"`
+}
+
+// Status returns what this edge knows of the duties.
+func (n *Node) Status() Status {
+	fence, _ := n.Fence()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return Status{Holder: n.holder, Fence: fence, Version: n.holderVersion}
+}
+
 // Heard applies an announcement of another edge.
 func (n *Node) Heard(from string, a Announcement) {
 	n.lease.Heard(a.Version)
@@ -468,7 +486,7 @@
 	obj, err := n.opts.Store.Create(ctx, WindowKind, WindowName(s.window), value)
 	outcome := storeOutcomeOf(err, false)
 	if outcome == storeDone {
-		n.opts.Log.Emit(eventlog.UsageSealed, eventlog.Window(s.window), eventlog.Count(len(s.content.Segments)), eventlog.Fence(n.reportsFence))
+		n.opts.Log.Emit(eventlog.UsageSealed, eventlog.Window(s.window), eventlog.Count(len(s.content.Segments)), eventlog.Fence(n.reportsFence), eventlog.Complete(s.complete))
 	} else if outcome != storeConflict {
 		n.opts.Log.Emit(eventlog.UsageFailed, eventlog.Window(s.window), eventlog.Err(err))
 	}
--- a/internal/process/duty/reports.go
+++ b/internal/process/duty/reports.go
@@ -54,6 +54,8 @@
 	phase phase
 	// content is what is to be stored, or what is stored from the phase sealed on. It is never changed once a create was sent.
 	content *Window
+	// complete is set if all edges had sent their final counts when content was made.
+	complete bool
 	// object is the stored object, if this holder has it.
 	object stored
 	// retryAt is when the next call may be made, and failures the number of failed ones.
@@ -103,7 +105,9 @@
 	wait   time.Duration
 	// content is what to create, send or add to.
 	content *Window
-	object  stored
+	// complete is set in stepSeal if all edges have sent their final counts.
+	complete bool
+	object   stored
 }
 
 // storeOutcome is what is known of a store call.
@@ -225,13 +229,17 @@
 	switch w.phase {
 	case counting:
 		if w.content == nil {
-			if !r.complete(window, ended, counts, edges) {
+			if ended < r.share(settleShare) {
+				return step{kind: stepWait, wait: pollInterval}
+			}
+			w.complete = counts.Final(window, edges(ended))
+			if !w.complete && ended < r.share(patienceShare) {
 				return step{kind: stepWait, wait: pollInterval}
 			}
 			content := NewWindow(window, r.holder.Name, r.holder.Fence, counts.Segments(window))
 			w.content = &content
 		}
-		return step{kind: stepSeal, window: window, content: w.content}
+		return step{kind: stepSeal, window: window, content: w.content, complete: w.complete}
 	case unread:
 		return step{kind: stepRead, window: window}
 	case sealed:
@@ -241,18 +249,6 @@
 	}
 }
 
-// complete reports whether the window can be sealed.
-func (r *reports) complete(window uint64, ended time.Duration, counts Counts, edges func(time.Duration) []string) bool {
-	switch {
-	case ended < r.share(settleShare):
-		return false
-	case ended >= r.share(patienceShare):
-		return true
-	default:
-		return counts.Final(window, edges(ended))
-	}
-}
-
 func (r *reports) share(of float64) time.Duration { return time.Duration(of * float64(r.bound)) }
 
 // stepReported adds late counts to a reported window once, and forgets the window after that.
--- /dev/null
+++ b/internal/process/duty/reports_test.go
@@ -0,0 +1,220 @@
+package duty
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/tally"
+)
+
+// fixedCounts are counts of windows of 5 s at a time that the test sets.
+type fixedCounts struct {
+	now      time.Time
+	final    bool
+	segments []tally.Segment
+}
+
+func (c *fixedCounts) Segments(uint64) []tally.Segment { return c.segments }
+func (c *fixedCounts) Final(uint64, []string) bool     { return c.final }
+func (c *fixedCounts) Window(at time.Time) uint64      { return uint64(at.Unix()) / 5 }
+func (c *fixedCounts) Ends(window uint64) time.Duration {
+	return time.Unix(int64(window+1)*5, 0).Sub(c.now)
+}
+
+func oneSegment(n uint64) []tally.Segment {
+	return []tally.Segment{{Source: tally.Source{Edge: "e", Run: 1}, Counts: map[string]uint64{"w": n}}}
+}
+
+// reportsAt drives reports at times that the test sets.
+type reportsAt struct {
+	*reports
+	counts *fixedCounts
+}
+
+// newReportsAt returns the reports of a holder whose first window is 100, which ends at second 505.
+func newReportsAt(state []byte) *reportsAt {
+	return &reportsAt{newReports(Holder{Name: "edge-1", Fence: 3}, 10*time.Second, state, 100), &fixedCounts{final: true, segments: oneSegment(4)}}
+}
+
+func (r *reportsAt) at(seconds float64) time.Time {
+	r.counts.now = time.Unix(0, int64(seconds*float64(time.Second)))
+	return r.counts.now
+}
+
+func (r *reportsAt) step(t *testing.T, seconds float64, want stepKind) step {
+	t.Helper()
+	now := r.at(seconds)
+	s := r.next(now, now, r.counts, func(time.Duration) []string { return nil })
+	if s.kind != want {
+		t.Fatalf("at %v: step %+v, want kind %d", seconds, s, want)
+	}
+	return s
+}
+
+// Guards against a window that is sealed before requests which are counted late, or that waits for a lost edge until it is late.
+func TestWindowWaitsForFinalCounts(t *testing.T) {
+	r := newReportsAt(nil)
+	r.step(t, 506.9, stepWait)
+	if s := r.step(t, 507, stepSeal); s.window != 100 || !s.complete {
+		t.Errorf("step %+v", s)
+	}
+	r = newReportsAt(nil)
+	r.counts.final = false
+	r.step(t, 509.9, stepWait)
+	if s := r.step(t, 510, stepSeal); s.complete {
+		t.Error("counts of an edge that sent none count as complete")
+	}
+}
+
+// Guards against a second draft of a window whose create may still take effect, and against sending what is not confirmed.
+func TestUnconfirmedWindowIsReadAndKeepsItsContent(t *testing.T) {
+	r := newReportsAt(nil)
+	s := r.step(t, 507, stepSeal)
+	r.onStored(s, storeUnknown, nil, stored{}, r.at(507))
+	r.counts.segments = oneSegment(9)
+	r.step(t, 507.1, stepWait)
+	s = r.step(t, 507.5, stepRead)
+	r.onStored(s, storeAbsent, nil, stored{}, r.at(507.5))
+	s = r.step(t, 507.5, stepSeal)
+	if s.content.Sum["w"] != 4 {
+		t.Errorf("second create with %v", s.content.Sum)
+	}
+	r.onStored(s, storeConflict, nil, stored{}, r.at(507.5))
+	s = r.step(t, 507.5, stepRead)
+	other := NewWindow(100, "edge-2", 2, oneSegment(7))
+	r.onStored(s, storeDone, &other, stored{5}, r.at(507.5))
+	if s = r.step(t, 507.5, stepSend); s.content.Sum["w"] != 7 {
+		t.Errorf("sent %v, stored 7", s.content.Sum)
+	}
+}
+
+// Guards against a new holder that forgets a window of the previous one, or reports one again that was settled.
+func TestStateReachesNextHolder(t *testing.T) {
+	r := newReportsAt(nil)
+	s := r.step(t, 507, stepSeal)
+	r.onStored(s, storeDone, nil, stored{1}, r.at(507))
+	s = r.step(t, 507, stepSend)
+	r.onSent(s, accepted, r.at(507), false)
+	s = r.step(t, 512, stepSeal)
+	r.onStored(s, storeDone, nil, stored{2}, r.at(512))
+	r.step(t, 515.5, stepSend) // window 102 has ended, 101 is not confirmed
+	next := newReportsAt(r.state())
+	if s := next.step(t, 515.6, stepRead); s.window != 101 {
+		t.Errorf("first step of the next holder %+v", s)
+	}
+	if _, ok := next.open[102]; !ok || len(next.open) != 2 || next.first != 100 {
+		t.Errorf("open windows of the next holder %v, first %d", next.open, next.first)
+	}
+}
+
+// Guards against reports that are given up while the platform is down, that are repeated too often, or that are repeated for ever
+// although the platform refuses them.
+func TestFailedReportsAreRepeated(t *testing.T) {
+	send := func(outcome sendOutcome, times int) (r *reportsAt, sent []time.Duration) {
+		r = newReportsAt(nil)
+		s := r.step(t, 507, stepSeal)
+		r.onStored(s, storeDone, nil, stored{1}, r.at(507))
+		r.nextWindow = 1 << 40 // no further windows
+		for seconds := 507.0; seconds < 600 && len(sent) < times; seconds += 0.05 {
+			now := r.at(seconds)
+			s := r.next(now, now, r.counts, func(time.Duration) []string { return nil })
+			if s.kind != stepSend {
+				continue
+			}
+			sent = append(sent, time.Duration((seconds-507)*float64(time.Second)))
+			r.onSent(s, outcome, now, r.late(100, r.counts))
+		}
+		return r, sent
+	}
+	r, sent := send(throttled, 1000)
+	inTime := len(slices.DeleteFunc(slices.Clone(sent), func(d time.Duration) bool { return d > 8*time.Second }))
+	if inTime < 8 || inTime > 12 || len(sent)-inTime < 8 || len(sent)-inTime > 14 || r.waiting() != 1 {
+		t.Errorf("%d calls in time and %d late ones in 93 s; %d windows wait", inTime, len(sent)-inTime, r.waiting())
+	}
+	if r, sent := send(refused, 1000); len(sent) != maxRefusals || r.waiting() != 0 {
+		t.Errorf("%d refused calls, %d windows wait", len(sent), r.waiting())
+	}
+}
+
+// Guards against windows that stay in the store for ever, and against the deletion of one that is kept.
+func TestOldWindowsAreDeleted(t *testing.T) {
+	r := newReportsAt(nil)
+	var deleted []uint64
+	for window := uint64(100); window < 100+keptWindows+3; window++ {
+		seconds := float64(window+1)*5 + 2
+		for done := false; !done; {
+			now := r.at(seconds)
+			s := r.next(now, now, r.counts, func(time.Duration) []string { return nil })
+			switch s.kind {
+			case stepSeal:
+				r.onStored(s, storeDone, nil, stored{1}, now)
+			case stepSend:
+				r.onSent(s, accepted, now, false)
+			case stepDelete:
+				deleted = append(deleted, s.window)
+				r.onDeleted(s, storeDone)
+			default:
+				done = true
+			}
+		}
+	}
+	if !slices.Equal(deleted, []uint64{100, 101, 102}) || r.first != 103 {
+		t.Errorf("deleted %v, first %d", deleted, r.first)
+	}
+}
+
+// Guards against counts that came after the seal and are shown nowhere, and against a window that is amended without end.
+func TestLateCountsAreAddedOnce(t *testing.T) {
+	r := newReportsAt(nil)
+	s := r.step(t, 507, stepSeal)
+	r.onStored(s, storeDone, nil, stored{1}, r.at(507))
+	r.onSent(r.step(t, 507, stepSend), accepted, r.at(507), false)
+	r.nextWindow = 1 << 40
+	r.counts.segments = oneSegment(6)
+	r.step(t, 519.9, stepWait)
+	s = r.step(t, 520, stepAmend)
+	if s.content.Sum["w"] != 4 || len(s.content.Late) != 1 || s.object.version != 1 {
+		t.Errorf("amended to %+v", s.content)
+	}
+	r.onAmended(s)
+	r.step(t, 520, stepWait)
+	if len(r.open) != 0 {
+		t.Errorf("open windows %v", r.open)
+	}
+}
+
+// Guards against a holder that reports hours of windows after everything was down.
+func TestWindowsOfLongAgoAreSkipped(t *testing.T) {
+	r := newReportsAt(nil)
+	r.step(t, float64(100+2*keptWindows)*5, stepSeal)
+	if len(r.open) != keptWindows || r.skipped != keptWindows {
+		t.Errorf("%d windows are open, %d skipped", len(r.open), r.skipped)
+	}
+}
+
+// Guards against candidates that compete at the same time, before the lease can have ended, or never.
+func TestElectionOrder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := newElection(3*time.Second, now)
+	if e.wait(now, 1)-e.wait(now, 0) != rankDelay || e.wait(now, 0) != discoveryDelay {
+		t.Errorf("first waits %v and %v", e.wait(now, 0), e.wait(now, 1))
+	}
+	e.heard(now)
+	if e.wait(now, 0) != 3*time.Second {
+		t.Errorf("wait %v after a sign of the holder", e.wait(now, 0))
+	}
+	e.released(now)
+	if e.wait(now, 0) > 0 {
+		t.Errorf("wait %v after a release", e.wait(now, 0))
+	}
+	e.standBack(now)
+	if got := e.wait(now, 0); got != 3*time.Second+standBackDelay {
+		t.Errorf("wait %v of an edge that stands back", got)
+	}
+	later := now.Add(standBackTime)
+	e.failed(later, 2)
+	if got := e.wait(later, 2); got != 3*retryDelay+2*rankDelay {
+		t.Errorf("wait %v after a failed attempt", got)
+	}
+}
--- a/internal/process/duty/sim_test.go
+++ b/internal/process/duty/sim_test.go
@@ -511,7 +511,6 @@
 	fences     map[uint64]int
 	highest    uint64
 	acts       []simAct
-	dark       time.Time
 	violations []string
 	onTime     map[uint64]bool
 }
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -101,6 +101,9 @@
 // Window is the number of a window of usage.
 func Window(n uint64) Field { return Field{"window", n} }
 
+// Complete is whether nothing is missing that was waited for.
+func Complete(ok bool) Field { return Field{"complete", ok} }
+
 // Settled is whether no call has an unknown outcome.
 func Settled(ok bool) Field { return Field{"settled", ok} }
 
