direct: probe idle connections for requests that must not run twice

Cause: such a request was sent only on a connection that had been idle for up to 400 ms, because a replica may drop one without notice. A quarter of all new connections was opened for this.

Change: the first byte of the request goes ahead. A reset shows that the replica has dropped the connection, and the request goes on a new one; an acknowledgement shows that it has not. Without either in time, the age of the last acknowledgement decides.

--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -74,6 +74,10 @@
 	idleSince time.Time
 	// responses is the number of final responses that have arrived.
 	responses int
+	// established is how long it took to open the connection, at least one round trip.
+	established time.Duration
+	// ahead is how many bytes of the next request were sent ahead (see probe).
+	ahead int
 }
 
 func newConn(c net.Conn, address string) *conn {
--- a/internal/connection/direct/counts.go
+++ b/internal/connection/direct/counts.go
@@ -11,10 +11,9 @@
 	OpenFirst OpenReason = iota
 	// OpenInUse means that all connections to the address carry requests.
 	OpenInUse
-	// OpenIdleTooLong means that all idle ones have been idle too long for a request that must not run twice.
-	OpenIdleTooLong
-	// OpenExpired, OpenDropped, OpenCut, OpenCanceled, OpenExcess and OpenNotReusable mean that there was none left, by the way in
+	// OpenUnproven, OpenExpired, OpenDropped, OpenCut, OpenCanceled, OpenExcess and OpenNotReusable mean that there was none left, by the way in
 	// which the last one was closed.
+	OpenUnproven
 	OpenExpired
 	OpenDropped
 	OpenCut
@@ -26,7 +25,7 @@
 
 // String returns the reason as it appears in metrics.
 func (r OpenReason) String() string {
-	return [openReasons]string{"first", "in_use", "idle_too_long", "expired", "dropped", "cut", "canceled", "excess", "not_reusable"}[r]
+	return [openReasons]string{"first", "in_use", "unproven", "expired", "dropped", "cut", "canceled", "excess", "not_reusable"}[r]
 }
 
 // CloseReason is why a connection was closed.
@@ -38,6 +37,8 @@
 	CloseExpired CloseReason = iota
 	// CloseDropped means that the replica had closed it, or sent bytes on it, while it was idle.
 	CloseDropped
+	// CloseUnproven means that nothing showed in time that the replica still had it, for a request that must not run twice.
+	CloseUnproven
 	// CloseCut means that a request on it got no valid response, or one that was not read to its end.
 	CloseCut
 	// CloseCanceled means that the caller left or the deadline of its request passed.
@@ -57,12 +58,12 @@
 
 // String returns the reason as it appears in metrics.
 func (r CloseReason) String() string {
-	return [closeReasons]string{"expired", "dropped", "cut", "canceled", "asked", "extra_bytes", "unwritten", "excess", "stopped"}[r]
+	return [closeReasons]string{"expired", "dropped", "unproven", "cut", "canceled", "asked", "extra_bytes", "unwritten", "excess", "stopped"}[r]
 }
 
 // nextOpen is why a connection has to be opened after the last one was closed for a reason.
 var nextOpen = [closeReasons]OpenReason{
-	CloseExpired: OpenExpired, CloseDropped: OpenDropped, CloseCut: OpenCut, CloseCanceled: OpenCanceled, CloseExcess: OpenExcess,
+	CloseExpired: OpenExpired, CloseDropped: OpenDropped, CloseUnproven: OpenUnproven, CloseCut: OpenCut, CloseCanceled: OpenCanceled, CloseExcess: OpenExcess,
 	CloseAsked: OpenNotReusable, CloseExtraBytes: OpenNotReusable, CloseUnwritten: OpenNotReusable, CloseStopped: OpenNotReusable,
 }
 
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -18,9 +18,8 @@
 // sweepInterval is the time between two scans for connections that have been idle for too long.
 const sweepInterval = time.Second
 
-// nonIdempotentMaxIdleTime is the idle time up to which a connection is reused for a request that must not run twice.
-// Upstreams may drop idle connections without notice, and a request sent on such a connection is lost.
-const nonIdempotentMaxIdleTime = 400 * time.Millisecond
+// maxUnprobedIdleTime is the idle time up to which a connection is reused without a probe for a request that must not run twice.
+const maxUnprobedIdleTime = 400 * time.Millisecond
 
 // maxInlineBody is the largest request body that is written before the response is read, in bytes. The send buffer of a
 // connection without an outstanding request holds several times as much, so that the write does not block. A larger body is
@@ -50,8 +49,8 @@
 	Body   []byte
 	// Chunked sends the body in chunks, as the caller did.
 	Chunked bool
-	// NonIdempotent marks a request that must not run twice. It is not sent on a connection that has been idle for longer
-	// than nonIdempotentMaxIdleTime.
+	// NonIdempotent marks a request that must not run twice. It is sent on a connection that has been idle for longer than
+	// maxUnprobedIdleTime only if a probe shows that the replica still has it.
 	NonIdempotent bool
 	// Match reports whether a response belongs to this request. If it is nil, every response does.
 	Match func(status int, h http.Header) Match
@@ -118,6 +117,9 @@
 	closed bool
 
 	counts counts
+
+	// minProbeTime lengthens the probes in tests.
+	minProbeTime time.Duration
 }
 
 // peer is what the pool knows about one address.
@@ -230,31 +232,37 @@
 // get returns a healthy idle connection or a new one.
 func (p *Pool) get(ctx context.Context, request *Request) (*conn, error) {
 	for {
-		c, reason := p.takeIdle(request, time.Now())
+		c, reason := p.takeIdle(request.Address, time.Now())
 		if c == nil {
 			return p.dial(ctx, request.Address, reason)
 		}
-		if c.healthy() {
+		if !c.healthy() {
+			p.close(c, CloseDropped)
+			continue
+		}
+		if !request.NonIdempotent || time.Since(c.idleSince) <= maxUnprobedIdleTime {
+			return c, nil
+		}
+		switch c.probe(request, max(p.minProbeTime, c.probeTime())) {
+		case alive:
 			return c, nil
+		case gone:
+			p.close(c, CloseDropped)
+			return p.dial(ctx, request.Address, OpenDropped) // the others may be gone as well, and each probe takes time
+		default:
+			p.close(c, CloseUnproven)
+			return p.dial(ctx, request.Address, OpenUnproven)
 		}
-		p.close(c, CloseDropped)
 	}
 }
 
-// takeIdle removes the last used idle connection from the pool and returns it. It returns nil and why a connection has to be opened
-// if there is none, if the connection has expired, or if it has been idle too long for a non-idempotent request. An expired
-// connection is closed; one that is idle too long for this request stays in the pool.
-func (p *Pool) takeIdle(request *Request, now time.Time) (*conn, OpenReason) {
+// takeIdle removes the last used idle connection from the pool and returns it. If there is none, or it has expired and is closed, it
+// returns nil and why a connection has to be opened.
+func (p *Pool) takeIdle(address string, now time.Time) (*conn, OpenReason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.peer(request.Address)
+	known := p.peer(address)
 	last := len(known.idle) - 1
-	if last >= 0 && now.After(known.idle[last].reusableUntil) {
-		c := known.idle[last]
-		known.idle[last], known.idle = nil, known.idle[:last]
-		p.closeLocked(c, CloseExpired, now)
-		return nil, OpenExpired
-	}
 	switch {
 	case last < 0 && known.open > 0:
 		return nil, OpenInUse
@@ -264,25 +272,29 @@
 		return nil, nextOpen[known.lastClosed]
 	}
 	c := known.idle[last]
-	if request.NonIdempotent && now.Sub(c.idleSince) > nonIdempotentMaxIdleTime {
-		return nil, OpenIdleTooLong
-	}
 	known.idle[last], known.idle = nil, known.idle[:last]
+	if now.After(c.reusableUntil) {
+		p.closeLocked(c, CloseExpired, now)
+		return nil, OpenExpired
+	}
 	return c, 0
 }
 
 func (p *Pool) dial(ctx context.Context, address string, reason OpenReason) (*conn, error) {
-	c, err := p.dialer.DialContext(ctx, "tcp4", address)
+	began := time.Now()
+	opened, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	c := newConn(opened, address)
+	c.established = time.Since(began)
 	p.counts.opened[reason].Add(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.peer(address)
 	known.open++
 	known.opened = true
-	return newConn(c, address), nil
+	return c, nil
 }
 
 // put returns a connection to the pool for reuse within maxIdle, or closes it.
@@ -318,7 +330,9 @@
 }
 
 func (x *exchange) write(request *Request) {
-	x.written <- writeRequest(x.conn.writer, request)
+	ahead := x.conn.ahead
+	x.conn.ahead = 0
+	x.written <- writeRequest(x.conn.writer, request, ahead)
 }
 
 func (x *exchange) read(ctx context.Context, request *Request) (*Response, error) {
@@ -445,13 +459,14 @@
 	r.exchange.finish(r)
 }
 
-// writeRequest writes the request line, headers and body. The target is written as the caller sent it.
-func writeRequest(w *bufio.Writer, request *Request) error {
+// writeRequest writes the request line, headers and body, without the bytes that were sent ahead. The target is written as the
+// caller sent it.
+func writeRequest(w *bufio.Writer, request *Request, ahead int) error {
 	header := request.Header.Clone()
 	if header == nil {
 		header = http.Header{}
 	}
-	if _, err := fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, request.Target, request.Host); err != nil {
+	if _, err := fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method[ahead:], request.Target, request.Host); err != nil {
 		return err
 	}
 	switch {
