direct: keep idle connections until one second before the replica closes them

Change: the margin is one second, and 0.3 of a short timeout. An announced timeout counts up to five minutes; one that overflows no longer closes the connection.

Test: TestIdleTimeFollowsKeepAlive; before, "timeout=10" gave 7 s.

--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -18,8 +18,15 @@
 	writeBufferBytes = 4096
 )
 
-// idleTimeoutShare is the share of the idle timeout announced by the upstream during which a connection is reused.
-const idleTimeoutShare = 0.7
+// A connection is reused until idleMargin before the idle timeout that the upstream announces, so that a request does not cross its end,
+// and for at least minIdleShare of a short timeout.
+const (
+	idleMargin   = time.Second
+	minIdleShare = 0.7
+)
+
+// maxKeepAliveSeconds bounds an announced idle timeout, in seconds. Connections of replicas that are rarely used need not stay longer.
+const maxKeepAliveSeconds = 300
 
 // defaultMaxIdleTime is how long an idle connection is reused when the upstream announces no idle timeout.
 const defaultMaxIdleTime = 5 * time.Second
@@ -131,11 +138,12 @@
 func maxIdleTime(h http.Header) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
+		if !strings.EqualFold(strings.TrimSpace(name), "timeout") {
 			continue
 		}
 		if seconds, err := strconv.ParseFloat(strings.TrimSpace(value), 64); err == nil && seconds >= 0 {
-			return time.Duration(seconds * idleTimeoutShare * float64(time.Second))
+			timeout := time.Duration(min(seconds, maxKeepAliveSeconds) * float64(time.Second))
+			return max(timeout-idleMargin, time.Duration(minIdleShare*float64(timeout)))
 		}
 	}
 	return defaultMaxIdleTime
--- a/internal/connection/direct/liveness_test.go
+++ b/internal/connection/direct/liveness_test.go
@@ -189,3 +189,25 @@
 		_ = l.Close()
 	}
 }
+
+// Guards against requests that cross the end of an idle connection, against connections that are given up long before it, and against
+// announcements that make them stay for ever.
+func TestIdleTimeFollowsKeepAlive(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"":                     defaultMaxIdleTime,
+		"timeout=10":           9 * time.Second,
+		"max=100, Timeout = 5": 4 * time.Second,
+		"timeout=2":            1400 * time.Millisecond,
+		"timeout=0":            0,
+		"timeout=-1":           defaultMaxIdleTime,
+		"timeout=soon":         defaultMaxIdleTime,
+		"timeout=NaN":          defaultMaxIdleTime,
+		"timeout=1e300":        maxKeepAliveSeconds*time.Second - idleMargin,
+		"timeout=Inf":          maxKeepAliveSeconds*time.Second - idleMargin,
+		"max=3":                defaultMaxIdleTime,
+	} {
+		if got := maxIdleTime(http.Header{"Keep-Alive": {header}}); got != want {
+			t.Errorf("%q: %s, want %s", header, got, want)
+		}
+	}
+}
