cli: test scripts run to their end

Cause: testscript has a command "stop" of its own, which ends the script and comes before the one of the tests. So no script sent SIGTERM, and nothing after its first "stop" was checked. Change: the command is named terminate.

--- a/internal/app/cli/script_test.go
+++ b/internal/app/cli/script_test.go
@@ -27,19 +27,19 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"waitline": waitLine,
-			"http":     httpRequest,
-			"start":    start,
-			"stop":     stop,
-			"exits":    exits,
-			"replace":  replace,
-			"variable": variable,
-			"until":    until,
-			"keyfiles": keyFiles,
-			"ports":    ports,
-			"expand":   expand,
-			"serving":  serving,
-			"runpages": runPages,
+			"waitline":  waitLine,
+			"http":      httpRequest,
+			"start":     start,
+			"terminate": terminate,
+			"exits":     exits,
+			"replace":   replace,
+			"variable":  variable,
+			"until":     until,
+			"keyfiles":  keyFiles,
+			"ports":     ports,
+			"expand":    expand,
+			"serving":   serving,
+			"runpages":  runPages,
 		},
 		Setup: func(env *testscript.Env) error {
 			env.Values[processKey{}] = make(map[string]*exec.Cmd)
@@ -74,10 +74,11 @@
 	})
 }
 
-// stop implements stop NAME, which sends SIGTERM and fails unless the process exits with status 0.
-func stop(ts *testscript.TestScript, neg bool, args []string) {
+// terminate implements terminate NAME, which sends SIGTERM and fails unless the process exits with status 0. It can't be named stop:
+// testscript's own command of that name comes first and ends the script.
+func terminate(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 1 || processes(ts)[args[0]] == nil {
-		ts.Fatalf("usage: stop NAME")
+		ts.Fatalf("usage: terminate NAME")
 	}
 	c := processes(ts)[args[0]]
 	ts.Check(c.Process.Signal(syscall.SIGTERM))
