duty, edge: owners read and verify the stored usage at any edge

Cause: the usage that is reported to the platform is stored with the counts of each edge, and nobody could read it. Change: duty.Reader sums, verifies and exports the stored windows page by page. An edge serves it at its operator address as an entry does, and its state with the holder of the duties. The commands usage show, verify, export and status work against both.

--- a/internal/app/cli/commands.go
+++ b/internal/app/cli/commands.go
@@ -63,10 +63,12 @@
 			"lose_answers and crash as true or a number of calls.", commands: standinCommands(env)},
 		{name: "table", short: "Read and change the operators' table", long: "Reads and changes the operators' table. " +
 			"Rates are in requests or tokens per second, targets and waiting times are durations such as 600ms.", commands: tableCommands(env)},
-		{name: "usage", short: "Read and verify the usage record", long: "Reads and verifies the usage record. Amounts are in tokens.",
+		{name: "usage", short: "Read and verify the usage record", long: "Reads and verifies the usage record. Amounts are in tokens at an entry. " +
+			"At the metrics address of an edge they are requests that began to run, as reported to the platform.",
 			commands: usageCommands(env)},
 		{name: "status", short: "Print the state of the fleet", long: "Prints the instances and their state, the table version in " +
-			"force at each, queues by class and refusals by reason.", data: &statusCommand{operatorOptions: operatorOptions{env: env}}},
+			"force at each, queues by class and refusals by reason. At the metrics address of an edge it prints the state of that edge, " +
+			"and which edge holds the duties at the platform.", data: &statusCommand{operatorOptions: operatorOptions{env: env}}},
 		{name: "explain", short: "Print what happened to one request", long: "Prints what happened to a request and why: class, " +
 			"queue time in milliseconds, the upstream chosen, attempts and outcome. An entry keeps its last 4,096 requests.",
 			data: &explainCommand{operatorOptions: operatorOptions{env: env}}},
@@ -128,12 +130,14 @@
 func usageCommands(env environment) []command {
 	o := operatorOptions{env: env}
 	return []command{
-		{name: "show", short: "Print totals", long: "Prints totals by owner, workspace, class and model, in tokens, and the owners' shares.",
+		{name: "show", short: "Print totals", long: "Prints totals by owner, workspace, class and model, in tokens, and the owners' shares. " +
+			"An edge prints requests by workspace.",
 			data: &usageShowCommand{operatorOptions: o}},
 		{name: "verify", short: "Verify the record", long: "Verifies signatures, chains and the two independent counts, and reports the first " +
-			"invalid record. The exit status is 1 if the record is not valid. With --file and --keys it verifies an export without a server.",
+			"invalid record. An edge recomputes each window's report from the counts of the edges, and reports windows that are missing, that differ " +
+			"or of which more became known later. The exit status is 1 if the record is not valid. With --file and --keys it verifies an export without a server.",
 			data: &usageVerifyCommand{operatorOptions: o}},
-		{name: "export", short: "Print the record as CSV", long: "Prints the signed records as CSV.",
+		{name: "export", short: "Print the record as CSV", long: "Prints the signed records as CSV. An edge prints, for each window, what was reported and what each edge counted.",
 			data: &usageExportCommand{operatorOptions: o}},
 		{name: "keys", short: "Print the writers' public keys", long: "Prints a JSON object that maps each writer to its Ed25519 public key in base64, " +
 			"for usage verify --keys. Get the keys after the export, so that they include every writer in it.",
--- a/internal/app/cli/script_test.go
+++ b/internal/app/cli/script_test.go
@@ -40,6 +40,7 @@
 			"expand":    expand,
 			"serving":   serving,
 			"runpages":  runPages,
+			"edgefiles": edgeFiles,
 		},
 		Setup: func(env *testscript.Env) error {
 			env.Values[processKey{}] = make(map[string]*exec.Cmd)
@@ -63,6 +64,7 @@
 	ts.Check(err)
 	c := exec.Command("dragonflypin", args[1:]...)
 	c.Dir, c.Stdout, c.Stderr = ts.MkAbs("."), out, errOut
+	c.Env = append(os.Environ(), nodeFileVariable+"="+ts.Getenv(nodeFileVariable))
 	ts.Check(c.Start())
 	processes(ts)[args[0]] = c
 	ts.Defer(func() {
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -124,6 +124,8 @@
 	memory    *memory.Budget
 	exchange  *configurationExchange
 	tally     *tallyExchange
+	// dutyHolder returns the address of the edge that holds the duties, or empty; it may be nil.
+	dutyHolder func() string
 	// configuration and replicas follow the store.
 	configuration, replicas *followed
 	// pending has the incomplete updates of other edges. It is only used by the goroutine that receives datagrams.
--- a/internal/app/edge/operator.go
+++ b/internal/app/edge/operator.go
@@ -11,12 +11,14 @@
 	"github.com/dragonflypin/dragonflypin/internal/version/directory"
 )
 
-// operatorHandler serves the metrics, and the quarantine for callers with the operator key.
+// operatorHandler serves the metrics, and the quarantine, the stored usage and the state of this edge for callers with the operator key.
 func (e *Edge) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", e.deps.Metrics.Handler())
 	mux.Handle("GET /quarantine", e.authorized(e.listQuarantine))
 	mux.Handle("DELETE /quarantine/{part}", e.authorized(e.liftQuarantine))
+	mux.Handle("GET /status", e.authorized(e.showStatus))
+	e.handleUsage(mux)
 	return mux
 }
 
