--- a/internal/app/edge/status.go
+++ b/internal/app/edge/status.go
@@ -64,8 +64,8 @@
 	if d.OrderReplicas {
 		s.Names = append(s.Names, "order replicas")
 	}
-	if e.dutyHolder != nil {
-		s.Holder = e.dutyHolder()
+	if e.duties != nil {
+		s.Holder = e.duties.Holder()
 	}
 	if e.tally != nil {
 		window, clockError := e.tally.counter.Window(boottime.Now()), e.tally.clock.Error().Milliseconds()
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -33,6 +33,7 @@
 	limitBroadcast
 	sendsBroadcast
 	leavingBroadcast
+	dutiesBroadcast
 	tallyBroadcast
 )
 
@@ -297,6 +298,8 @@
 		return e.onSends(message)
 	case leavingBroadcast:
 		return e.onLeaving(message)
+	case dutiesBroadcast:
+		return e.onDuties(from, message)
 	case tallyBroadcast:
 		return e.onTally(from, message)
 	default:
