intake: heads and connections are charged to the memory of the process, and the least earned are closed first

Cause: bytes before a request were bound by constants for each connection, not all together. net/http holds a head of short lines with up to 16 times its bytes; 250 such heads took 104 to 569 MB of an edge with 96. Accepted connections had no bound in descriptors.

Change: internal/connection/intake is a listener and connection below net/http. It counts bytes and lines of a head and charges what they become, and a base for each connection, to memory.Budget. Phases (waiting, head, body, serving) come from ConnState and the handler. When memory or descriptors (limits.max_fds, read now) run low, connections that have had no request served are closed first, of these the one with the most memory times age; one whose request is served never. Limits of heads and idle times come from the configuration in force, with room. Request bodies are charged to their connection. A response that is not read until the request's deadline ends. Heads of replicas are charged, and connections to replicas have a bound of descriptors (the longest idle one is closed for a new one). Metrics of connections by phase and of closed ones by reason, an event with at most one line a reason a second.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
+	"github.com/dragonflypin/dragonflypin/internal/connection/intake"
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
 	"github.com/dragonflypin/dragonflypin/internal/process/memory"
@@ -92,13 +93,11 @@
 const (
 	// tickInterval is the interval of the periodic work.
 	tickInterval = 100 * time.Millisecond
-	// readHeaderTimeout and idleTimeout are above the values that configurations allow, so that they close only unusable
-	// connections: closing a caller's connection early can fail a request.
-	readHeaderTimeout = 30 * time.Second
-	idleTimeout       = 3 * time.Minute
-	// maxHeaderBytes bounds the request header. It is four times the bound of the configurations in the published deployment
-	// specifications.
-	maxHeaderBytes = 64 << 10
+	// callersShare is the share of the accepted connections that callers may take when all are in service. The rest is for readiness
+	// checks, operators and other edges.
+	callersShare = 0.9
+	// ownResponseTimeout is how long a reader of a response that the edge makes itself may take. It is far above what they take.
+	ownResponseTimeout = 10 * time.Second
 	// memoryShare is the share of the node's memory that is set as the soft memory limit of the Go runtime, near which the
 	// garbage collector runs more often.
 	memoryShare = 0.7
@@ -122,6 +121,7 @@
 	observer  *observer
 	guard     *guard
 	memory    *memory.Budget
+	intake    *intake.Set
 	exchange  *configurationExchange
 	// configuration and replicas follow the store.
 	configuration, replicas *followed
@@ -150,6 +150,9 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryBytes)))
 	}
 	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement, rand.Uint64()), pool: direct.NewPool(), memory: memory.NewBudget(node.MemoryBytes)}
+	conns := intake.MaxConns(node.Descriptors)
+	e.intake = intake.New(intake.Options{Budget: e.memory, MaxConns: conns, Limits: func() intake.Limits { return intake.LimitsOf(e.routes.Current()) }})
+	e.pool.Memory, e.pool.MaxConns = e.memory, conns
 	e.exchange = newConfigurationExchange(e)
 	e.configuration, e.replicas = e.followConfiguration(), e.followReplicas()
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
@@ -158,7 +161,7 @@
 	e.forwarder = &forward.Forwarder{
 		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory, Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, Paused: e.observer.paused, Guard: e.guard,
 	}
-	err := deps.Metrics.ReadAhead(e.memory.Used, e.memory.Refused)
+	err := e.observeMemory()
 	if err != nil {
 		return nil, err
 	}
@@ -278,26 +281,25 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var tasks sync.WaitGroup
-	for _, run := range []func(context.Context){e.configuration.feed.Run, e.replicas.feed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run, e.newKeeper().run, e.runLimits} {
+	for _, run := range []func(context.Context){e.configuration.feed.Run, e.replicas.feed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run, e.newKeeper().run, e.runLimits, e.intake.Run, e.logClosed} {
 		tasks.Go(func() { run(background) })
 	}
-	server := &http.Server{
-		Handler: e, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: e.observer.serverLog(),
+	// The limits of heads and of idle connections, which follow the configuration, are those of e.intake.
+	own := func(h http.Handler) *http.Server {
+		return &http.Server{Handler: intake.Handler(h, ownResponseTimeout), ErrorLog: e.observer.serverLog()}
 	}
-	readyServer := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: e.observer.serverLog()}
-	metricsServer := &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: e.observer.serverLog()}
-	peerServer := &http.Server{Handler: e.exchange, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: e.observer.serverLog()}
+	server := &http.Server{Handler: e, ErrorLog: e.observer.serverLog()}
+	readyServer, metricsServer, peerServer := own(http.HandlerFunc(e.serveReady)), own(e.operatorHandler()), own(e.exchange)
 	failed := make(chan error, 4)
-	serve := func(s *http.Server, l net.Listener) {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	serve := func(s *http.Server, l net.Listener, share float64) {
+		if err := e.intake.Serve(s, l, share); !errors.Is(err, http.ErrServerClosed) {
 			failed <- fmt.Errorf("serve on %s: %w", l.Addr(), err)
 		}
 	}
-	go serve(server, e.callers)
-	go serve(readyServer, e.ready)
-	go serve(metricsServer, e.metrics)
-	go serve(peerServer, e.peers)
+	go serve(server, e.callers, callersShare)
+	go serve(readyServer, e.ready, 1)
+	go serve(metricsServer, e.metrics, 1)
+	go serve(peerServer, e.peers, 1)
 	e.deps.Log.Emit(eventlog.EdgeStarted, eventlog.Address(e.node.CallerListen.String()))
 	var err error
 	select {
--- a/internal/app/edge/serve.go
+++ b/internal/app/edge/serve.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/connection/intake"
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
-	"github.com/dragonflypin/dragonflypin/internal/process/memory"
 	"github.com/dragonflypin/dragonflypin/internal/request/forward"
 )
 
@@ -51,8 +51,9 @@
 		e.deny(responder, id, codeNoConfiguration, forward.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterStart})
 		return
 	}
-	body := &chargedBody{ReadCloser: r.Body, charge: e.memory.Charge()}
-	defer body.charge.Release()
+	conn := intake.Of(r)
+	body := &chargedBody{ReadCloser: r.Body, conn: conn}
+	defer conn.ReleaseBody()
 	r.Body = body
 	request, denial := e.deps.Front.Decode(v, r, arrived)
 	r.Body = body.ReadCloser // what is discarded of a refused body is not kept
@@ -69,6 +70,9 @@
 		e.deny(responder, id, codeDraining, forward.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterDrain})
 		return
 	}
+	if !conn.Serve(request.Deadline) {
+		panic(http.ErrAbortHandler) // the connection was closed for its limits; the request is not forwarded
+	}
 	e.forwarder.Serve(r.Context(), request, responder)
 	if responder.Aborted() {
 		panic(http.ErrAbortHandler) // net/http closes the connection, so that the caller sees a truncated response
@@ -81,8 +85,8 @@
 // chargedBody charges what is read of a request body to the memory budget, until the request has ended.
 type chargedBody struct {
 	io.ReadCloser
-	charge memory.Charge
-	read   int64
+	conn *intake.Conn
+	read int64
 	// refused is set when there was not enough memory.
 	refused bool
 }
@@ -91,7 +95,7 @@
 func (b *chargedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
-	if !b.charge.Grow(b.read) {
+	if n > 0 && !b.conn.GrowBody(b.read) {
 		b.refused = true
 		return 0, errMemory
 	}
--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -2,14 +2,18 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/memory"
 )
 
 // Buffer sizes of one connection, in bytes. Stream events are much smaller.
@@ -38,16 +42,20 @@
 // Errors of responses that exceed these bounds or are not allowed.
 var (
 	errHeadTooLong    = errors.New("response header is too long")
+	errHeadMemory     = errors.New("no memory is left for the response header")
 	errTooManyInterim = errors.New("too many interim responses")
 	errUpgraded       = errors.New("the upstream switched protocols")
 )
 
-// headReader reads from a connection and fails when a response header exceeds its bound.
+// headReader reads from a connection and fails when a response header exceeds its bound, or the memory of the process.
 type headReader struct {
 	io.Reader
 	// limited is set while a header is read, of which remaining more bytes may arrive.
 	limited   bool
 	remaining int
+	// lines is the number of lines of the header so far, and charge what it takes in memory.
+	lines  int
+	charge memory.Charge
 }
 
 // Read implements io.Reader.
@@ -57,6 +65,12 @@
 	}
 	n, err := r.Reader.Read(b)
 	r.remaining -= n
+	if r.limited {
+		r.lines += bytes.Count(b[:n], []byte("\n"))
+		if !r.charge.Grow(memory.HeadCost(maxHeadBytes-r.remaining, r.lines)) {
+			return 0, errHeadMemory
+		}
+	}
 	return n, err
 }
 
@@ -74,16 +88,27 @@
 	idleSince time.Time
 	// responses is the number of final responses that have arrived.
 	responses int
+	// pool counts the connection until it is closed.
+	pool   *Pool
+	closed atomic.Bool
 }
 
-func newConn(c net.Conn, address string) *conn {
-	source := &headReader{Reader: c}
-	return &conn{Conn: c, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), writer: bufio.NewWriterSize(c, writeBufferBytes)}
+func newConn(c net.Conn, address string, pool *Pool) *conn {
+	source := &headReader{Reader: c, charge: pool.Memory.Charge()}
+	return &conn{Conn: c, pool: pool, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), writer: bufio.NewWriterSize(c, writeBufferBytes)}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.pool.open.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 // readHead reads the status line and the headers of the next final response.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.source.limited, c.source.remaining = true, maxHeadBytes
+	c.source.limited, c.source.remaining, c.source.lines = true, maxHeadBytes, 0
 	defer func() { c.source.limited = false }()
 	for range maxInterim + 1 {
 		//nolint:bodyclose // the caller closes the body
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/memory"
 )
 
 // maxIdlePerReplica bounds the idle connections to one replica; excess connections are closed when they become idle.
@@ -111,6 +113,11 @@
 
 // Pool is a pool of connections to replicas. It is safe for concurrent use.
 type Pool struct {
+	// Memory is charged for the headers of responses; nil does not limit them. MaxConns is the number of connections that may be open;
+	// 0 means no limit. Both must be set before the first request.
+	Memory   *memory.Budget
+	MaxConns int
+
 	dialer *net.Dialer
 
 	mu sync.Mutex
@@ -119,6 +126,8 @@
 	closed bool
 
 	opened atomic.Int64
+	// open is the number of connections that are open or being opened.
+	open atomic.Int64
 }
 
 // NewPool returns a Pool without connections.
@@ -224,13 +233,44 @@
 	return c
 }
 
+// errTooManyConns reports that no other connection may be opened.
+var errTooManyConns = errors.New("the connections to replicas have used up their descriptors")
+
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	if n := p.open.Add(1); p.MaxConns > 0 && n > int64(p.MaxConns) && !p.closeOldestIdle() {
+		p.open.Add(-1)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, errTooManyConns)
+	}
 	c, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	p.opened.Add(1)
-	return newConn(c, address), nil
+	return newConn(c, address, p), nil
+}
+
+// closeOldestIdle closes the connection that has been idle for the longest time, and reports whether there was one.
+func (p *Pool) closeOldestIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest *conn
+	for _, list := range p.idle {
+		// The last used one is the last.
+		if oldest == nil || list[0].idleSince.Before(oldest.idleSince) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	if list := p.idle[oldest.address]; len(list) > 1 {
+		p.idle[oldest.address] = list[1:]
+	} else {
+		delete(p.idle, oldest.address)
+	}
+	_ = oldest.Close()
+	return true
 }
 
 // put returns a connection to the pool for reuse within maxIdle, or closes it.
@@ -306,6 +346,7 @@
 	x.done = true
 	open := x.stop()
 	reusable = reusable && x.writtenWhole()
+	x.conn.source.charge.Release()
 	if !reusable || !open || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
@@ -339,6 +380,7 @@
 func (x *exchange) fail() {
 	x.done = true
 	x.stop()
+	x.conn.source.charge.Release()
 	_ = x.conn.Close()
 }
 
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -107,4 +107,5 @@
 	EdgeReplicaLeaving       = define(1522, "edge_replica_leaving", logrus.InfoLevel, "A replica says in its responses that it leaves and gets no new requests, whatever the list says; own says whether a response to this edge said so.")
 	EdgeReplicaPaused        = define(1523, "edge_replica_paused", logrus.InfoLevel, "A replica has refused a request and wants no other one from this edge for pause_ms.")
 	EdgeNeedsRestart         = define(1524, "edge_needs_restart", logrus.WarnLevel, "The machine's settings have changed in more than the seeds; only those are applied without a restart.")
+	EdgeConnectionsClosed    = define(1525, "edge_connections_closed", logrus.WarnLevel, "Accepted connections were closed in the last second for their limits or for others; reason says why, count how many.")
 )
--- a/internal/process/memory/memory.go
+++ b/internal/process/memory/memory.go
@@ -1,11 +1,11 @@
-// Package memory bounds what a process reads ahead, of all bodies together. A bound on each of them is not enough: many peers in
-// trouble at the same time send as many bodies without an end.
+// Package memory bounds what a process holds for its peers, of all heads, bodies and connections together. A bound on each of them is
+// not enough: many peers in trouble at the same time send as many heads or bodies without an end.
 package memory
 
 import "sync/atomic"
 
 const (
-	// ShortBytes is the size up to which a body is short. Bodies in the published deployment specifications have up to 100 kB as
+	// ShortBytes is the size up to which a body, or what is held of a head, is short. Bodies in the published deployment specifications have up to 100 kB as
 	// requests and 5 kB as responses.
 	ShortBytes = 128 << 10
 	// DefaultBytes is the size of a Budget without a memory limit of the process.
@@ -18,13 +18,35 @@
 	longShare = 0.5
 )
 
-// Budget is the memory for bodies that are read ahead. It is safe for concurrent use.
+// reclaimAttempts bounds how often memory is taken from others for one Grow: others may take what was returned.
+const reclaimAttempts = 4
+
+// Costs of a head in memory, above which it stays until its request has ended: net/http parses it into a map, which is copied for the
+// request to a replica and sorted there.
+const (
+	// headByteCost is the cost of a byte: a long line is held twice while its buffer grows, and once as a string.
+	headByteCost = 3
+	// headLineCost is the cost of a line, in bytes. Lines with different names take 100 bytes in a map, three times that with its copies.
+	headLineCost = 320
+)
+
+// HeadCost returns the memory that a head of so many bytes and lines takes, in bytes.
+func HeadCost(bytes, lines int) int64 {
+	return int64(bytes)*headByteCost + int64(lines)*headLineCost
+}
+
+// Budget is the memory for what peers send. It is safe for concurrent use.
 type Budget struct {
 	total, longTotal int64
 	used             atomic.Int64
 	refused          atomic.Int64
+	// reclaim returns memory of others, of at least so many bytes if it can, and reports whether there was any. It may be nil.
+	reclaim func(bytes int64) bool
 }
 
+// SetReclaim sets what Grow calls when there is not enough memory for a short body. It must be called before the Budget is used.
+func (b *Budget) SetReclaim(reclaim func(bytes int64) bool) { b.reclaim = reclaim }
+
 // NewBudget returns the Budget of a process with the memory limit in bytes; 0 means none.
 func NewBudget(limit int64) *Budget {
 	total := int64(limitShare * float64(limit))
@@ -45,7 +67,6 @@
 		return true
 	}
 	b.used.Add(-n)
-	b.refused.Add(1)
 	return false
 }
 
@@ -55,11 +76,34 @@
 	taken  int64
 }
 
-// Charge returns a Charge of nothing.
+// Charge returns a Charge of nothing. Those of a nil Budget are not limited.
 func (b *Budget) Charge() Charge { return Charge{budget: b} }
 
 // Grow takes memory until n bytes are taken. It reports false if there is not enough; what was taken before stays.
 func (c *Charge) Grow(n int64) bool {
+	if c.TryGrow(n) {
+		return true
+	}
+	b := c.budget
+	if n <= ShortBytes && b.reclaim != nil {
+		for range reclaimAttempts {
+			if !b.reclaim(n - c.taken) {
+				break
+			}
+			if c.TryGrow(n) {
+				return true
+			}
+		}
+	}
+	b.CountRefused()
+	return false
+}
+
+// CountRefused counts that there was not enough memory.
+func (b *Budget) CountRefused() { b.refused.Add(1) }
+
+// TryGrow is Grow without taking memory from others. It does not count as refused.
+func (c *Charge) TryGrow(n int64) bool {
 	if c.budget == nil || n <= c.taken {
 		return true
 	}
@@ -74,10 +118,16 @@
 	return true
 }
 
-// Release returns all memory.
-func (c *Charge) Release() {
-	if c.taken > 0 {
-		c.budget.used.Add(-c.taken)
-		c.taken = 0
+// Taken returns the memory that is taken, in bytes.
+func (c *Charge) Taken() int64 { return c.taken }
+
+// Shrink returns memory until n bytes are taken.
+func (c *Charge) Shrink(n int64) {
+	if n < c.taken {
+		c.budget.used.Add(n - c.taken)
+		c.taken = n
 	}
 }
+
+// Release returns all memory.
+func (c *Charge) Release() { c.Shrink(0) }
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -141,6 +141,38 @@
 	return err
 }
 
+// Connections makes the metrics show the accepted connections: the memory charged for them and their heads, their number by phase, and
+// how many were closed, by reason.
+func (m *Metrics) Connections(charged func() int64, count, closed func() map[string]int64) error {
+	if m == nil {
+		return nil
+	}
+	meter := m.provider.Meter("dragonflypin")
+	_, err := meter.Int64ObservableGauge("dragonflypin.connections.charged", metric.WithUnit("By"), metric.WithDescription("Memory charged for accepted connections and their heads."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error { o.Observe(charged()); return nil }))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Int64ObservableGauge("dragonflypin.connections", metric.WithDescription("Accepted connections, by phase."),
+		metric.WithInt64Callback(observeBy("phase", count)))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Int64ObservableCounter("dragonflypin.connections.closed", metric.WithDescription("Accepted connections that were closed for their limits or for others, by reason."),
+		metric.WithInt64Callback(observeBy("reason", closed)))
+	return err
+}
+
+// observeBy returns a callback that observes a value for each value of a label.
+func observeBy(label string, values func() map[string]int64) metric.Int64Callback {
+	return func(_ context.Context, o metric.Int64Observer) error {
+		for name, value := range values() {
+			o.Observe(value, metric.WithAttributes(attribute.String(label, name)))
+		}
+		return nil
+	}
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	if m == nil {
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -26,6 +26,8 @@
 	StoreAddress netip.AddrPort
 	// MemoryBytes is the memory limit above which the platform kills the process.
 	MemoryBytes int64
+	// Descriptors is the number of descriptors that the process may have open; 0 means that the platform names none.
+	Descriptors int
 	// StopGrace is the time between the stop signal and the kill.
 	StopGrace time.Duration
 	// ApplyBound is the time within which an accepted configuration must be in force.
