--- a/internal/connection/direct/liveness_test.go
+++ b/internal/connection/direct/liveness_test.go
@@ -128,7 +128,7 @@
 	near, far := net.Pipe() // has no acknowledgements
 	defer func() { _, _ = near.Close(), far.Close() }()
 	go func() { _, _ = io.Copy(io.Discard, far) }()
-	if got := newConn(near, "").probe(&Request{Method: http.MethodPost}, minProbeTime); got != unproven {
+	if got := newConn(near, "", NewPool()).probe(&Request{Method: http.MethodPost}, minProbeTime); got != unproven {
 		t.Errorf("liveness %d, want unproven", got)
 	}
 }
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -8,8 +8,12 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/memory"
 )
 
 // maxIdlePerReplica bounds the idle connections to one replica; excess connections are closed when they become idle.
@@ -109,6 +113,11 @@
 
 // Pool is a pool of connections to replicas. It is safe for concurrent use.
 type Pool struct {
+	// Memory is charged for the headers of responses; nil does not limit them. MaxConns is the number of connections that may be open;
+	// 0 means no limit. Both must be set before the first request.
+	Memory   *memory.Budget
+	MaxConns int
+
 	dialer *net.Dialer
 
 	mu sync.Mutex
@@ -117,6 +126,8 @@
 	closed bool
 
 	counts counts
+	// open is the number of connections that are open or being opened.
+	open atomic.Int64
 
 	// minProbeTime lengthens the probes in tests.
 	minProbeTime time.Duration
@@ -280,13 +291,21 @@
 	return c, 0
 }
 
+// errTooManyConns reports that no other connection may be opened.
+var errTooManyConns = errors.New("the connections to replicas have used up their descriptors")
+
 func (p *Pool) dial(ctx context.Context, address string, reason OpenReason) (*conn, error) {
+	if n := p.open.Add(1); p.MaxConns > 0 && n > int64(p.MaxConns) && !p.closeOldestIdle() {
+		p.open.Add(-1)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, errTooManyConns)
+	}
 	began := time.Now()
 	opened, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c := newConn(opened, address)
+	c := newConn(opened, address, p)
 	c.established = time.Since(began)
 	p.counts.opened[reason].Add(1)
 	p.mu.Lock()
@@ -297,6 +316,26 @@
 	return c, nil
 }
 
+// closeOldestIdle closes the connection that has been idle for the longest time, and reports whether there was one.
+func (p *Pool) closeOldestIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest *peer
+	for _, known := range p.peers {
+		// The last used one is the last.
+		if len(known.idle) > 0 && (oldest == nil || known.idle[0].idleSince.Before(oldest.idle[0].idleSince)) {
+			oldest = known
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	c := oldest.idle[0]
+	oldest.idle = slices.Delete(oldest.idle, 0, 1)
+	p.closeLocked(c, CloseExcess, time.Now())
+	return true
+}
+
 // put returns a connection to the pool for reuse within maxIdle, or closes it.
 func (p *Pool) put(c *conn, maxIdle time.Duration) {
 	now := time.Now()
@@ -377,6 +416,7 @@
 	}
 	x.done = true
 	open := x.stop()
+	x.conn.source.charge.Release()
 	switch {
 	case !open:
 		x.pool.close(x.conn, CloseCanceled)
@@ -419,6 +459,7 @@
 func (x *exchange) fail(ctx context.Context) {
 	x.done = true
 	x.stop()
+	x.conn.source.charge.Release()
 	if ctx.Err() != nil {
 		x.pool.close(x.conn, CloseCanceled)
 		return
