place: resets at several edges stop work at a replica

Cause: a replica whose process is down while its machine resets connections (srv_flap) is not refused but reset. Change: resets before a response are evidence that edges share; at a decayed number of 2.5 the replica backs off, single ones don't count.

--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -42,6 +42,7 @@
 	_       struct{} `cbor:",toarray"`
 	Replica uint32
 	Gone    bool
+	Reset   bool
 }
 
 // update tells the other edges what a store call has read, so that they need not read it. The changes of one call may be
@@ -266,7 +267,7 @@
 
 // shareEvidence sends evidence about a replica to the other edges.
 func (e *Edge) shareEvidence(found place.Evidence) {
-	e.broadcast(evidenceBroadcast, &evidence{Replica: uint32(found.Replica), Gone: found.Gone})
+	e.broadcast(evidenceBroadcast, &evidence{Replica: uint32(found.Replica), Gone: found.Gone, Reset: found.Reset})
 }
 
 // onBroadcast applies a message of another edge.
@@ -312,7 +313,7 @@
 	if err := cbor.Unmarshal(payload, &found); err != nil {
 		return err
 	}
-	e.placer.Health.Apply(place.Evidence{Replica: place.Key(found.Replica), Gone: found.Gone}, time.Now())
+	e.placer.Health.Apply(place.Evidence{Replica: place.Key(found.Replica), Gone: found.Gone, Reset: found.Reset}, time.Now())
 	return nil
 }
 
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"syscall"
@@ -301,9 +302,17 @@
 		return stop(s.endByContext(ctx.Err()))
 	}
 	s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, true, time.Now())
+	if connectionEnded(err) {
+		s.record(place.Evidence{Replica: tracker.choice.Key, Reset: true})
+	}
 	return s.retryInterrupted(ctx, tracker, err)
 }
 
+// connectionEnded reports whether the connection ended before there was a response, as opposed to a response that is of no use.
+func connectionEnded(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // mayRetry reports whether the route, the retry budget and the deadline allow another send after one with the given
 // execution. If not, it returns the code of the refusal.
 func (s *serving) mayRetry(execution retry.Execution) (Code, bool) {
--- a/internal/request/place/evidence_test.go
+++ b/internal/request/place/evidence_test.go
@@ -44,6 +44,50 @@
 	}
 }
 
+// Guards against a replica whose process is down while its machine resets connections: each entry of a fleet would send it several requests
+// that must not run twice before its own outcomes eject it.
+func TestResetsAtSeveralEntriesStopWork(t *testing.T) {
+	const down = place.Key(1)
+	h := place.NewHealth()
+	usable := func(after time.Duration) bool { return h.Usable("orders", down, false, epoch.Add(after)) }
+	for n := range 3 {
+		if !usable(time.Duration(n) * 40 * time.Millisecond) {
+			t.Fatalf("the replica gets no work after %d resets", n)
+		}
+		if !h.Apply(place.Evidence{Replica: down, Reset: true}, epoch.Add(time.Duration(n)*40*time.Millisecond)) {
+			t.Error("a reset is not shared")
+		}
+	}
+	if usable(90 * time.Millisecond) {
+		t.Error("the replica gets work after three resets within 80 ms")
+	}
+	if !usable(400 * time.Millisecond) {
+		t.Error("the replica gets no work after its backoff")
+	}
+	h.Apply(place.Evidence{Replica: down, Reset: true}, epoch.Add(400*time.Millisecond))
+	if usable(700 * time.Millisecond) {
+		t.Error("one reset right after the backoff does not stop work for longer")
+	}
+	h.RecordOutcome("orders", down, false, epoch.Add(time.Second))
+	h.Apply(place.Evidence{Replica: down, Reset: true}, epoch.Add(1100*time.Millisecond))
+	if !usable(1200 * time.Millisecond) {
+		t.Error("one reset after a success stops work")
+	}
+}
+
+// Guards against a replica that loses single responses, or drops idle connections now and then, and loses its work for that.
+func TestSingleResetsDoNotStopWork(t *testing.T) {
+	const lossy = place.Key(1)
+	h := place.NewHealth()
+	for n := range 50 {
+		at := epoch.Add(time.Duration(n) * 200 * time.Millisecond)
+		h.Apply(place.Evidence{Replica: lossy, Reset: true}, at)
+		if !h.Usable("orders", lossy, false, at.Add(time.Millisecond)) {
+			t.Fatalf("the replica gets no work after %d resets, five a second", n+1)
+		}
+	}
+}
+
 // Guards against a backoff that starts anew each time, because the record of a replica without responses is deleted at the end
 // of its backoff.
 func TestBackoffOutlivesPeriodicWork(t *testing.T) {
--- a/internal/request/place/health.go
+++ b/internal/request/place/health.go
@@ -23,6 +23,11 @@
 	goneTime = 5 * time.Second
 	// probeInterval is the time between probe requests to an ejected replica.
 	probeInterval = 700 * time.Millisecond
+	// resetDecayTime is the time constant of the exponential decay of resets, and minResets the decayed number of them at all entries
+	// together at which a replica gets no work. Single lost responses of a replica that runs stay below it: at five a second the number
+	// is 2.
+	resetDecayTime = 300 * time.Millisecond
+	minResets      = 2.5
 )
 
 // Health ejects replicas whose requests fail more often than those of the other replicas of their service. It is safe for
@@ -40,7 +45,9 @@
 	failedConnections int
 	// backoffUntil is the time before which the replica gets no work.
 	backoffUntil time.Time
-	lastProbe    time.Time
+	// resets has a value for each connection that ended without a response, at any entry.
+	resets    decayingMean
+	lastProbe time.Time
 }
 
 // Evidence is an observation of one entry that holds for all of them: no process accepts connections at the replica's
@@ -51,6 +58,9 @@
 	Replica Key
 	// Gone is set if another replica has the address.
 	Gone bool
+	// Reset is set if a connection to the replica ended without a response. One is no proof, because the replica may have closed the
+	// connection while it was idle, or lost a response. Several at once are: the machine is up, and its process is not.
+	Reset bool
 }
 
 // NewHealth returns a Health without recorded outcomes.
@@ -102,6 +112,8 @@
 	r := h.get(e.Replica)
 	known := now.Before(r.backoffUntil)
 	switch {
+	case e.Reset:
+		return r.recordReset(now)
 	case e.Gone:
 		r.backoffUntil = now.Add(goneTime)
 	case !known:
@@ -110,6 +122,20 @@
 	return !known
 }
 
+// recordReset records a connection that ended without a response, and reports whether the other entries should know. After a backoff that no
+// success has followed, the first reset shows that the replica is still down.
+func (r *replicaHealth) recordReset(now time.Time) bool {
+	if now.Before(r.backoffUntil) {
+		return false
+	}
+	r.resets.add(1, now, resetDecayTime)
+	if r.resets.count >= minResets || r.failedConnections > 0 && now.Sub(r.backoffUntil) < maxBackoff {
+		r.backOff(now)
+		r.resets = decayingMean{}
+	}
+	return true
+}
+
 // Usable reports whether the replica should get work. A replica that is ejected for its failures gets one probe in each
 // probeInterval, a request that may be repeated elsewhere.
 func (h *Health) Usable(service string, replica Key, repeatable bool, now time.Time) bool {
