duty: orders of replicas under the same lease

Change: duty.Orders says what to order; the holder sends it when no report is due, within the same rate and checks. Not wired in the edge.

--- a/internal/process/duty/duty.go
+++ b/internal/process/duty/duty.go
@@ -49,6 +49,22 @@
 	Ends(window uint64) time.Duration
 }
 
+// Order is a number of replicas of a service in an availability zone.
+type Order struct {
+	Service, Zone string
+	Replicas      int
+}
+
+// Orders decides which numbers of replicas to order. Its methods are called by one goroutine.
+type Orders interface {
+	// Begin is called when this edge becomes the holder, before the first call of Next: orders of earlier holders are unknown.
+	Begin()
+	// Next returns the next order to send. It is called several times a second.
+	Next(now time.Time) (o Order, ok bool)
+	// Sent records the result of an order. With an error the order may or may not be in force.
+	Sent(o Order, err error, now time.Time)
+}
+
 // Announcement is what the holder tells the other edges about its lease.
 type Announcement struct {
 	_ struct{} `cbor:",toarray"`
--- a/internal/process/duty/history_test.go
+++ b/internal/process/duty/history_test.go
@@ -297,7 +297,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := newSim(seed, simEdges, broken)
-		s.faults, s.requireFence = faults, seed%4 == 0
+		s.faults, s.requireFence, s.orders = faults, seed%4 == 0, seed%2 == 0
 		s.play(ctx)
 		cancel()
 		time.Sleep(10 * time.Second) // writes that take effect late
--- a/internal/process/duty/node.go
+++ b/internal/process/duty/node.go
@@ -62,6 +62,8 @@
 	Store         store.Client
 	Platform      Platform
 	Counts        Counts
+	// Orders may be nil.
+	Orders Orders
 	// Clock is boottime.Now; Wall is time.Now, for Counts.
 	Clock, Wall func() time.Time
 	// Rank returns the number of live edges before this one in the order of addresses, Live the addresses of the other live edges.
@@ -122,11 +124,10 @@
 	startWindow uint64
 
 	// The fields below are used by the holder of acting.
-	reports      *reports
-	reportsFence uint64
-	edges        map[string]time.Time
-	lastCall     time.Time
-	unreached    int
+	reports   *reports
+	edges     map[string]time.Time
+	lastCall  time.Time
+	unreached int
 	// unknownAt is the time of the last call with an unknown outcome.
 	unknownAt time.Time
 }
@@ -403,28 +404,61 @@
 	if remaining <= 0 {
 		return pollInterval
 	}
-	if !n.opts.Duties.ReportUsage {
-		return idleWait
-	}
-	if n.reports == nil || n.reportsFence != fence {
-		n.reports = newReports(Holder{Name: n.opts.Name, Fence: fence}, n.opts.Duties.ReportBound, n.lease.Attached(), n.startWindow)
-		n.reportsFence, n.unreached = fence, 0
-		n.lease.Attach(n.reports.state())
+	if n.reports == nil || n.reports.holder.Fence != fence {
+		n.begin(fence)
 	}
 	if n.isolated(now) {
 		n.requestStandBack("others not heard")
 		return pollInterval
 	}
-	s := n.reports.next(now, n.opts.Wall(), n.opts.Counts, func(ended time.Duration) []string { return n.edgesSince(now.Add(-ended - n.opts.Duties.Window)) })
-	n.logSkipped()
+	s := step{kind: stepWait, wait: pollInterval}
+	if n.opts.Duties.ReportUsage {
+		s = n.reports.next(now, n.opts.Wall(), n.opts.Counts, func(ended time.Duration) []string { return n.edgesSince(now.Add(-ended - n.opts.Duties.Window)) })
+		n.logSkipped()
+	}
 	if s.kind == stepWait {
-		return s.wait
+		return min(s.wait, n.order(ctx, now))
 	}
 	wait := n.perform(ctx, s)
 	n.lease.Attach(n.reports.state())
 	return wait
 }
 
+// begin starts the work of a new term.
+func (n *Node) begin(fence uint64) {
+	n.reports = newReports(Holder{Name: n.opts.Name, Fence: fence}, n.opts.Duties.ReportBound, n.lease.Attached(), n.startWindow)
+	n.unreached = 0
+	n.lease.Attach(n.reports.state())
+	if n.opts.Orders != nil {
+		n.opts.Orders.Begin()
+	}
+}
+
+// order sends the next order, if there is one, and returns the time until the next step.
+func (n *Node) order(ctx context.Context, now time.Time) time.Duration {
+	if !n.opts.Duties.OrderReplicas || n.opts.Orders == nil {
+		return pollInterval
+	}
+	o, ok := n.opts.Orders.Next(now)
+	if !ok {
+		return pollInterval
+	}
+	h, wait := n.permission(now)
+	if wait > 0 {
+		return wait
+	}
+	err := n.call(ctx, h, now, func(ctx context.Context) error {
+		return n.opts.Platform.OrderReplicas(ctx, h, o.Service, o.Zone, o.Replicas)
+	})
+	n.opts.Orders.Sent(o, err, n.opts.Clock())
+	if err != nil {
+		n.opts.Log.Emit(eventlog.OrderFailed, eventlog.Service(o.Service), eventlog.Zone(o.Zone), eventlog.Count(o.Replicas), eventlog.Err(err))
+		return firstBackoff
+	}
+	n.opts.Log.Emit(eventlog.ReplicasOrdered, eventlog.Service(o.Service), eventlog.Zone(o.Zone), eventlog.Count(o.Replicas), eventlog.Fence(h.Fence))
+	return 0
+}
+
 // perform carries a step out and returns the time until the next one.
 func (n *Node) perform(ctx context.Context, s step) time.Duration {
 	switch s.kind {
@@ -486,7 +520,7 @@
 	obj, err := n.opts.Store.Create(ctx, WindowKind, WindowName(s.window), value)
 	outcome := storeOutcomeOf(err, false)
 	if outcome == storeDone {
-		n.opts.Log.Emit(eventlog.UsageSealed, eventlog.Window(s.window), eventlog.Count(len(s.content.Segments)), eventlog.Fence(n.reportsFence), eventlog.Complete(s.complete))
+		n.opts.Log.Emit(eventlog.UsageSealed, eventlog.Window(s.window), eventlog.Count(len(s.content.Segments)), eventlog.Fence(n.reports.holder.Fence), eventlog.Complete(s.complete))
 	} else if outcome != storeConflict {
 		n.opts.Log.Emit(eventlog.UsageFailed, eventlog.Window(s.window), eventlog.Err(err))
 	}
@@ -527,26 +561,39 @@
 // send reports a window, and returns the time until the next step.
 func (n *Node) send(ctx context.Context, s step) time.Duration {
 	now := n.opts.Clock()
-	if wait := n.lastCall.Add(n.spacing()).Sub(now); wait > 0 {
+	h, wait := n.permission(now)
+	if wait > 0 {
 		return wait
 	}
-	// The lease is checked here, right before the call, and again by the call's timeout, which ends before the lease does.
+	err := n.call(ctx, h, now, func(ctx context.Context) error { return n.opts.Platform.ReportUsage(ctx, h, s.window, s.content.Sum) })
+	late := n.reports.late(s.window, n.opts.Counts)
+	settled := n.reports.onSent(s, outcomeOf(err), n.opts.Clock(), late)
+	n.logSent(s.window, err, settled, late)
+	return 0
+}
+
+// permission returns the Holder for a call that begins now, or the time after which to ask again. The lease is checked here, right
+// before each call, and its end bounds the call.
+func (n *Node) permission(now time.Time) (h Holder, wait time.Duration) {
+	if wait := n.lastCall.Add(n.spacing()).Sub(now); wait > 0 {
+		return Holder{}, wait
+	}
 	fence, remaining := n.lease.Remaining(now)
 	timeout := min(callTimeout, remaining-callMargin)
-	if fence != n.reportsFence || timeout < minCallTime {
-		return pollInterval
+	if fence != n.reports.holder.Fence || timeout < minCallTime {
+		return Holder{}, pollInterval
 	}
+	return Holder{Name: n.opts.Name, Fence: fence, Until: now.Add(timeout)}, 0
+}
+
+// call makes one call to the platform.
+func (n *Node) call(ctx context.Context, h Holder, now time.Time, run func(context.Context) error) error {
 	n.lastCall = now
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	err := n.opts.Platform.ReportUsage(callCtx, Holder{Name: n.opts.Name, Fence: fence, Until: now.Add(timeout)}, s.window, s.content.Sum)
-	cancel()
-	now = n.opts.Clock()
-	outcome := outcomeOf(err)
-	late := n.reports.late(s.window, n.opts.Counts)
-	settled := n.reports.onSent(s, outcome, now, late)
-	n.logSent(s.window, err, settled, late)
-	n.onReached(outcome, now)
-	return 0
+	ctx, cancel := context.WithTimeout(ctx, h.Until.Sub(now))
+	defer cancel()
+	err := run(ctx)
+	n.onReached(outcomeOf(err), n.opts.Clock())
+	return err
 }
 
 // spacing is the time between two calls to the platform.
@@ -565,7 +612,7 @@
 		n.unknownAt = now
 	case notSent:
 	default:
-		n.unreached = 0
+		n.unreached, n.reports.away = 0, 0
 		return
 	}
 	n.unreached++
@@ -619,10 +666,10 @@
 func (n *Node) logSent(window uint64, err error, settled, late bool) {
 	switch {
 	case err == nil && late:
-		n.opts.Log.Emit(eventlog.UsageLate, eventlog.Window(window), eventlog.Fence(n.reportsFence))
+		n.opts.Log.Emit(eventlog.UsageLate, eventlog.Window(window), eventlog.Fence(n.reports.holder.Fence))
 		n.opts.Metrics.UsageWindows("late", 1)
 	case err == nil:
-		n.opts.Log.Emit(eventlog.UsageReported, eventlog.Window(window), eventlog.Fence(n.reportsFence))
+		n.opts.Log.Emit(eventlog.UsageReported, eventlog.Window(window), eventlog.Fence(n.reports.holder.Fence))
 		n.opts.Metrics.UsageWindows("reported", 1)
 	case settled:
 		n.opts.Log.Emit(eventlog.UsageRefused, eventlog.Window(window), eventlog.Err(err))
--- a/internal/process/duty/reports.go
+++ b/internal/process/duty/reports.go
@@ -302,10 +302,7 @@
 // onSent takes the result of stepSend. It reports whether the report is settled: accepted, or given up.
 func (r *reports) onSent(s step, outcome sendOutcome, now time.Time, late bool) (settled bool) {
 	w := r.open[s.window]
-	switch outcome {
-	case accepted:
-		r.away = 0
-	case refused:
+	if outcome == refused {
 		w.refusals++
 	}
 	if outcome != accepted && w.refusals < maxRefusals {
--- a/internal/process/duty/sim_test.go
+++ b/internal/process/duty/sim_test.go
@@ -46,6 +46,8 @@
 	platform                  *simPlatform
 	acquisitions, reports     []porcupine.Operation
 	broken                    defect
+	// orders is set if holders also order replicas.
+	orders bool
 	// faults are the names of those that are drawn.
 	faults                     []string
 	datagramLossRate           float64
@@ -125,10 +127,10 @@
 	e.sim.mu.Unlock()
 	client := &simClient{edge: e, generation: generation}
 	node := New(Options{
-		Duties: settings.Duties{ReportUsage: true, CallsPerSecond: simRate, Lease: simLease, Window: simWindow, ReportBound: simBound},
+		Duties: settings.Duties{ReportUsage: true, OrderReplicas: e.sim.orders, CallsPerSecond: simRate, Lease: simLease, Window: simWindow, ReportBound: simBound},
 		Name:   fmt.Sprintf("edge-%d", e.id), Address: e.address,
 		Store: client, Platform: client, Counts: &simCounts{edge: e, generation: generation}, Clock: e.clock, Wall: time.Now,
-		Rank: e.rank, Live: e.live, Announce: e.announce,
+		Orders: &simOrders{edge: e}, Rank: e.rank, Live: e.live, Announce: e.announce,
 	})
 	if l, ok := node.lease.(*lease.Lease); ok {
 		node.lease = &simLeaseRecorder{Lease: l, edge: e, generation: generation}
@@ -449,8 +451,45 @@
 }
 
 // OrderReplicas implements Platform.
-func (c *simClient) OrderReplicas(context.Context, Holder, string, string, int) error {
-	return ErrRefused
+func (c *simClient) OrderReplicas(ctx context.Context, h Holder, _, _ string, _ int) error {
+	c.edge.pause()
+	if !c.edge.clock().Before(h.Until) || !c.edge.running(c.generation) {
+		return ErrNotSent
+	}
+	s := c.edge.sim
+	s.mu.Lock()
+	away, delay := c.edge.noPlatform || s.platformDark, s.platformDelay
+	s.mu.Unlock()
+	if away {
+		<-ctx.Done()
+		c.edge.pause()
+		return context.DeadlineExceeded
+	}
+	sleep(ctx, s.random(3*time.Millisecond))
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	err := s.platform.acceptOrder(c.edge, h)
+	sleep(ctx, delay)
+	c.edge.pause()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+// simOrders orders something about once a second, so that holders often act.
+type simOrders struct {
+	edge *simEdge
+	due  time.Time
+}
+
+func (o *simOrders) Begin() {}
+
+func (o *simOrders) Next(now time.Time) (Order, bool) { return Order{"s", "z", 1}, !now.Before(o.due) }
+
+func (o *simOrders) Sent(_ Order, _ error, now time.Time) {
+	o.due = now.Add(o.edge.sim.random(2 * time.Second))
 }
 
 // record runs an operation and adds it to a history.
@@ -510,6 +549,7 @@
 	sums       map[uint64]string
 	fences     map[uint64]int
 	highest    uint64
+	orders     int
 	acts       []simAct
 	violations []string
 	onTime     map[uint64]bool
@@ -528,6 +568,37 @@
 func (p *simPlatform) accept(e *simEdge, h Holder, window uint64, sum string) error {
 	p.sim.mu.Lock()
 	defer p.sim.mu.Unlock()
+	if !p.judgeHolder(e, h) {
+		return ErrRefused
+	}
+	now := time.Now()
+	if have, ok := p.sums[window]; ok && have != sum {
+		p.violation("window %d: %s after %s", window, sum, have)
+	}
+	if _, ok := p.sums[window]; !ok {
+		p.sums[window] = sum
+		if p.onTime == nil {
+			p.onTime = map[uint64]bool{}
+		}
+		p.onTime[window] = now.Sub(time.Unix(0, int64(window+1)*int64(simWindow))) <= simBound
+	}
+	return nil
+}
+
+// acceptOrder judges an order of replicas.
+func (p *simPlatform) acceptOrder(e *simEdge, h Holder) error {
+	p.sim.mu.Lock()
+	defer p.sim.mu.Unlock()
+	if !p.judgeHolder(e, h) {
+		return ErrRefused
+	}
+	p.orders++
+	return nil
+}
+
+// judgeHolder judges who sends a call, and reports whether the platform takes it. All calls count as those of one subject, which is
+// stricter than the rule.
+func (p *simPlatform) judgeHolder(e *simEdge, h Holder) bool {
 	now := time.Now()
 	sinceThaw := now.Sub(e.thawedAt)
 	excused := sinceThaw >= 0 && sinceThaw < simThaw
@@ -535,7 +606,7 @@
 		p.sim.excused++
 	}
 	if h.Fence < p.highest && p.sim.requireFence {
-		return ErrRefused
+		return false
 	}
 	if owner, ok := p.fences[h.Fence]; ok && owner != e.id {
 		p.violation("edges %d and %d send the fencing number %d", owner, e.id, h.Fence)
@@ -548,17 +619,7 @@
 		p.judgeTurns(e.id, now)
 	}
 	p.highest = max(p.highest, h.Fence)
-	if have, ok := p.sums[window]; ok && have != sum {
-		p.violation("window %d: %s after %s", window, sum, have)
-	}
-	if _, ok := p.sums[window]; !ok {
-		p.sums[window] = sum
-		if p.onTime == nil {
-			p.onTime = map[uint64]bool{}
-		}
-		p.onTime[window] = now.Sub(time.Unix(0, int64(window+1)*int64(simWindow))) <= simBound
-	}
-	return nil
+	return true
 }
 
 // judgeTurns finds an edge that acts after another one which acted after it within a lease.
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -101,6 +101,12 @@
 // Window is the number of a window of usage.
 func Window(n uint64) Field { return Field{"window", n} }
 
+// Service is the name of a service.
+func Service(name string) Field { return Field{"service", truncate(name)} }
+
+// Zone is the name of an availability zone.
+func Zone(name string) Field { return Field{"zone", truncate(name)} }
+
 // Complete is whether nothing is missing that was waited for.
 func Complete(ok bool) Field { return Field{"complete", ok} }
 
