tally: a receiver that has restarted gets the recent counts

Change: receivers are remembered with the runs of their processes, which are the epochs of the reports between edges. Counts of an earlier run of a live edge are passed on as well. Result: TestRestartedReceiverGetsTheRecentCounts fails without the change and passes with it (-race).

--- a/internal/app/edge/tally.go
+++ b/internal/app/edge/tally.go
@@ -70,7 +70,7 @@
 		return
 	}
 	t.clock.Tick()
-	t.send(t.counter.Due(boottime.Now(), t.edge.gossip.LivePeers()))
+	t.send(t.counter.Due(boottime.Now(), t.edge.gossip.LiveEpochs()))
 }
 
 // flush sends all counts, at the stop of the process. With last set no more requests are served.
@@ -79,13 +79,13 @@
 		return
 	}
 	for range stopSends {
-		t.send(t.counter.Flush(boottime.Now(), t.edge.gossip.LivePeers(), last))
+		t.send(t.counter.Flush(boottime.Now(), t.edge.gossip.LiveEpochs(), last))
 	}
 }
 
 // stats returns the state for the metrics.
 func (t *tallyExchange) stats() metrics.UsageCounts {
-	s := t.counter.Stats(boottime.Now(), t.edge.gossip.LivePeers())
+	s := t.counter.Stats(boottime.Now(), t.edge.gossip.LiveEpochs())
 	return metrics.UsageCounts{
 		Counted: s.Counted, Windows: s.Windows, Age: s.OldestNews, Messages: t.messages.Load(), Bytes: t.bytes.Load(), ClockError: t.clock.Error(),
 	}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -252,6 +252,19 @@
 	return list
 }
 
+// LiveEpochs returns the other live entries with the starts of their processes.
+func (n *Node) LiveEpochs() map[netip.Addr]uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	epochs := make(map[netip.Addr]uint64, len(n.peers))
+	for addr, p := range n.peers {
+		if p.live {
+			epochs[addr] = p.epoch
+		}
+	}
+	return epochs
+}
+
 func (n *Node) sendTo(target netip.Addr, data []byte) {
 	if _, err := n.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(target, n.opts.Listen.Port())); err != nil {
 		n.fail(err)
--- a/internal/process/tally/counter.go
+++ b/internal/process/tally/counter.go
@@ -73,8 +73,8 @@
 	names map[string]string
 	// holder is the edge that holds the duties; the zero value if it is not known.
 	holder netip.Addr
-	// receivers are the edges that get the counts, as of the last sends.
-	receivers []netip.Addr
+	// receivers are the edges that get the counts with the runs of their processes, as of the last sends. The run is 0 if it is not known.
+	receivers map[netip.Addr]uint64
 	lastSend  time.Time
 	// counted is the number of own counts, dropped that of windows dropped because there were too many counts.
 	counted, dropped uint64
@@ -358,7 +358,7 @@
 }
 
 // Stats returns the current state. live are the other live edges.
-func (c *Counter) Stats(now time.Time, live []netip.Addr) Stats {
+func (c *Counter) Stats(now time.Time, live map[netip.Addr]uint64) Stats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := Stats{Counted: c.counted, Windows: len(c.others), Counts: c.counts, Dropped: c.dropped}
@@ -373,7 +373,7 @@
 			latest[source.Edge] = heard.last
 		}
 	}
-	for _, edge := range live {
+	for edge := range live {
 		if at, ok := latest[edge.String()]; ok {
 			s.OldestNews = max(s.OldestNews, now.Sub(at))
 		}
--- a/internal/process/tally/send.go
+++ b/internal/process/tally/send.go
@@ -7,11 +7,13 @@
 	"time"
 )
 
-// Due returns the messages that are to be sent now; live are the other live edges. It is called at least every SendInterval.
+// Due returns the messages that are to be sent now. It is called at least every SendInterval. live are the other live edges with the runs
+// of their processes.
 //   - Counts that have changed go to all receivers.
 //   - The final counts of a window go to all receivers three times.
-//   - A new receiver gets the counts of the recent windows: the own ones, and those of edges that no longer live.
-func (c *Counter) Due(now time.Time, live []netip.Addr) []Send {
+//   - A new receiver, also one whose process has restarted, gets the counts of the recent windows: the own ones, and those of processes
+//     that no longer live.
+func (c *Counter) Due(now time.Time, live map[netip.Addr]uint64) []Send {
 	current, trueTime := c.Window(now), c.opts.Clock.At(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -20,9 +22,7 @@
 	}
 	c.lastSend = now
 	c.expire(current)
-	receivers := c.receiversAmong(live)
-	added := slices.DeleteFunc(slices.Clone(receivers), func(a netip.Addr) bool { return slices.Contains(c.receivers, a) })
-	c.receivers = receivers
+	receivers, added := c.updateReceivers(live)
 	c.addWindows(current)
 	if len(receivers) == 0 {
 		return nil
@@ -104,12 +104,12 @@
 
 // Flush returns messages with all own counts of the recent windows, for the stop of the process. With last set no more requests are
 // counted, so that the counts are final, and those of the next window too: the edge may still be taken for live in it.
-func (c *Counter) Flush(now time.Time, live []netip.Addr, last bool) []Send {
+func (c *Counter) Flush(now time.Time, live map[netip.Addr]uint64, last bool) []Send {
 	current, trueTime := c.Window(now), c.opts.Clock.At(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.receivers = c.receiversAmong(live)
-	if len(c.receivers) == 0 {
+	receivers := c.receiversAmong(live)
+	if len(receivers) == 0 {
 		return nil
 	}
 	if last {
@@ -119,7 +119,7 @@
 	var sends []Send
 	for _, window := range c.ownWindows() {
 		if window+recentWindows > current {
-			sends = append(sends, sendAll(c.receivers, c.wholeMessages(window, last || c.hasSettled(window, trueTime)))...)
+			sends = append(sends, sendAll(receivers, c.wholeMessages(window, last || c.hasSettled(window, trueTime)))...)
 			c.own[window].markSent()
 		}
 	}
@@ -127,8 +127,8 @@
 }
 
 // receiversAmong returns the edges that get the counts: the holder of the duties and the first candidates.
-func (c *Counter) receiversAmong(live []netip.Addr) []netip.Addr {
-	order := append(slices.Clone(live), c.opts.Edge)
+func (c *Counter) receiversAmong(live map[netip.Addr]uint64) []netip.Addr {
+	order := append(slices.Collect(maps.Keys(live)), c.opts.Edge)
 	slices.SortFunc(order, netip.Addr.Compare)
 	receivers := order[:min(len(order), candidates)]
 	if c.holder.IsValid() && !slices.Contains(receivers, c.holder) {
@@ -137,8 +137,26 @@
 	return slices.DeleteFunc(receivers, func(a netip.Addr) bool { return a == c.opts.Edge })
 }
 
-// sendRecent returns messages with the recent counts for new receivers: the own ones, and those of edges that no longer live.
-func (c *Counter) sendRecent(to, live []netip.Addr, current uint64, trueTime time.Time) []Send {
+// updateReceivers returns the edges that get the counts, and those of them that were none before or have restarted since.
+func (c *Counter) updateReceivers(live map[netip.Addr]uint64) (receivers, added []netip.Addr) {
+	receivers = c.receiversAmong(live)
+	runs := make(map[netip.Addr]uint64, len(receivers))
+	for _, a := range receivers {
+		before, known := c.receivers[a]
+		run, isLive := live[a]
+		if !isLive {
+			run = before // the holder, which may have been heard of by others only
+		}
+		if runs[a] = run; !known || run != before {
+			added = append(added, a)
+		}
+	}
+	c.receivers = runs
+	return receivers, added
+}
+
+// sendRecent returns messages with the recent counts for new receivers: the own ones, and those of processes that no longer live.
+func (c *Counter) sendRecent(to []netip.Addr, live map[netip.Addr]uint64, current uint64, trueTime time.Time) []Send {
 	if len(to) == 0 {
 		return nil
 	}
@@ -149,7 +167,7 @@
 		}
 		for source, w := range c.others[window] {
 			edge, err := netip.ParseAddr(source.Edge)
-			if err != nil || slices.Contains(live, edge) || len(w.counts) == 0 {
+			if err != nil || live[edge] == source.Run || len(w.counts) == 0 {
 				continue
 			}
 			head := Message{Edge: addrToUint32(edge), Run: source.Run, Window: window, Age: uint32(window - min(window, c.heard[source].first)), Final: w.final}
--- a/internal/process/tally/tally_test.go
+++ b/internal/process/tally/tally_test.go
@@ -31,6 +31,7 @@
 // edge is a simulated edge.
 type edge struct {
 	address netip.Addr
+	run     uint64
 	counter *tally.Counter
 	dead    bool
 }
@@ -63,27 +64,28 @@
 // start starts a process at the address.
 func (f *fleet) start(address netip.Addr) *edge {
 	clock := truetime.New(func() time.Time { return f.now }, f.trueTime)
-	e := &edge{address: address, counter: tally.New(tally.Options{
-		Edge: address, Run: uint64(f.trueTime().UnixMilli()), Window: window, ReportBound: reportBound, Clock: clock,
+	run := uint64(f.trueTime().UnixMilli())
+	e := &edge{address: address, run: run, counter: tally.New(tally.Options{
+		Edge: address, Run: run, Window: window, ReportBound: reportBound, Clock: clock,
 	})}
 	f.edges = append(f.edges, e)
 	return e
 }
 
-// others returns the addresses of the other live edges.
-func (f *fleet) others(of *edge) []netip.Addr {
-	var list []netip.Addr
+// others returns the other live edges with their runs.
+func (f *fleet) others(of *edge) map[netip.Addr]uint64 {
+	live := map[netip.Addr]uint64{}
 	for _, e := range f.edges {
 		if e != of && !e.dead {
-			list = append(list, e.address)
+			live[e.address] = e.run
 		}
 	}
-	return list
+	return live
 }
 
 func (f *fleet) live() []string {
 	var list []string
-	for _, a := range f.others(nil) {
+	for a := range f.others(nil) {
 		list = append(list, a.String())
 	}
 	return list
@@ -220,6 +222,27 @@
 	}
 }
 
+// Guards against a next holder that restarted and has none of the counts from before: its address is that of a receiver all the while.
+func TestRestartedReceiverGetsTheRecentCounts(t *testing.T) {
+	f := newFleet(8)
+	counted := f.window()
+	for _, e := range f.edges {
+		e.counter.Began("a", f.now)
+	}
+	f.run(t, window+settled)
+	f.edges[7].dead = true
+	f.run(t, 200*time.Millisecond)
+	f.edges[1].dead = true
+	restarted := f.start(f.edges[1].address)
+	f.run(t, time.Second)
+	if got := sum(restarted.counter.Segments(counted))["a"]; got != 8 {
+		t.Errorf("%d of 8 counts", got)
+	}
+	if !restarted.counter.Final(counted, f.live()) {
+		t.Error("the window is not final")
+	}
+}
+
 // Guards against windows that are never final because an edge started after them, and against two runs of an edge that are taken for one.
 func TestRestartedEdgeIsAnotherSource(t *testing.T) {
 	f := newFleet(4)
@@ -433,7 +456,7 @@
 	f := newFleet(1)
 	counted := f.window()
 	clock := truetime.New(func() time.Time { return f.now }, func() time.Time { return f.trueTime().Add(time.Hour) })
-	e := &edge{address: netip.MustParseAddr("10.0.0.9"), counter: tally.New(tally.Options{
+	e := &edge{address: netip.MustParseAddr("10.0.0.9"), run: 1, counter: tally.New(tally.Options{
 		Edge: netip.MustParseAddr("10.0.0.9"), Run: 1, Window: window, ReportBound: reportBound, Clock: clock,
 	})}
 	f.edges = append(f.edges, e)
