--- a/internal/process/tally/counter.go
+++ b/internal/process/tally/counter.go
@@ -34,8 +34,8 @@
 	// recentWindows is the number of windows whose counts an edge gets when it becomes one of the receivers: the running one, and those
 	// that may not have been reported yet.
 	recentWindows = 4
-	// maxCounts bounds the counts of other edges; above it the oldest windows are dropped. It is eight windows of 7,300 requests a second
-	// whose sources and workspaces are all different, about 25 MB.
+	// maxCounts bounds the counts of other edges; above it the oldest windows are dropped. It is eight windows of 5 s with 7,300
+	// requests a second whose sources or workspaces are all different, 11 MB (37 bytes a count).
 	maxCounts = 8 * 5 * 7300
 	// maxNames bounds the names of workspaces that are shared by all counts.
 	maxNames = 1 << 14
@@ -73,8 +73,8 @@
 	names map[string]string
 	// holder is the edge that holds the duties; the zero value if it is not known.
 	holder netip.Addr
-	// receivers are the edges that get the counts, as of the last sends.
-	receivers []netip.Addr
+	// receivers are the edges that get the counts with the runs of their processes, as of the last sends. The run is 0 if it is not known.
+	receivers map[netip.Addr]uint64
 	lastSend  time.Time
 	// counted is the number of own counts, dropped that of windows dropped because there were too many counts.
 	counted, dropped uint64
@@ -358,7 +358,7 @@
 }
 
 // Stats returns the current state. live are the other live edges.
-func (c *Counter) Stats(now time.Time, live []netip.Addr) Stats {
+func (c *Counter) Stats(now time.Time, live map[netip.Addr]uint64) Stats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := Stats{Counted: c.counted, Windows: len(c.others), Counts: c.counts, Dropped: c.dropped}
@@ -373,7 +373,7 @@
 			latest[source.Edge] = heard.last
 		}
 	}
-	for _, edge := range live {
+	for edge := range live {
 		if at, ok := latest[edge.String()]; ok {
 			s.OldestNews = max(s.OldestNews, now.Sub(at))
 		}
