direct: bound idle connections by the replicas' max_conns, and tell which replicas have one

Cause: 24 idle connections an edge and replica are 2,472 from 103 edges, and the replicas of the large deployment accept 680 to 940. Placement can't tell to which replica a connection is open.

Change: half of the configured max_conns, divided by the live edges, bounds the idle connections to a replica. Pool.HasIdle tells whether there is one.

Test: TestIdleConnectionsAreBounded.

Placement itself is not changed here.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -156,7 +156,7 @@
 	e.placer.Limits = place.NewReplicaLimits(node.Address.String())
 	e.guard = newGuard(e)
 	e.forwarder = &forward.Forwarder{
-		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory, Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, Paused: e.observer.paused, Guard: e.guard,
+		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory, Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, Paused: e.observer.paused, Guard: e.guard, MaxIdle: e.maxIdle,
 	}
 	err := errors.Join(deps.Metrics.ReadAhead(e.memory.Used, e.memory.Refused), deps.Metrics.Connections(e.pool.OpenedBy, e.pool.ClosedBy))
 	if err != nil {
@@ -191,6 +191,15 @@
 	}
 }
 
+// maxIdle returns this edge's share of the idle connections to each replica of a service.
+func (e *Edge) maxIdle(service string) int {
+	maxConnections := 0
+	if v := e.routes.Current(); v != nil {
+		maxConnections = v.Services[service].MaxConnections
+	}
+	return direct.IdleBound(maxConnections, 1+e.placer.Loads.Entries())
+}
+
 // retrySettings returns this edge's part of the shared retry budget: the ratio applies to the edge's own requests, and the
 // reserve is divided by the number of edges.
 func (e *Edge) retrySettings() retry.Settings {
--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -81,6 +81,8 @@
 	idleSince time.Time
 	// responses is the number of final responses that have arrived.
 	responses int
+	// maxIdle is how many idle connections to the address may be kept with this one.
+	maxIdle int
 	// established is how long it took to open the connection, at least one round trip.
 	established time.Duration
 	// ahead is how many bytes of the next request were sent ahead (see probe).
--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -375,3 +375,46 @@
 		})
 	}
 }
+
+// Guards against idle connections of many callers that use up the connections which a replica accepts, and against a caller that keeps none.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	for _, c := range []struct{ maxConnections, callers, want int }{
+		{450, 22, 10}, {190, 22, 4}, {940, 103, 4}, {10, 103, 1}, {100, 0, 50}, {0, 22, 24},
+	} {
+		if got := direct.IdleBound(c.maxConnections, c.callers); got != c.want {
+			t.Errorf("%d connections, %d callers: %d, want %d", c.maxConnections, c.callers, got, c.want)
+		}
+	}
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(conn, okResponse(r.Header.Get("X-Attempt"), "ok"))
+		return err == nil
+	})
+	p := direct.NewPool()
+	for range 2 {
+		var open []*direct.Response
+		for range 4 {
+			request := newRequest(s, "1")
+			request.MaxIdle = 3
+			response, err := p.Do(t.Context(), request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(response); err != nil {
+				t.Fatal(err)
+			}
+			open = append(open, response)
+		}
+		if p.HasIdle(s.Addr().String()) {
+			t.Error("a connection that carries a request counts as idle")
+		}
+		for _, response := range open {
+			response.Close()
+		}
+		if !p.HasIdle(s.Addr().String()) || p.HasIdle("127.0.0.1:1") {
+			t.Error("idle connections are not told by their address")
+		}
+	}
+	if got := counted(p.ClosedBy)["excess"]; got != 2 || p.Opened() != 5 {
+		t.Errorf("%d connections, %d closed as excess, want 5 and 2", p.Opened(), got)
+	}
+}
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -12,9 +12,21 @@
 	"time"
 )
 
-// maxIdlePerReplica bounds the idle connections to one replica; excess connections are closed when they become idle.
+// maxIdlePerReplica bounds the idle connections to one replica whose bound for all callers is not known.
 const maxIdlePerReplica = 24
 
+// idleShare is the share of a replica's connections that may be idle ones, the rest is for requests.
+const idleShare = 0.5
+
+// IdleBound returns how many idle connections one of several callers may keep to a replica that accepts maxConnections from all of
+// them; 0 stands for an unknown number.
+func IdleBound(maxConnections, callers int) int {
+	if maxConnections <= 0 {
+		return maxIdlePerReplica
+	}
+	return max(1, int(idleShare*float64(maxConnections)/float64(max(1, callers))))
+}
+
 // sweepInterval is the time between two scans for connections that have been idle for too long.
 const sweepInterval = time.Second
 
@@ -52,6 +64,9 @@
 	// NonIdempotent marks a request that must not run twice. It is sent on a connection that has been idle for longer than
 	// maxUnprobedIdleTime only if a probe shows that the replica still has it.
 	NonIdempotent bool
+	// MaxIdle is the number of idle connections to the address that the pool keeps, with that of the request; 0 stands for
+	// maxIdlePerReplica. Excess ones are closed.
+	MaxIdle int
 	// Match reports whether a response belongs to this request. If it is nil, every response does.
 	Match func(status int, h http.Header) Match
 }
@@ -167,6 +182,14 @@
 	p.counts.closed[reason].Add(1)
 }
 
+// HasIdle reports whether there is an idle connection to the address. It is cheap enough for the choice of a replica.
+func (p *Pool) HasIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, ok := p.peers[address]
+	return ok && len(known.idle) > 0
+}
+
 // Do sends a request and returns its response once the headers were read. Errors wrap ErrNotSent or ErrNoResponse. When ctx
 // ends, the connection is closed, so that the replica can cancel the request.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
@@ -231,6 +254,17 @@
 
 // get returns a healthy idle connection or a new one.
 func (p *Pool) get(ctx context.Context, request *Request) (*conn, error) {
+	c, err := p.find(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	if c.maxIdle = request.MaxIdle; c.maxIdle <= 0 {
+		c.maxIdle = maxIdlePerReplica
+	}
+	return c, nil
+}
+
+func (p *Pool) find(ctx context.Context, request *Request) (*conn, error) {
 	for {
 		c, reason := p.takeIdle(request.Address, time.Now())
 		if c == nil {
@@ -309,7 +343,7 @@
 		p.closeLocked(c, CloseStopped, now)
 	case maxIdle <= 0:
 		p.closeLocked(c, CloseAsked, now)
-	case len(known.idle) >= maxIdlePerReplica:
+	case len(known.idle) >= c.maxIdle:
 		p.closeLocked(c, CloseExcess, now)
 	default:
 		known.idle = append(known.idle, c)
@@ -353,7 +387,9 @@
 		if match != MatchOther {
 			framing := framingOf(resp)
 			if framing == FramedByConnection {
-				x.witness = newWitness(x.pool, func() (*conn, error) { return x.pool.get(ctx, &Request{Address: request.Address}) })
+				x.witness = newWitness(x.pool, func() (*conn, error) {
+					return x.pool.get(ctx, &Request{Address: request.Address, MaxIdle: request.MaxIdle})
+				})
 			}
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framing,
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -238,6 +238,8 @@
 	// Leaving is told of each response whose replica says that it leaves. startUnixMs is 0 if it is not known. It may be nil.
 	Leaving func(id string, startUnixMs int64)
 	Guard   Guard
+	// MaxIdle returns how many idle connections to a replica of the service are kept (see direct.IdleBound). It may be nil.
+	MaxIdle func(service string) int
 }
 
 // Serve handles one request. ctx ends when the caller disconnects.
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -165,7 +165,8 @@
 		Address: c.Replica.Address, Method: r.Method, Target: r.Target, Host: r.Host,
 		Header: s.f.Dialect.Headers(r, &c, left, string(s.sequence.last)),
 		Body:   r.Body, Chunked: r.Chunked, NonIdempotent: !r.Route.Repeatable(),
-		Match: func(status int, h http.Header) direct.Match { return s.f.Dialect.Match(r, status, h) },
+		MaxIdle: s.f.maxIdle(r.Service),
+		Match:   func(status int, h http.Header) direct.Match { return s.f.Dialect.Match(r, status, h) },
 	}
 	tracker.sent = time.Now()
 	s.part = StreamPart{ResumedAfter: string(s.sequence.last)}
@@ -202,6 +203,14 @@
 	return s.deliver(ctx, tracker, response, attempt)
 }
 
+// maxIdle returns how many idle connections to a replica of the service are kept, or 0 if that is not known.
+func (f *Forwarder) maxIdle(service string) int {
+	if f.MaxIdle == nil {
+		return 0
+	}
+	return f.MaxIdle(service)
+}
+
 // streamPart describes the last send.
 func (s *serving) streamPart() StreamPart {
 	part := s.part
