direct: tests of late responses split at each byte and of bytes without end or now and then

Change: tests only. A late response is split at each byte, while the connection is idle or after the next request was sent, with a length, in chunks, without an end, after an interim response and twice; endless bytes in chunk sizes, between chunks, in short and folded headers, in the headers of an interim response, in a trailer line, in responses to other requests and after a whole response; responses of which a byte comes now and then.

--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -243,15 +243,23 @@
 func TestEndlessResponsesAreCut(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n"
 	for name, c := range map[string]struct{ head, repeated string }{
-		"status line":     {"HTTP/1.1 200 ", "O"},
-		"no response":     {"", "bytes"},
-		"header line":     {ok + "X-Long: ", "x"},
-		"headers":         {ok, "X-Many: 1\r\n"},
-		"interim":         {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-		"chunk extension": {ok + "Transfer-Encoding: chunked\r\n\r\n5;", "x"},
-		"trailer":         {ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X-T: 1\r\n"},
-		"other response":  {"HTTP/1.1 200 OK\r\nX-Attempt: other\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
-		"switch":          {"HTTP/1.1 101 Switching Protocols\r\n\r\n", "x"},
+		"status line":                {"HTTP/1.1 200 ", "O"},
+		"no response":                {"", "bytes"},
+		"header line":                {ok + "X-Long: ", "x"},
+		"headers":                    {ok, "X-Many: 1\r\n"},
+		"interim":                    {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"chunk extension":            {ok + "Transfer-Encoding: chunked\r\n\r\n5;", "x"},
+		"chunk size":                 {ok + "Transfer-Encoding: chunked\r\n\r\n", "5"},
+		"chunk without its line end": {ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok", "x"},
+		"short headers":              {ok, "a:\r\n"},
+		"folded header":              {ok + "X-Long: 1\r\n", " x\r\n"},
+		"interim headers":            {"HTTP/1.1 103 Early Hints\r\n", "X-Many: 1\r\n"},
+		"trailer line":               {ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Long: ", "x"},
+		"other response in chunks":   {"HTTP/1.1 200 OK\r\nX-Attempt: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"other responses":            {"", "HTTP/1.1 200 OK\r\nX-Attempt: other\r\nContent-Length: 0\r\n\r\n"},
+		"trailer":                    {ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X-T: 1\r\n"},
+		"other response":             {"HTTP/1.1 200 OK\r\nX-Attempt: other\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
+		"switch":                     {"HTTP/1.1 101 Switching Protocols\r\n\r\n", "x"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -313,6 +321,150 @@
 	}
 }
 
+// Guards against bytes without an end after a whole response: the response counts, and the connection is closed.
+func TestEndlessBytesAfterAResponse(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n"
+	for name, response := range map[string]string{
+		"length": ok + "Content-Length: 2\r\n\r\nok", "chunks": ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan struct{})
+			s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				defer close(closed)
+				_, err := io.WriteString(conn, response+"x")
+				for err == nil {
+					_, err = io.WriteString(conn, strings.Repeat("x", 4096))
+				}
+				return false
+			})
+			p := direct.NewPool()
+			if body, err := do(t, p, newRequest(s, "1")); body != "ok" || err != nil {
+				t.Errorf("got %q, %v", body, err)
+			}
+			select {
+			case <-closed:
+			case <-time.After(2 * time.Second):
+				t.Error("the connection was not closed")
+			}
+			if p.HasIdle(s.Addr().String()) {
+				t.Error("the connection would be used again")
+			}
+		})
+	}
+}
+
+// Guards against a response that never ends because a byte of it comes now and then: the deadline ends it and its connection.
+func TestTrickledResponsesEndAtTheDeadline(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n"
+	for name, c := range map[string]struct{ head, repeated string }{
+		"status line":     {"HTTP/1.1 200 ", "O"},
+		"header line":     {ok + "X-Long: ", "x"},
+		"headers":         {ok, "a:\r\n"},
+		"interim":         {"HTTP/1.1 103 Early Hints\r\n", "a:\r\n"},
+		"body":            {ok + "Content-Length: 1000\r\n\r\n", "x"},
+		"chunk extension": {ok + "Transfer-Encoding: chunked\r\n\r\n5;", "x"},
+		"trailer":         {ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "a:\r\n"},
+		"other response":  {"HTTP/1.1 200 OK\r\nX-Attempt: other\r\nContent-Length: 1000\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const timeout = 300 * time.Millisecond
+			closed := make(chan struct{})
+			s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				defer close(closed)
+				_, err := io.WriteString(conn, c.head)
+				for err == nil {
+					time.Sleep(10 * time.Millisecond)
+					_, err = io.WriteString(conn, c.repeated)
+				}
+				return false
+			})
+			p := direct.NewPool()
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			response, err := p.Do(ctx, newRequest(s, "1"))
+			if err == nil {
+				_, err = io.ReadAll(response)
+				response.Close()
+			}
+			if err == nil {
+				t.Error("a response without an end was returned as complete")
+			}
+			select {
+			case <-closed:
+			case <-time.After(timeout + 2*time.Second):
+				t.Error("the connection was not closed")
+			}
+			if p.HasIdle(s.Addr().String()) {
+				t.Error("the connection would be used again")
+			}
+		})
+	}
+}
+
+// Guards against a late second response that is returned to the next caller when it is split at any byte: the first part arrives while the
+// connection is idle or after the next request was sent.
+func TestLateResponseSplitAtEachByte(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nX-Attempt: 1\r\n\r\n"
+	for name, late := range map[string]string{
+		"length": okResponse("1", "own 1"), "interim": interim + okResponse("1", "own 1"), "two": okResponse("1", "own 1") + okResponse("1", "own 1"),
+		"chunks": "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nown 1\r\n0\r\n\r\n",
+		"no end": "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n\r\nown 1",
+	} {
+		for _, idle := range []bool{true, false} {
+			for _, nonIdempotent := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s, idle %t, non-idempotent %t", name, idle, nonIdempotent), func(t *testing.T) {
+					t.Parallel()
+					for split := 1; split < len(late); split++ {
+						checkLateResponse(t, late[:split], late[split:], idle, nonIdempotent)
+					}
+				})
+			}
+		}
+	}
+}
+
+// checkLateResponse sends two requests to a replica that sends a late response between theirs, in two parts.
+func checkLateResponse(t *testing.T, first, rest string, idle, nonIdempotent bool) {
+	t.Helper()
+	sent := make(chan struct{})
+	s := serve(t, func(conn net.Conn, r *http.Request, n int) bool {
+		id := r.Header.Get("X-Attempt")
+		own := okResponse(id, "own "+id)
+		switch {
+		case id == "1":
+			_, _ = io.WriteString(conn, own)
+			if idle {
+				time.Sleep(2 * time.Millisecond) // the connection is idle when the late bytes come
+				_, _ = io.WriteString(conn, first)
+			}
+			close(sent)
+			return true
+		case n > 1: // on the connection of the first request
+			if !idle {
+				_, _ = io.WriteString(conn, first)
+				time.Sleep(time.Millisecond)
+			}
+			_, _ = io.WriteString(conn, rest)
+		}
+		_, err := io.WriteString(conn, own)
+		return err == nil
+	})
+	p := direct.NewPool()
+	for _, id := range []string{"1", "2"} {
+		request := newRequest(s, id)
+		request.NonIdempotent = nonIdempotent
+		if body, err := do(t, p, request); err == nil && body != "own "+id {
+			t.Errorf("%q, then %q: request %s got the response %q", first, rest, id, body)
+		}
+		<-sent
+	}
+	if !idle && p.Opened() != 1 {
+		t.Errorf("%d connections, want the late bytes on the one in use again", p.Opened())
+	}
+}
+
 // Guards against a connection that is closed although it could be reused, because the response arrived before the end of the
 // request's write was reported.
 func TestConnectionIsReusedAfterALargeRequest(t *testing.T) {
