--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -240,6 +240,8 @@
 	// Began is told once of each request that a replica began to run, with its workspace and the time since then. It may be nil.
 	Began func(workspace string, ago time.Duration)
 	Guard Guard
+	// MaxIdle returns how many idle connections to a replica of the service are kept (see direct.IdleBound). It may be nil.
+	MaxIdle func(service string) int
 }
 
 // Serve handles one request. ctx ends when the caller disconnects.
