--- a/internal/process/duty/node.go
+++ b/internal/process/duty/node.go
@@ -48,6 +48,8 @@
 	// the counts of the others.
 	isolationShare = 0.5
 	isolationSpan  = 30 * time.Second
+	// maxWindowBytes leaves room for the metadata of a window's object.
+	maxWindowBytes = store.MaxValue - 4<<10
 	// releaseTimeout bounds the release of the lease.
 	releaseTimeout = time.Second
 	// defaultLease is used where the platform names no time within which two holders must not act in turns.
@@ -501,7 +503,7 @@
 // encodeWindow returns the value of the window's object; with a segment for all edges together if it is too large otherwise.
 func encodeWindow(w *Window) (json.RawMessage, error) {
 	value, err := w.Encode()
-	if err == nil && len(value) > store.MaxValue {
+	if err == nil && len(value) > maxWindowBytes {
 		combined := w.Combined()
 		value, err = combined.Encode()
 	}
@@ -549,7 +551,7 @@
 func (n *Node) amend(ctx context.Context, s step) {
 	defer n.reports.onAmended(s)
 	value, err := s.content.Encode()
-	if err != nil || len(value) > store.MaxValue {
+	if err != nil || len(value) > maxWindowBytes {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/internal/process/duty/window_test.go
+++ b/internal/process/duty/window_test.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 
@@ -63,3 +64,35 @@
 		}
 	}
 }
+
+// manyEdges returns the segments of a number of edges that each have counted the same number of workspaces.
+func manyEdges(edges, workspaces int) []tally.Segment {
+	var list []tally.Segment
+	for edge := range edges {
+		counts := map[string]uint64{}
+		for n := range workspaces {
+			counts[fmt.Sprintf("workspace-%04d", (edge*37+n)%1300)] = uint64(n % 50)
+		}
+		list = append(list, tally.Segment{Source: tally.Source{Edge: fmt.Sprintf("10.1.%d.%d", edge/250, edge%250), Run: 1_790_000_000_000}, Counts: counts})
+	}
+	return list
+}
+
+// Guards against a window of a large deployment that the store refuses, and against counts that are lost when it is made smaller.
+func TestWindowOfManyEdgesIsStored(t *testing.T) {
+	for _, c := range []struct {
+		workspaces int
+		combined   bool
+	}{{60, false}, {300, false}, {1300, true}} {
+		w := NewWindow(1, "edge-1", 3, manyEdges(360, c.workspaces))
+		value, err := encodeWindow(&w)
+		if err != nil || len(value) > maxWindowBytes {
+			t.Fatalf("%d bytes, %v", len(value), err)
+		}
+		got, err := DecodeWindow(value)
+		if err != nil || !reflect.DeepEqual(got.Sum, w.Sum) || !reflect.DeepEqual(SumOf(got.Segments), w.Sum) || (len(got.Segments) == 1) != c.combined {
+			t.Errorf("%d segments, %v", len(got.Segments), err)
+		}
+		t.Logf("360 edges with %d of 1,300 workspaces each: %d bytes, %d segments", c.workspaces, len(value), len(got.Segments))
+	}
+}
