forward: search a long event once, not after each read

Cause: the end of an event was searched in all pending bytes after each read of 4 kB, and the pending bytes were copied. An event of a megabyte without an end took 1.8 s at a load average of 38 on 7 cores, and reached its deadline instead of the bound under the race detector.

Change: only new bytes are searched, and pending bytes are moved only after an event was forwarded.

--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -570,3 +570,40 @@
 		t.Errorf("%d connections, %d closed as excess, want 5 and 2", p.Opened(), got)
 	}
 }
+
+func BenchmarkDo(b *testing.B) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		in := make([]byte, 4096)
+		response := []byte(okResponse("1", "ok"))
+		for {
+			if _, err := conn.Read(in); err != nil {
+				return
+			}
+			if _, err := conn.Write(response); err != nil {
+				return
+			}
+		}
+	}()
+	p := direct.NewPool()
+	request := &direct.Request{Address: l.Addr().String(), Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}}
+	b.ReportAllocs()
+	for b.Loop() {
+		response, err := p.Do(b.Context(), request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, response); err != nil {
+			b.Fatal(err)
+		}
+		response.Close()
+	}
+}
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -248,12 +248,15 @@
 			if tracker.answering() >= quarantine.StartPeriod {
 				tracker.recordAnswered()
 			}
+			searched := len(pending)
 			pending = append(pending, buffer[:n]...)
-			rest, writeErr := s.forwardEvents(response, pending)
+			rest, writeErr := s.forwardEvents(response, pending, searched)
 			if writeErr != nil {
 				return writeErr
 			}
-			pending = append(pending[:0], rest...)
+			if len(rest) < len(pending) {
+				pending = append(pending[:0], rest...)
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && s.sequence.joining:
@@ -274,10 +277,10 @@
 	}
 }
 
-// forwardEvents sends the complete events at the start of data and returns the rest. It stops at an event that does not follow
-// the one before it.
-func (s *serving) forwardEvents(response *direct.Response, data []byte) ([]byte, error) {
-	end, err := s.sequence.accept(data[:eventsEnd(data)])
+// forwardEvents sends the complete events at the start of data and returns the rest. No event ends in the first bytes that were searched
+// before. It stops at an event that does not follow the one before it.
+func (s *serving) forwardEvents(response *direct.Response, data []byte, searched int) ([]byte, error) {
+	end, err := s.sequence.accept(data[:eventsEnd(data, searched)])
 	if end == 0 {
 		return data, err
 	}
--- a/internal/request/forward/sequence.go
+++ b/internal/request/forward/sequence.go
@@ -195,12 +195,14 @@
 	}
 }
 
-// eventsEnd returns the size of all whole events in data.
-func eventsEnd(data []byte) int {
+// eventsEnd returns the size of all whole events in data. No event ends in the first bytes of it that were searched before, so that the
+// time for an event that comes in many reads does not grow with the square of its size.
+func eventsEnd(data []byte, searched int) int {
 	end := 0
 	for _, blankLine := range [][]byte{[]byte("\n\n"), []byte("\n\r\n")} {
-		if i := bytes.LastIndex(data, blankLine); i >= 0 {
-			end = max(end, i+len(blankLine))
+		from := max(0, searched-len(blankLine)+1)
+		if i := bytes.LastIndex(data[from:], blankLine); i >= 0 {
+			end = max(end, from+i+len(blankLine))
 		}
 	}
 	return end
--- a/internal/request/forward/sequence_test.go
+++ b/internal/request/forward/sequence_test.go
@@ -1,9 +1,12 @@
 package forward
 
 import (
+	"bytes"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
+	"time"
 )
 
 func event(id string) string { return "id: " + id + "\ndata: x\n\n" }
@@ -108,13 +111,44 @@
 			case n >= len(first):
 				want = len(first)
 			}
-			if got := eventsEnd([]byte(data[:n])); got != want {
-				t.Errorf("%q: %d, want %d", data[:n], got, want)
+			for searched := range n + 1 {
+				if searched >= len(first) {
+					break // an event ends in these bytes
+				}
+				if got := eventsEnd([]byte(data[:n]), searched); got != want {
+					t.Errorf("%q, %d searched: %d, want %d", data[:n], searched, got, want)
+				}
 			}
 		}
 	}
 }
 
+// Guards against a search for the end of an event that goes through all of it after each read: a megabyte took seconds of a small edge.
+func TestLongEventIsSearchedOnce(t *testing.T) {
+	const reads, runs = maxEventSize / readBufferSize, 5
+	data := bytes.Repeat([]byte("data: x\n"), maxEventSize/8)
+	// shortest is the shortest of some runs, because others use the processor as well.
+	shortest := func(f func()) time.Duration {
+		best := time.Duration(math.MaxInt64)
+		for range runs {
+			began := time.Now()
+			f()
+			best = min(best, time.Since(began))
+		}
+		return best
+	}
+	once := shortest(func() { eventsEnd(data, 0) })
+	inReads := shortest(func() {
+		for n := range reads {
+			eventsEnd(data[:(n+1)*readBufferSize], n*readBufferSize)
+		}
+	})
+	// A search of all after each read would take about reads/2 times as long.
+	if inReads > reads/8*once {
+		t.Errorf("in %d reads: %s, at once: %s", reads, inReads, once)
+	}
+}
+
 func BenchmarkAcceptEvent(b *testing.B) {
 	q := newEventSequence("", true)
 	var events [][]byte
