metrics: name the connections to replicas upstream connections

Cause: dragonflypin.connections is also what the intake counts on the callers' side. Change: dragonflypin_upstream_connections_opened_total and ..._closed_total. Measured: go test ./internal/process/metrics passes.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -158,7 +158,7 @@
 	e.forwarder = &forward.Forwarder{
 		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory, Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, Paused: e.observer.paused, Guard: e.guard, MaxIdle: e.maxIdle,
 	}
-	err := errors.Join(deps.Metrics.ReadAhead(e.memory.Used, e.memory.Refused), deps.Metrics.Connections(e.pool.OpenedBy, e.pool.ClosedBy))
+	err := errors.Join(deps.Metrics.ReadAhead(e.memory.Used, e.memory.Refused), deps.Metrics.UpstreamConnections(e.pool.OpenedBy, e.pool.ClosedBy))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -141,9 +141,9 @@
 	return err
 }
 
-// Connections makes the metrics show how many connections to replicas were opened and closed, by reason. opened and closed call their
+// UpstreamConnections makes the metrics show how many connections to replicas were opened and closed, by reason. opened and closed call their
 // argument with each reason and its number; the reasons are a fixed set.
-func (m *Metrics) Connections(opened, closed func(func(reason string, n int64))) error {
+func (m *Metrics) UpstreamConnections(opened, closed func(func(reason string, n int64))) error {
 	if m == nil {
 		return nil
 	}
@@ -154,12 +154,12 @@
 			return nil
 		}
 	}
-	_, err := meter.Int64ObservableCounter("dragonflypin.connections.opened", metric.WithDescription("Connections opened to replicas, by why none was in use again."),
+	_, err := meter.Int64ObservableCounter("dragonflypin.upstream.connections.opened", metric.WithDescription("Connections opened to replicas, by why none was in use again."),
 		metric.WithInt64Callback(observe(opened)))
 	if err != nil {
 		return err
 	}
-	_, err = meter.Int64ObservableCounter("dragonflypin.connections.closed", metric.WithDescription("Connections to replicas that were closed, by reason."),
+	_, err = meter.Int64ObservableCounter("dragonflypin.upstream.connections.closed", metric.WithDescription("Connections to replicas that were closed, by reason."),
 		metric.WithInt64Callback(observe(closed)))
 	return err
 }
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -26,7 +26,7 @@
 	m.Tokens("draft", 30, 4)
 	m.TableVersion(7)
 	m.Decision(time.Microsecond)
-	err = m.Connections(func(f func(string, int64)) { f("first", 3) }, func(f func(string, int64)) { f("expired", 2) })
+	err = m.UpstreamConnections(func(f func(string, int64)) { f("first", 3) }, func(f func(string, int64)) { f("expired", 2) })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,8 +47,8 @@
 		`dragonflypin_tokens_total{class="draft",use="wasted"} 4`,
 		`dragonflypin_table_version 7`,
 		`dragonflypin_routing_decision_seconds_count 1`,
-		`dragonflypin_connections_opened_total{reason="first"} 3`,
-		`dragonflypin_connections_closed_total{reason="expired"} 2`,
+		`dragonflypin_upstream_connections_opened_total{reason="first"} 3`,
+		`dragonflypin_upstream_connections_closed_total{reason="expired"} 2`,
 	} {
 		if !strings.Contains(w.Body.String(), want) {
 			t.Errorf("missing %s", want)
