--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -36,6 +36,8 @@
 	number  uint64
 	// since is the sweep at which the phase began.
 	since uint64
+	// lastRead is the sweep at which bytes last arrived.
+	lastRead uint64
 	// bytes and lines are those of the current head.
 	bytes, lines int
 	// charge is for the connection and its head, body for the request body.
@@ -80,6 +82,7 @@
 	s := c.set
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.lastRead = s.sweeps
 	switch {
 	case c.removed:
 		return nil, "", false
@@ -199,6 +202,8 @@
 		return Idle, age > limits.IdleTime
 	case Head:
 		return HeadTooSlow, age > limits.HeadTime
+	case Body:
+		return BodyStalled, time.Duration(c.set.sweeps-max(c.since, c.lastRead))*sweepInterval > limits.IdleTime
 	case Serving:
 		if writes := c.writes.Load(); writes != c.seenWrites || writes%2 == 0 {
 			c.seenWrites, c.stalled = writes, 0
--- a/internal/connection/intake/intake.go
+++ b/internal/connection/intake/intake.go
@@ -39,6 +39,8 @@
 	HeadTooLong
 	// HeadTooSlow is for heads that take too long.
 	HeadTooSlow
+	// BodyStalled is for request bodies of which nothing arrives for too long.
+	BodyStalled
 	// Idle is for connections without a request for too long.
 	Idle
 	// Unread is for responses that the caller does not read until its deadline.
@@ -48,7 +50,7 @@
 
 // String returns the name of the reason, for logs and metrics.
 func (r Reason) String() string {
-	return [reasons]string{"no_memory", "no_descriptors", "head_too_long", "head_too_slow", "idle", "unread"}[r]
+	return [reasons]string{"no_memory", "no_descriptors", "head_too_long", "head_too_slow", "body_stalled", "idle", "unread"}[r]
 }
 
 // Options configure a Set.
@@ -91,7 +93,7 @@
 
 // Reasons returns all reasons.
 func Reasons() []Reason {
-	return []Reason{NoMemory, NoDescriptors, HeadTooLong, HeadTooSlow, Idle, Unread}
+	return []Reason{NoMemory, NoDescriptors, HeadTooLong, HeadTooSlow, BodyStalled, Idle, Unread}
 }
 
 // Count returns the number of connections in each phase.
--- a/internal/connection/intake/intake_test.go
+++ b/internal/connection/intake/intake_test.go
@@ -359,6 +359,39 @@
 	}
 }
 
+// Guards against bodies that stop before their end and stay forever, and against closing one that goes on slowly.
+func TestStalledBodyIsClosed(t *testing.T) {
+	s := serve(t, 0, 0)
+	s.limits = Limits{HeadBytes: 1 << 20, HeadTime: time.Hour, IdleTime: 10 * sweepInterval}
+	c := s.dial()
+	s.send(c, "POST /body HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n")
+	s.waitFor(Body, 1)
+	sweep := func(n int) {
+		for range n {
+			s.sweep(time.Now())
+		}
+	}
+	lastRead := func() (n uint64) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			n = c.lastRead
+		}
+		return n
+	}
+	sweep(8)
+	s.send(c, "1")
+	eventually(t, "the byte is read", func() bool { return lastRead() == 8 })
+	sweep(10)
+	if s.Count()[Body] != 1 {
+		t.Error("closed early")
+	}
+	sweep(1)
+	if !closed(c) || s.Closed(BodyStalled) != 1 || s.runs.Load() != 0 {
+		t.Error("the body stays, or its request was served")
+	}
+}
+
 // Guards against responses that a caller never reads, which hold a connection and its replica forever.
 func TestUnreadResponseEndsAfterItsDeadline(t *testing.T) {
 	s := serve(t, 0, 0)
--- a/internal/connection/intake/limits.go
+++ b/internal/connection/intake/limits.go
@@ -11,7 +11,8 @@
 type Limits struct {
 	// HeadBytes bounds a head, in bytes read from the connection.
 	HeadBytes int
-	// HeadTime bounds the time from the first byte of a head to its end, IdleTime the time without a byte.
+	// HeadTime bounds the time from the first byte of a head to its end, IdleTime the time without a byte, before a
+	// head or in a body.
 	HeadTime, IdleTime time.Duration
 }
 
