intake: costs of a line and of a connection as measured

Measured with a scratch test: 12,000 lines of 6 bytes take 85 bytes a line in the map of net/http and 82 in a copy; 500 idle connections that were served take 19,237 bytes each, with the client's side. The constants stay as they were.

--- a/internal/connection/intake/intake.go
+++ b/internal/connection/intake/intake.go
@@ -17,6 +17,7 @@
 
 const (
 	// connBytes is the memory of a connection, in bytes: the stack of its goroutine, the buffers of net/http and an ordinary head.
+	// 19,237 bytes were measured for an idle one that was served, with the client's side.
 	connBytes = 20 << 10
 	// ordinaryHeadBytes is the part of connBytes for an ordinary head, which so is not charged by itself.
 	ordinaryHeadBytes = 8 << 10
--- a/internal/process/memory/memory.go
+++ b/internal/process/memory/memory.go
@@ -26,7 +26,8 @@
 const (
 	// headByteCost is the cost of a byte: a long line is held twice while its buffer grows, and once as a string.
 	headByteCost = 3
-	// headLineCost is the cost of a line, in bytes. Lines with different names take 100 bytes in a map, three times that with its copies.
+	// headLineCost is the cost of a line, in bytes. A line with its own name took 85 bytes in a map and 82 in each of two copies; the rest is for
+	// the list that is sorted.
 	headLineCost = 320
 )
 
