place: pace of each replica, learned from first events

Cause: all estimates used one prefill pace for all replicas, while replicas of new deployments take 0.55 to 1.3 times as long. Chat on the slower ones missed its gap target in each slow period.

Change: edges exchange samples of the time to the first event. The slowdown of a replica relative to its service scales all estimates of work there; replicas that are lastingly fast come first in the short pool. max_slowdown 1 disables both. TestSourcesAreNotProbed passes the hints in the new argument of ApplyReport. New replay workloads shop and restaurant, and the policy no_pace.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -246,6 +246,9 @@
 	for _, hint := range e.placer.TakeHints() {
 		state.CacheHints = append(state.CacheHints, gossip.CacheHint{Replica: uint32(hint.Replica), Part: hint.Part})
 	}
+	for _, s := range e.placer.TakePaceSamples() {
+		state.Paces = append(state.Paces, gossip.PaceSample{Replica: uint32(s.Replica), Tokens: uint32(max(0, s.Tokens)), TookMs: uint32(s.Took.Milliseconds())})
+	}
 	return state
 }
 
@@ -270,7 +273,11 @@
 	for _, h := range r.CacheHints {
 		hints = append(hints, place.CacheHint{Replica: place.Key(h.Replica), Part: h.Part})
 	}
-	e.placer.ApplyReport(from.String(), loads, hints, now)
+	paces := make([]place.PaceSample, 0, len(r.Paces))
+	for _, s := range r.Paces {
+		paces = append(paces, place.PaceSample{Replica: place.Key(s.Replica), Tokens: int(s.Tokens), Took: time.Duration(s.TookMs) * time.Millisecond})
+	}
+	e.placer.ApplyReport(from.String(), place.ReportOf{Loads: loads, Hints: hints, Paces: paces}, now)
 }
 
 // Run serves until ctx ends and the drain completes.
--- a/internal/measure/prompts/engine.go
+++ b/internal/measure/prompts/engine.go
@@ -22,10 +22,12 @@
 	memoryTokens int
 }
 
-// tilemendSheet and cornemuseSheet are the engines of tilemend-tw and of cornemuse-breizh-grown.
+// The engines of tilemend-tw, cornemuse-breizh-grown, kitami-bazaar-grown and mesalista-lima-grown.
 var (
 	tilemendSheet  = Sheet{stepMs: 3.79, stepPerRequestMs: 0.0893, chunkTokens: 2048, prefillTokensPerMs: 56.6, eventTokens: 4, memoryTokens: 659_492}
 	cornemuseSheet = Sheet{stepMs: 4.34, stepPerRequestMs: 0.151, chunkTokens: 1024, prefillTokensPerMs: 36.7, eventTokens: 5, memoryTokens: 237_302}
+	kitamiSheet    = Sheet{stepMs: 6.55, stepPerRequestMs: 0.165, chunkTokens: 2048, prefillTokensPerMs: 62.4, eventTokens: 3, memoryTokens: 553_909}
+	limaSheet      = Sheet{stepMs: 3.7, stepPerRequestMs: 0.0193, chunkTokens: 1024, prefillTokensPerMs: 63.9, eventTokens: 5, memoryTokens: 642_815}
 )
 
 // Parameters of all engines.
--- a/internal/measure/prompts/load.go
+++ b/internal/measure/prompts/load.go
@@ -78,6 +78,55 @@
 	return w
 }
 
+// ShopClasses returns the classes in the published specification of kitami-bazaar-grown that need an engine, at half of their
+// rates: digest, advice and chat. Chat has short prompts and the tightest gap target.
+func ShopClasses() []Class {
+	return []Class{
+		{Name: "digest", RequestsPerSecond: 24, shared: 13300, own: 3720, SharedParts: 100, events: 40, target: 2500 * time.Millisecond,
+			maxGap: 800 * time.Millisecond, priority: 2, abandonAfter: 10 * time.Second, credit: 1.2, lateCredit: 0.62},
+		{Name: "advice", RequestsPerSecond: 15, shared: 6300, own: 2890, SharedParts: 122, events: 17, target: 800 * time.Millisecond,
+			maxGap: 300 * time.Millisecond, priority: 1, abandonAfter: 3200 * time.Millisecond, credit: 1.8, lateCredit: 0.9},
+		{Name: "chat", RequestsPerSecond: 20, shared: 350, own: 1110, SharedParts: 163, events: 57, target: 500 * time.Millisecond,
+			maxGap: 200 * time.Millisecond, priority: 0, abandonAfter: 2 * time.Second, credit: 2.6, lateCredit: 0.39},
+	}
+}
+
+// RestaurantClasses returns the classes in the published specification of mesalista-lima-grown that need an engine, at half of
+// their rates: digest, brief and chat.
+func RestaurantClasses() []Class {
+	return []Class{
+		{Name: "digest", RequestsPerSecond: 23, shared: 13300, own: 3720, SharedParts: 255, events: 24, target: 1500 * time.Millisecond,
+			maxGap: 600 * time.Millisecond, priority: 2, abandonAfter: 6 * time.Second, credit: 1.7, lateCredit: 0.5},
+		{Name: "brief", RequestsPerSecond: 24, shared: 6300, own: 2890, SharedParts: 202, events: 10, target: 500 * time.Millisecond,
+			maxGap: 250 * time.Millisecond, priority: 1, abandonAfter: 2 * time.Second, credit: 2.6, lateCredit: 0.78},
+		{Name: "chat", RequestsPerSecond: 30, shared: 350, own: 1110, SharedParts: 296, events: 34, target: 300 * time.Millisecond,
+			maxGap: 150 * time.Millisecond, priority: 0, abandonAfter: 2 * time.Second, credit: 1.4, lateCredit: 0.12},
+	}
+}
+
+// ShopWorkload is half of the workload of kitami-bazaar-grown: 20 replicas with empty caches, a quarter of which takes 0.55 times
+// the time of the sheet and the others 1.2 times, and 11 edges. Bursts of digests and of chat follow each other.
+func ShopWorkload() Workload {
+	w := StandardWorkload()
+	w.Name, w.Classes, w.Sheet = "shop", ShopClasses(), kitamiSheet
+	w.Edges, w.Replicas, w.ReportInterval, w.Duration = 11, 20, 84*time.Millisecond, 24*time.Second
+	w.Paces = []float64{0.55, 1.2, 1.2, 1.2}
+	w.burst(Long, 1.7, 500*time.Millisecond, 9500*time.Millisecond)
+	w.burst(Short, 2.7, 11*time.Second, 16*time.Second)
+	return w
+}
+
+// RestaurantWorkload is half of the workload of mesalista-lima-grown: 20 replicas with empty caches, a third of which takes 1.3
+// times the time of the sheet, and 10 edges. The digests come in a burst.
+func RestaurantWorkload() Workload {
+	w := StandardWorkload()
+	w.Name, w.Classes, w.Sheet = "restaurant", RestaurantClasses(), limaSheet
+	w.Edges, w.Replicas, w.ReportInterval, w.Duration = 10, 20, 80*time.Millisecond, 24*time.Second
+	w.Paces, w.NoNoise = []float64{1, 1, 1.3}, true
+	w.burst(Long, 1.7, 500*time.Millisecond, 9500*time.Millisecond)
+	return w
+}
+
 // Workload defines the request rates, the engines and their faults, and the placement settings.
 type Workload struct {
 	Name    string
@@ -91,6 +140,8 @@
 	// SlowEngines is the number of engines that take SlowFactor times as long.
 	SlowEngines int
 	SlowFactor  float64
+	// Paces are the factors of the time that the engines take, in turn; empty for 1.
+	Paces []float64
 	// LostEngines is the number of engines that fail at LostAt, with the requests they run.
 	LostEngines int
 	LostAt      time.Duration
@@ -150,6 +201,8 @@
 		named("all_return", func(w *Workload) { w.burst(Long, 6, 2*s, 3500*time.Millisecond); w.Retries = 3 }),
 		TutoringWorkload(),
 		StreamBurstWorkload(),
+		ShopWorkload(),
+		RestaurantWorkload(),
 	}
 }
 
@@ -173,6 +226,7 @@
 		{"no_homes", func(w *Workload) { w.Placement.AffinityReplicas, w.Placement.PrefillCost = 8, 0.0001 }},
 		{"no_fetch", func(w *Workload) { w.Placement.FetchCost = disablingCost }},
 		{"no_patience", func(w *Workload) { w.Placement.QueueTimeoutTargets = 100 }},
+		{"no_pace", func(w *Workload) { w.Placement.MaxSlowdown = 1 }},
 		{"no_reports", func(w *Workload) { w.ReportInterval = 0 }},
 		{"oracle", func(w *Workload) { w.Oracle = true }},
 	}
--- a/internal/measure/prompts/prompts_test.go
+++ b/internal/measure/prompts/prompts_test.go
@@ -107,6 +107,7 @@
 		{"all_return", "no_homes"},
 		{"lost_replicas", "no_homes"},
 		{"slow_replicas", "no_reports"},
+		{"shop", "no_pace"},
 	} {
 		t.Run(c.workload+"/"+c.without, func(t *testing.T) {
 			t.Parallel()
--- a/internal/measure/prompts/run.go
+++ b/internal/measure/prompts/run.go
@@ -55,6 +55,9 @@
 	x.now = x.start
 	for n := range w.Replicas {
 		e := newEngine(fmt.Sprintf("replica-%02d", n), w.Sheet)
+		if len(w.Paces) > 0 {
+			e.slowFactor = w.Paces[n%len(w.Paces)]
+		}
 		if n < w.SlowEngines {
 			e.slowFactor = w.SlowFactor
 		}
@@ -324,10 +327,10 @@
 	for i, from := range x.placers {
 		own := map[place.Key]place.Load{}
 		from.Loads.Own(own, x.now)
-		hints := from.TakeHints()
+		report := place.ReportOf{Loads: own, Hints: from.TakeHints(), Paces: from.TakePaceSamples()}
 		for j, to := range x.placers {
 			if i != j {
-				to.ApplyReport(fmt.Sprint(i), own, hints, x.now)
+				to.ApplyReport(fmt.Sprint(i), report, x.now)
 			}
 		}
 	}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -71,6 +71,17 @@
 	Part uint64
 }
 
+// PaceSample reports the time that a replica took to the first event of a prompt.
+type PaceSample struct {
+	_ struct{} `cbor:",toarray"`
+	// Replica is the hash of the replica's ID.
+	Replica uint32
+	// Tokens is the number of tokens that were prefilled until then.
+	Tokens uint32
+	// TookMs is the time in milliseconds.
+	TookMs uint32
+}
+
 // Freshness describes how recent the sender's copy of the store's objects is.
 type Freshness struct {
 	_ struct{} `cbor:",toarray"`
@@ -103,6 +114,8 @@
 	CacheHints []CacheHint
 	// Quarantine is the digest of the quarantined prompt parts that the entry knows.
 	Quarantine uint64
+	// Paces are the samples of the replicas' pace since the last report.
+	Paces []PaceSample
 	// Changes is a counter that grows with every change of the state.
 	Changes uint64
 }
@@ -121,6 +134,7 @@
 	Quarantine uint64
 	// Peers are addresses of live entries, as big-endian IPv4 numbers.
 	Peers []uint32
+	Paces []PaceSample
 }
 
 // Options configure a Node.
@@ -279,7 +293,7 @@
 func (n *Node) send(state State, now time.Time) {
 	targets, addresses := n.targets(now)
 	n.seq++
-	report := Report{Protocol: protocolVersion, Epoch: n.epoch, Seq: n.seq, Freshness: state.Freshness, Loads: state.Loads, CacheHints: state.CacheHints, Quarantine: state.Quarantine, Peers: addresses}
+	report := Report{Protocol: protocolVersion, Epoch: n.epoch, Seq: n.seq, Freshness: state.Freshness, Loads: state.Loads, CacheHints: state.CacheHints, Quarantine: state.Quarantine, Peers: addresses, Paces: state.Paces}
 	data, err := cbor.Marshal(&report)
 	for err == nil && len(data) > maxDatagramBytes {
 		// Each pass keeps the first half of the report's cache hints and selects three quarters as many loads at random, so
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -49,6 +49,9 @@
 	// GapCost weighs the recent mean gap between events of a replica's streams against a wait of the same length. Default
 	// 1.
 	GapCost float64 `json:"gap_cost" default:"1" min:"0" max:"100" unit:"factor"`
+	// MaxSlowdown bounds how much slower or faster than the mean of its service a replica counts in the estimates, by the
+	// times to its first events. 1 counts all replicas as equally fast. Default 10.
+	MaxSlowdown float64 `json:"max_slowdown" default:"10" min:"1" max:"100" unit:"factor"`
 	// OverflowCost is the minimum reduction of the wait for which a short prompt leaves the short pool. Default "60ms".
 	OverflowCost Duration `json:"overflow_cost" default:"60ms" min:"1ms" max:"1m"`
 	// ShortBorrowableCost is the minimum reduction of the wait for which a short prompt uses the borrowable part of the
--- a/internal/request/place/fetch.go
+++ b/internal/request/place/fetch.go
@@ -11,9 +11,9 @@
 // This handles a burst that needs more replicas for a prompt's shared parts than have prefilled them: prefilling 13,300
 // tokens stalls everything that the replica runs for 235 ms, fetching them takes 20 ms.
 func (p *Placer) prefillCost(c *Choice, job *Job, now time.Time) float64 {
-	prefill := p.set.PrefillCost * float64(c.Prefill) / prefillTokensPerMs
+	prefill := p.set.PrefillCost * p.prefillMs(c.Key, c.Prefill, now)
 	ownTokens := job.Parts[len(job.Parts)-1].Tokens
-	fetch := milliseconds(time.Duration(p.set.FetchCost)) + p.set.PrefillCost*float64(ownTokens)/prefillTokensPerMs
+	fetch := milliseconds(time.Duration(p.set.FetchCost)) + p.set.PrefillCost*p.prefillMs(c.Key, ownTokens, now)
 	if fetch >= prefill {
 		return prefill
 	}
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -32,11 +32,6 @@
 // milliseconds converts to milliseconds, the unit of all costs.
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-// prefillTime is the time that an engine needs to prefill the tokens.
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillTokensPerMs * float64(time.Millisecond))
-}
-
 // Part is one part of a prompt. Requests with a shared prefix of parts can use the same KV cache.
 type Part struct {
 	ID     string
@@ -102,6 +97,8 @@
 	Source *replicas.Replica
 	// Short is set for a prompt of a short route (see Profile).
 	Short bool
+	// Granted is when the choice was granted.
+	Granted time.Time
 	// Load is the load that the decision was based on, and ReportAge the age of the oldest report in it.
 	Load      Load
 	ReportAge time.Duration
@@ -133,11 +130,15 @@
 	Pauses *Pauses
 	sizes  *PromptSizes
 	cached *cachedParts
+	paces  *paces
 	zone   string
 	set    settings.Placement
 
-	mu     sync.Mutex
-	layout atomic.Pointer[map[string]*layout]
+	mu sync.Mutex
+	// view and services are the latest list of replicas; guarded by mu.
+	view     *replicas.View
+	services []string
+	layout   atomic.Pointer[map[string]*layout]
 	// pools are the sizes of the short pools, by service; guarded by mu.
 	pools map[string]*shortPool
 
@@ -157,7 +158,7 @@
 // New returns a Placer for an entry in the availability zone. The seed randomizes the choice between equally good
 // replicas, so that entries which decide at the same time choose differently.
 func New(zone string, set settings.Placement, seed uint64) *Placer {
-	p := &Placer{set: set, random: rand.New(rand.NewPCG(seed, seed)), Loads: NewLoadTracker(), Health: NewHealth(), Limits: NewReplicaLimits(""), Pauses: NewPauses(), sizes: NewPromptSizes(), cached: newCachedParts(), zone: zone, queues: newQueues(), pools: map[string]*shortPool{}}
+	p := &Placer{set: set, random: rand.New(rand.NewPCG(seed, seed)), Loads: NewLoadTracker(), Health: NewHealth(), Limits: NewReplicaLimits(""), Pauses: NewPauses(), sizes: NewPromptSizes(), cached: newCachedParts(), paces: newPaces(), zone: zone, queues: newQueues(), pools: map[string]*shortPool{}}
 	p.layout.Store(&map[string]*layout{})
 	return p
 }
@@ -224,7 +225,7 @@
 		}
 		load := p.Loads.Total(m.key, now)
 		c := Choice{Replica: m.Replica, Key: m.key, Prefill: p.cached.missingTokens(m.key, job.Parts, now), Load: load, Reason: reason}
-		cost := p.cost(load, urgent) + p.prefillCost(&c, job, now) + extra
+		cost := p.cost(m.key, load, urgent, now) + p.prefillCost(&c, job, now) + extra
 		if best.Replica == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -271,19 +272,19 @@
 	}
 	total := 0.0
 	for _, m := range l.reserved[:min(len(l.reserved), sampleSize)] {
-		total += p.cost(p.Loads.Total(m.key, now), false)
+		total += p.cost(m.key, p.Loads.Total(m.key, now), false, now)
 	}
 	return total/float64(min(len(l.reserved), sampleSize)) < milliseconds(time.Duration(p.set.MaxReservedWait))
 }
 
 // cost is the expected wait before a replica starts a further prompt, in milliseconds. Urgent prompts go before the
 // others that wait.
-func (p *Placer) cost(l Load, urgent bool) float64 {
+func (p *Placer) cost(replica Key, l Load, urgent bool, now time.Time) float64 {
 	ahead := l.Prefill + l.Waiting
 	if urgent {
 		ahead = l.Prefill + l.Urgent
 	}
-	wait := float64(ahead)/prefillTokensPerMs + p.runningCost()*float64(l.Running)
+	wait := (float64(ahead)/prefillTokensPerMs + p.runningCost()*float64(l.Running)) * p.slowdown(replica, now)
 	if gap, ok := l.MeanGap(); ok {
 		wait += p.set.GapCost * milliseconds(gap)
 	}
@@ -318,7 +319,7 @@
 		}
 		compared++
 		load := p.Loads.Total(m.key, now)
-		c := p.cost(load, false)
+		c := p.cost(m.key, load, false, now)
 		if m.Zone != p.zone {
 			c += otherZonePenalty * p.runningCost()
 		}
@@ -398,6 +399,7 @@
 
 // FirstEvent records that the replica has prefilled the job's prompt.
 func (p *Placer) FirstEvent(c Choice, now time.Time) {
+	p.recordPace(&c, now)
 	p.Loads.Add(c.Key, Load{Prefill: -c.Prefill})
 	p.serveQueue(c.Key, now)
 }
@@ -415,20 +417,35 @@
 // TakeHints returns the cache hints to send to the other entries now.
 func (p *Placer) TakeHints() []CacheHint { return p.cached.takePending() }
 
-// ApplyReport applies the load and the cache hints that another entry sent.
-func (p *Placer) ApplyReport(entry string, loads map[Key]Load, hints []CacheHint, now time.Time) {
-	p.Loads.Report(entry, loads, now)
-	p.cached.merge(hints, now)
+// TakePaceSamples returns the samples to send to the other entries now.
+func (p *Placer) TakePaceSamples() []PaceSample { return p.paces.takePending() }
+
+// ReportOf is what another entry has sent.
+type ReportOf struct {
+	Loads map[Key]Load
+	Hints []CacheHint
+	Paces []PaceSample
+}
+
+// ApplyReport applies the load, the cache hints and the pace samples that another entry sent.
+func (p *Placer) ApplyReport(entry string, r ReportOf, now time.Time) {
+	p.Loads.Report(entry, r.Loads, now)
+	p.cached.merge(r.Hints, now)
+	for _, s := range r.Paces {
+		p.recordPaceSample(s, false, now)
+	}
 	p.serveAllQueues(now)
 }
 
 // Tick deletes expired records and serves the queues. It is called periodically.
 func (p *Placer) Tick(now time.Time) {
+	p.updateFast(now)
 	p.resizePools(now)
 	p.Loads.Expire(now)
 	p.Health.Expire(now)
 	p.Limits.Expire(now)
 	p.Pauses.Expire(now)
 	p.cached.expire(now)
+	p.paces.expire(now)
 	p.serveAllQueues(now)
 }
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -237,7 +237,7 @@
 			p.Health.RecordOutcome("lm", key, n%2 == 0, epoch)
 		}
 	}
-	p.ApplyReport("other", nil, hints, epoch)
+	p.ApplyReport("other", place.ReportOf{Hints: hints}, epoch)
 	at := epoch.Add(1200 * time.Millisecond)
 	if _, ok := p.Enqueue(prompt("subject"), at); !ok {
 		t.Fatal("no replica")
--- a/internal/request/place/pools.go
+++ b/internal/request/place/pools.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -25,9 +24,9 @@
 	lastShrunk time.Time
 }
 
-// resize adapts the pool to the number of running short streams.
-func (s *shortPool) resize(running, smallest, largest int, perReplica float64, now time.Time) {
-	wanted := min(largest, max(smallest, int(math.Ceil(float64(running)/perReplica))))
+// resize adapts the pool to the number of replicas that the running short streams need.
+func (s *shortPool) resize(wanted, smallest, largest int, now time.Time) {
+	wanted = min(largest, max(smallest, wanted))
 	switch {
 	case wanted >= s.size:
 		s.size, s.lastShrunk = wanted, now
@@ -54,11 +53,23 @@
 			running += p.Loads.Total(m.key, now).Short
 		}
 		largest := max(len(l.short), int(p.set.MaxShortPoolShare*float64(len(l.all))))
-		pool.resize(running, len(l.short), largest, p.set.ShortPerReplica, now)
+		pool.resize(wantedReplicas(l.order, float64(running)/p.set.ShortPerReplica), len(l.short), largest, now)
 		l.size.Store(int32(pool.size))
 	}
 }
 
+// wantedReplicas returns the number of members, from the first one on, whose weights reach the sum.
+func wantedReplicas(members []member, sum float64) int {
+	weight := 0.0
+	for i, m := range members {
+		if weight >= sum {
+			return i
+		}
+		weight += m.weight
+	}
+	return len(members)
+}
+
 // layout is the division of a service's replicas into pools. It is the same at all entries that have the same list of
 // replicas.
 type layout struct {
@@ -86,28 +97,40 @@
 type member struct {
 	*replicas.Replica
 	key Key
+	// weight is the number of replicas of common speed that the replica counts for.
+	weight float64
 }
 
 // Update replaces the list of replicas.
 func (p *Placer) Update(view *replicas.View, services []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := make(map[string]*layout, len(services))
-	for _, name := range services {
-		next[name] = newLayout(view.Service(name), &p.set, p.pools[name])
+	p.view, p.services = view, services
+	p.divide()
+}
+
+// divide divides the replicas of each service into pools. The caller holds mu.
+func (p *Placer) divide() {
+	next := make(map[string]*layout, len(p.services))
+	for _, name := range p.services {
+		next[name] = newLayout(p.view.Service(name), &p.set, p.pools[name], p.paces.isFast)
 	}
 	p.layout.Store(&next)
 }
 
-func newLayout(list []*replicas.Replica, set *settings.Placement, pool *shortPool) *layout {
+func newLayout(list []*replicas.Replica, set *settings.Placement, pool *shortPool, isFast func(Key) bool) *layout {
 	l := &layout{all: make([]member, len(list)), byKey: make(map[Key]member, len(list))}
 	for i, r := range list {
-		l.all[i] = member{r, KeyOf(r.ID)}
+		l.all[i] = member{Replica: r, key: KeyOf(r.ID), weight: 1}
+		if isFast(l.all[i].key) {
+			l.all[i].weight = fastWeight
+		}
 		l.byKey[l.all[i].key] = l.all[i]
 	}
+	// Fast replicas come first: they keep the gap targets of short streams also in slow periods.
 	byHash := slices.Clone(l.all)
 	slices.SortFunc(byHash, func(a, b member) int {
-		return cmp.Compare(xxhash.Sum64String("pool "+a.ID), xxhash.Sum64String("pool "+b.ID))
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(xxhash.Sum64String("pool "+a.ID), xxhash.Sum64String("pool "+b.ID)))
 	})
 	short := 0
 	if len(list) >= minReplicasForPools {
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -154,7 +154,7 @@
 	if w.urgent() {
 		ahead = load.Urgent
 	}
-	wait := time.Duration(p.set.AdmissionBacklogShare * float64(prefillTime(ahead)))
+	wait := time.Duration(p.set.AdmissionBacklogShare * float64(p.prefillDuration(w.choice.Key, ahead, now)))
 	return now.Add(wait).After(w.QueueDeadline)
 }
 
@@ -192,7 +192,7 @@
 		return p.limitWait(w.job, now)
 	}
 	ahead := p.Loads.Total(w.choice.Key, now)
-	return prefillTime(ahead.Prefill + ahead.Waiting)
+	return p.prefillDuration(w.choice.Key, ahead.Prefill+ahead.Waiting, now)
 }
 
 // limitWait returns the time until the limit of a replica allows a request.
@@ -240,17 +240,17 @@
 
 // mayStart reports whether the replica has capacity for the waiter, and the waiter precedes all that are queued there.
 func (p *Placer) mayStart(w *Waiter, now time.Time) bool {
-	if queue := p.queues.byKey[w.choice.Key]; len(queue) > 0 && !precedes(w, queue[first(queue, now)], now) {
+	if queue := p.queues.byKey[w.choice.Key]; len(queue) > 0 && !p.precedes(w, queue[p.first(queue, now)], now) {
 		return false
 	}
 	return p.hasCapacity(w, now)
 }
 
 // first returns the index of the first waiter in queue order.
-func first(queue []*Waiter, now time.Time) int {
+func (p *Placer) first(queue []*Waiter, now time.Time) int {
 	index := 0
 	for i := 1; i < len(queue); i++ {
-		if precedes(queue[i], queue[index], now) {
+		if p.precedes(queue[i], queue[index], now) {
 			index = i
 		}
 	}
@@ -264,7 +264,7 @@
 	if load.Urgent > 0 && !w.urgent() {
 		return false
 	}
-	return float64(load.Prefill)/prefillTokensPerMs <= p.backlogLimit(w)
+	return p.prefillMs(w.choice.Key, load.Prefill, now) <= p.backlogLimit(w)
 }
 
 func (w *Waiter) urgent() bool { return w.profile.urgent(w.job) }
@@ -280,19 +280,19 @@
 }
 
 // precedes defines the queue order: lower priority number first; then jobs that can still meet their target; then the oldest.
-func precedes(a, b *Waiter, now time.Time) bool {
+func (p *Placer) precedes(a, b *Waiter, now time.Time) bool {
 	if a.job.Priority != b.job.Priority {
 		return a.job.Priority < b.job.Priority
 	}
-	if inTimeA, inTimeB := a.inTime(now), b.inTime(now); inTimeA != inTimeB {
+	if inTimeA, inTimeB := p.inTime(a, now), p.inTime(b, now); inTimeA != inTimeB {
 		return inTimeA
 	}
 	return a.job.Arrived.Before(b.job.Arrived)
 }
 
 // inTime reports whether the job's first event can arrive within its target if the job is sent now.
-func (w *Waiter) inTime(now time.Time) bool {
-	return now.Add(prefillTime(w.choice.Prefill)).Before(w.job.Arrived.Add(w.job.Target))
+func (p *Placer) inTime(w *Waiter, now time.Time) bool {
+	return now.Add(p.prefillDuration(w.choice.Key, w.choice.Prefill, now)).Before(w.job.Arrived.Add(w.job.Target))
 }
 
 func (p *Placer) startWaiting(w *Waiter) {
@@ -323,6 +323,7 @@
 		p.prefillCost(&w.choice, w.job, now)
 	}
 	w.choice.Load, w.choice.ReportAge = p.Loads.Total(w.choice.Key, now), p.Loads.ReportAge(now)
+	w.choice.Granted = now
 	p.cached.recordSent(w.choice.Key, w.job.Parts, now)
 	w.choice.Short = w.profile.Short
 	w.counted = false
@@ -357,9 +358,9 @@
 	waiting := p.queues.unplaced
 	slices.SortStableFunc(waiting, func(a, b *Waiter) int {
 		switch {
-		case precedes(a, b, now):
+		case p.precedes(a, b, now):
 			return -1
-		case precedes(b, a, now):
+		case p.precedes(b, a, now):
 			return 1
 		default:
 			return 0
@@ -432,7 +433,7 @@
 func (p *Placer) serveQueueLocked(replica Key, now time.Time) {
 	queue := p.queues.byKey[replica]
 	for len(queue) > 0 && !p.pauses(replica, now) {
-		next := first(queue, now)
+		next := p.first(queue, now)
 		w := queue[next]
 		if !p.hasCapacity(w, now) {
 			break
