place: what a replica keeps, by its memory instead of 30 s

Cause: a part counted as kept for 30 s after its last use, whatever else the replica's memory had to hold, and also after a restart under the same ID. A hint was only sent again after 8 s without use, so that other entries forgot parts in constant use.

Change: each entry models the least recently used order at each replica within kv_capacity_tokens. Hints carry the size of the part and are repeated each 8 s of use; pace samples carry the size of the prompt's own part. New replay workload contested_memory, policy no_memory.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -244,10 +244,10 @@
 		})
 	}
 	for _, hint := range e.placer.TakeHints() {
-		state.CacheHints = append(state.CacheHints, gossip.CacheHint{Replica: uint32(hint.Replica), Part: hint.Part})
+		state.CacheHints = append(state.CacheHints, gossip.CacheHint{Replica: uint32(hint.Replica), Part: hint.Part, Tokens: uint32(max(0, hint.Tokens))})
 	}
 	for _, s := range e.placer.TakePaceSamples() {
-		state.Paces = append(state.Paces, gossip.PaceSample{Replica: uint32(s.Replica), Tokens: uint32(max(0, s.Tokens)), TookMs: uint32(s.Took.Milliseconds())})
+		state.Paces = append(state.Paces, gossip.PaceSample{Replica: uint32(s.Replica), Tokens: uint32(max(0, s.Tokens)), Own: uint32(max(0, s.Own)), TookMs: uint32(s.Took.Milliseconds())})
 	}
 	return state
 }
@@ -271,11 +271,11 @@
 	}
 	hints := make([]place.CacheHint, 0, len(r.CacheHints))
 	for _, h := range r.CacheHints {
-		hints = append(hints, place.CacheHint{Replica: place.Key(h.Replica), Part: h.Part})
+		hints = append(hints, place.CacheHint{Replica: place.Key(h.Replica), Part: h.Part, Tokens: int(h.Tokens)})
 	}
 	paces := make([]place.PaceSample, 0, len(r.Paces))
 	for _, s := range r.Paces {
-		paces = append(paces, place.PaceSample{Replica: place.Key(s.Replica), Tokens: int(s.Tokens), Took: time.Duration(s.TookMs) * time.Millisecond})
+		paces = append(paces, place.PaceSample{Replica: place.Key(s.Replica), Tokens: int(s.Tokens), Own: int(s.Own), Took: time.Duration(s.TookMs) * time.Millisecond})
 	}
 	e.placer.ApplyReport(from.String(), place.ReportOf{Loads: loads, Hints: hints, Paces: paces}, now)
 }
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -215,8 +215,13 @@
 		return
 	}
 	names := make([]string, 0, len(v.Services))
-	for name := range v.Services {
+	memory := make(map[string]int, len(v.Services))
+	for name, service := range v.Services {
 		names = append(names, name)
+		if service.Engine != nil {
+			memory[name] = service.Engine.CacheTokens
+		}
 	}
+	e.placer.UpdateMemory(memory)
 	e.placer.Update(e.registry.View(), names)
 }
--- a/internal/measure/prompts/load.go
+++ b/internal/measure/prompts/load.go
@@ -127,6 +127,14 @@
 	return w
 }
 
+// ContestedMemoryWorkload is RestaurantWorkload with less memory: each replica receives more different parts than it can keep.
+func ContestedMemoryWorkload() Workload {
+	w := RestaurantWorkload()
+	w.Name, w.Sheet.memoryTokens = "contested_memory", smallMemoryTokens
+	w.Duration = 36 * time.Second
+	return w
+}
+
 // Workload defines the request rates, the engines and their faults, and the placement settings.
 type Workload struct {
 	Name    string
@@ -147,6 +155,8 @@
 	LostAt      time.Duration
 	// Sheet has the parameters of the engines.
 	Sheet Sheet
+	// UnknownMemory hides the engines' memory from the placers.
+	UnknownMemory bool
 	// Retries is how often a refused caller retries, each time after the Retry-After time.
 	Retries int
 	// NoNoise disables the slow periods.
@@ -203,6 +213,7 @@
 		StreamBurstWorkload(),
 		ShopWorkload(),
 		RestaurantWorkload(),
+		ContestedMemoryWorkload(),
 	}
 }
 
@@ -226,6 +237,7 @@
 		{"no_homes", func(w *Workload) { w.Placement.AffinityReplicas, w.Placement.PrefillCost = 8, 0.0001 }},
 		{"no_fetch", func(w *Workload) { w.Placement.FetchCost = disablingCost }},
 		{"no_patience", func(w *Workload) { w.Placement.QueueTimeoutTargets = 100 }},
+		{"no_memory", func(w *Workload) { w.UnknownMemory = true }},
 		{"no_pace", func(w *Workload) { w.Placement.MaxSlowdown = 1 }},
 		{"no_reports", func(w *Workload) { w.ReportInterval = 0 }},
 		{"oracle", func(w *Workload) { w.Oracle = true }},
--- a/internal/measure/prompts/prompts_test.go
+++ b/internal/measure/prompts/prompts_test.go
@@ -108,6 +108,8 @@
 		{"lost_replicas", "no_homes"},
 		{"slow_replicas", "no_reports"},
 		{"shop", "no_pace"},
+		{"contested_memory", "no_memory"},
+		{"small_memory", "no_memory"},
 	} {
 		t.Run(c.workload+"/"+c.without, func(t *testing.T) {
 			t.Parallel()
--- a/internal/measure/prompts/run.go
+++ b/internal/measure/prompts/run.go
@@ -85,6 +85,9 @@
 	}
 	x.registry.Replace(changes, x.now)
 	for _, p := range x.placers {
+		if !x.UnknownMemory {
+			p.UpdateMemory(map[string]int{service: x.Sheet.memoryTokens})
+		}
 		p.Update(x.registry.View(), []string{service})
 	}
 }
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -69,6 +69,8 @@
 	Replica uint32
 	// Part is the hash of the prompt part's ID.
 	Part uint64
+	// Tokens is its size.
+	Tokens uint32
 }
 
 // PaceSample reports the time that a replica took to the first event of a prompt.
@@ -78,6 +80,8 @@
 	Replica uint32
 	// Tokens is the number of tokens that were prefilled until then.
 	Tokens uint32
+	// Own is the size of the prompt's part that no other one shares, in tokens.
+	Own uint32
 	// TookMs is the time in milliseconds.
 	TookMs uint32
 }
--- a/internal/request/place/fetch.go
+++ b/internal/request/place/fetch.go
@@ -25,6 +25,9 @@
 	return fetch
 }
 
+// maxSources is the number of sources that are compared without an allocation.
+const maxSources = 16
+
 // sourceReplica returns a replica that has prefilled the shared parts of the job's prompt, preferably in the availability
 // zone of the chosen one, where the network path is shorter; nil when there is none.
 func (p *Placer) sourceReplica(c *Choice, job *Job, now time.Time) *replicas.Replica {
@@ -33,7 +36,8 @@
 		return nil
 	}
 	var best *replicas.Replica
-	for _, key := range p.cached.replicasHolding(job.Parts, now) {
+	var holding [maxSources]Key
+	for _, key := range p.kept.replicasHolding(holding[:0], job.Parts, now) {
 		m, ok := l.byKey[key]
 		// An ejected replica is no source, and this check must not use up its probe.
 		if !ok || key == c.Key || !p.Health.Usable(job.Service, key, false, now) {
--- a/internal/request/place/pace.go
+++ b/internal/request/place/pace.go
@@ -62,7 +62,9 @@
 	Replica Key
 	// Tokens were prefilled: those of the prompt and those ahead of it.
 	Tokens int
-	Took   time.Duration
+	// Own is the size of the prompt's part that no other one shares.
+	Own  int
+	Took time.Duration
 }
 
 // paces has the pace of each replica relative to its service. It answers replicas of uneven speed: a slow one gets the work that
@@ -280,7 +282,7 @@
 // recordPace records the time that the choice took to its first event.
 func (p *Placer) recordPace(c *Choice, now time.Time) {
 	if c.Prefill > 0 && !c.Granted.IsZero() {
-		p.recordPaceSample(PaceSample{Replica: c.Key, Tokens: c.Load.Prefill + c.Prefill, Took: now.Sub(c.Granted)}, true, now)
+		p.recordPaceSample(PaceSample{Replica: c.Key, Tokens: c.Load.Prefill + c.Prefill, Own: c.Own, Took: now.Sub(c.Granted)}, true, now)
 	}
 }
 
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -92,6 +92,8 @@
 	Reason  Reason
 	// Prefill is the number of tokens that the replica is expected to prefill.
 	Prefill int
+	// Own is the part of these tokens that no other prompt shares.
+	Own int
 	// Source is a replica that has prefilled the prompt's shared parts and from which the chosen one fetches them; nil
 	// for none.
 	Source *replicas.Replica
@@ -129,12 +131,14 @@
 	Limits *ReplicaLimits
 	Pauses *Pauses
 	sizes  *PromptSizes
-	cached *cachedParts
+	kept   *keptParts
 	paces  *paces
 	zone   string
 	set    settings.Placement
 
 	mu sync.Mutex
+	// memory is the KV cache of the replicas of each service, in tokens; guarded by mu.
+	memory map[string]int
 	// view and services are the latest list of replicas; guarded by mu.
 	view     *replicas.View
 	services []string
@@ -158,7 +162,7 @@
 // New returns a Placer for an entry in the availability zone. The seed randomizes the choice between equally good
 // replicas, so that entries which decide at the same time choose differently.
 func New(zone string, set settings.Placement, seed uint64) *Placer {
-	p := &Placer{set: set, random: rand.New(rand.NewPCG(seed, seed)), Loads: NewLoadTracker(), Health: NewHealth(), Limits: NewReplicaLimits(""), Pauses: NewPauses(), sizes: NewPromptSizes(), cached: newCachedParts(), paces: newPaces(), zone: zone, queues: newQueues(), pools: map[string]*shortPool{}}
+	p := &Placer{set: set, random: rand.New(rand.NewPCG(seed, seed)), Loads: NewLoadTracker(), Health: NewHealth(), Limits: NewReplicaLimits(""), Pauses: NewPauses(), sizes: NewPromptSizes(), kept: newKeptParts(), paces: newPaces(), zone: zone, queues: newQueues(), pools: map[string]*shortPool{}}
 	p.layout.Store(&map[string]*layout{})
 	return p
 }
@@ -224,7 +228,7 @@
 			return
 		}
 		load := p.Loads.Total(m.key, now)
-		c := Choice{Replica: m.Replica, Key: m.key, Prefill: p.cached.missingTokens(m.key, job.Parts, now), Load: load, Reason: reason}
+		c := Choice{Replica: m.Replica, Key: m.key, Prefill: p.kept.missingTokens(m.key, job.Parts, now), Load: load, Reason: reason}
 		cost := p.cost(m.key, load, urgent, now) + p.prefillCost(&c, job, now) + extra
 		if best.Replica == nil || cost < bestCost {
 			best, bestCost = c, cost
@@ -328,7 +332,7 @@
 		}
 	}
 	if best.Replica != nil && len(job.Parts) > 0 {
-		best.Prefill = p.cached.missingTokens(best.Key, job.Parts, now)
+		best.Prefill = p.kept.missingTokens(best.Key, job.Parts, now)
 	}
 	return best, bestCost, best.Replica != nil
 }
@@ -415,7 +419,7 @@
 }
 
 // TakeHints returns the cache hints to send to the other entries now.
-func (p *Placer) TakeHints() []CacheHint { return p.cached.takePending() }
+func (p *Placer) TakeHints() []CacheHint { return p.kept.takePending() }
 
 // TakePaceSamples returns the samples to send to the other entries now.
 func (p *Placer) TakePaceSamples() []PaceSample { return p.paces.takePending() }
@@ -430,9 +434,10 @@
 // ApplyReport applies the load, the cache hints and the pace samples that another entry sent.
 func (p *Placer) ApplyReport(entry string, r ReportOf, now time.Time) {
 	p.Loads.Report(entry, r.Loads, now)
-	p.cached.merge(r.Hints, now)
+	p.kept.merge(r.Hints, now)
 	for _, s := range r.Paces {
 		p.recordPaceSample(s, false, now)
+		p.kept.mergeOwn(s.Replica, s.Own, now)
 	}
 	p.serveAllQueues(now)
 }
@@ -445,7 +450,7 @@
 	p.Health.Expire(now)
 	p.Limits.Expire(now)
 	p.Pauses.Expire(now)
-	p.cached.expire(now)
+	p.kept.expire(now)
 	p.paces.expire(now)
 	p.serveAllQueues(now)
 }
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -319,12 +319,13 @@
 // with the same parts may have been sent while this one waited.
 func (p *Placer) grant(w *Waiter, now time.Time) {
 	if len(w.job.Parts) > 0 {
-		w.choice.Source, w.choice.Prefill = nil, p.cached.missingTokens(w.choice.Key, w.job.Parts, now)
+		w.choice.Own = w.job.Parts[len(w.job.Parts)-1].Tokens
+		w.choice.Source, w.choice.Prefill = nil, p.kept.missingTokens(w.choice.Key, w.job.Parts, now)
 		p.prefillCost(&w.choice, w.job, now)
 	}
 	w.choice.Load, w.choice.ReportAge = p.Loads.Total(w.choice.Key, now), p.Loads.ReportAge(now)
 	w.choice.Granted = now
-	p.cached.recordSent(w.choice.Key, w.job.Parts, now)
+	p.kept.recordSent(w.choice.Key, w.job.Parts, now)
 	w.choice.Short = w.profile.Short
 	w.counted = false
 	p.Loads.Add(w.choice.Key, w.choice.runningLoad(1).plus(Load{Prefill: w.choice.Prefill}))
