--- a/internal/measure/prompts/run.go
+++ b/internal/measure/prompts/run.go
@@ -55,6 +55,9 @@
 	x.now = x.start
 	for n := range w.Replicas {
 		e := newEngine(fmt.Sprintf("replica-%02d", n), w.Sheet)
+		if len(w.Paces) > 0 {
+			e.slowFactor = w.Paces[n%len(w.Paces)]
+		}
 		if n < w.SlowEngines {
 			e.slowFactor = w.SlowFactor
 		}
@@ -82,6 +85,9 @@
 	}
 	x.registry.Replace(changes, x.now)
 	for _, p := range x.placers {
+		if !x.UnknownMemory {
+			p.UpdateMemory(map[string]int{service: x.Sheet.memoryTokens})
+		}
 		p.Update(x.registry.View(), []string{service})
 	}
 }
@@ -324,10 +330,10 @@
 	for i, from := range x.placers {
 		own := map[place.Key]place.Load{}
 		from.Loads.Own(own, x.now)
-		hints := from.TakeHints()
+		report := place.ReportOf{Loads: own, Hints: from.TakeHints(), Paces: from.TakePaceSamples()}
 		for j, to := range x.placers {
 			if i != j {
-				to.ApplyReport(fmt.Sprint(i), own, hints, x.now)
+				to.ApplyReport(fmt.Sprint(i), report, x.now)
 			}
 		}
 	}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -71,6 +71,21 @@
 	Replica uint32
 	// Part is the hash of the prompt part's ID.
 	Part uint64
+	// Tokens is its size.
+	Tokens uint32
+}
+
+// PaceSample reports the time that a replica took to the first event of a prompt.
+type PaceSample struct {
+	_ struct{} `cbor:",toarray"`
+	// Replica is the hash of the replica's ID.
+	Replica uint32
+	// Tokens is the number of tokens that were prefilled until then.
+	Tokens uint32
+	// Own is the size of the prompt's part that no other one shares, in tokens.
+	Own uint32
+	// TookMs is the time in milliseconds.
+	TookMs uint32
 }
 
 // Freshness describes how recent the sender's copy of the store's objects is.
@@ -105,6 +120,8 @@
 	CacheHints []CacheHint
 	// Quarantine is the digest of the quarantined prompt parts that the entry knows.
 	Quarantine uint64
+	// Paces are the samples of the replicas' pace since the last report.
+	Paces []PaceSample
 	// Changes is a counter that grows with every change of the state.
 	Changes uint64
 }
@@ -125,6 +142,7 @@
 	Peers []uint32
 	// Clock is the sender's time of day in Unix milliseconds, or 0 if the report does not have it.
 	Clock uint64
+	Paces []PaceSample
 }
 
 // Options configure a Node.
@@ -303,7 +321,7 @@
 func (n *Node) send(state State, now time.Time) {
 	targets, addresses := n.targets(now)
 	n.seq++
-	report := Report{Protocol: protocolVersion, Epoch: n.epoch, Seq: n.seq, Freshness: state.Freshness, Loads: state.Loads, CacheHints: state.CacheHints, Quarantine: state.Quarantine, Peers: addresses}
+	report := Report{Protocol: protocolVersion, Epoch: n.epoch, Seq: n.seq, Freshness: state.Freshness, Loads: state.Loads, CacheHints: state.CacheHints, Quarantine: state.Quarantine, Peers: addresses, Paces: state.Paces}
 	if n.opts.Clock != nil && now.Sub(n.clockSent) >= clockInterval {
 		report.Clock, n.clockSent = n.opts.Clock(), now
 	}
--- a/internal/request/place/zones.go
+++ b/internal/request/place/zones.go
@@ -35,7 +35,7 @@
 		zones[i].Replicas++
 		zones[i].Slots = max(zones[i].Slots, m.Slots)
 		zones[i].Running += load.Running
-		zones[i].Backlog += prefillTime(load.Prefill + load.Waiting)
+		zones[i].Backlog += p.prefillDuration(m.key, load.Prefill+load.Waiting, now)
 	}
 	return zones
 }
