--- a/internal/app/edge/duties.go
+++ b/internal/app/edge/duties.go
@@ -20,9 +20,13 @@
 	if e.tally != nil {
 		counts = e.tally.counter
 	}
+	var orders duty.Orders
+	if e.node.Duties.OrderReplicas {
+		orders = e.newReplicaOrders()
+	}
 	return duty.New(duty.Options{
 		Duties: e.node.Duties, Name: e.node.Name, Address: e.node.Address.String(),
-		Store: e.deps.Store, Platform: e.deps.Platform, Counts: counts,
+		Store: e.deps.Store, Platform: e.deps.Platform, Counts: counts, Orders: orders,
 		Clock: boottime.Now, Wall: boottime.Now, // the counter takes times of the boot-time clock
 		Rank: func() int { return e.gossip.Rank(true) }, Live: e.liveEdges,
 		Announce: func(a duty.Announcement) { e.broadcast(dutiesBroadcast, &a) },
