edge: ready only once replicas can be chosen

Cause: an edge said that it was ready as soon as it had a list of replicas, before its placement had it, and refused first requests with no_replica. Change: readiness follows the placement's own view. Result: TestReadyOnlyOnceReplicasCanBeChosen, which fails on the code before.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -145,8 +145,9 @@
 	// exitDeadline is the latest time at which the process exits; set with draining.
 	exitDeadline atomic.Pointer[time.Time]
 	inFlight     atomic.Int64
-	// updateMu serializes updates of the placer's view.
-	updateMu sync.Mutex
+	// updateMu serializes updates of the placer's view, and placeable is set once that view has a list of replicas.
+	updateMu  sync.Mutex
+	placeable atomic.Bool
 }
 
 // New returns an Edge with bound listeners.
@@ -412,7 +413,7 @@
 
 // Ready reports whether callers should be sent to this edge.
 func (e *Edge) Ready() bool {
-	return !e.draining.Load() && e.routes.Current() != nil && e.registry.Listed()
+	return !e.draining.Load() && e.placeable.Load()
 }
 
 func (e *Edge) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -166,6 +166,8 @@
 			f.synced.onList(changed, time.Now())
 			if changed {
 				e.onListChanged("listed")
+			} else {
+				e.updatePlacer() // a first list may be empty
 			}
 			return nil
 		})
@@ -223,5 +225,9 @@
 		}
 	}
 	e.placer.UpdateMemory(memory)
+	listed := e.registry.Listed() // before the view is read, which may get its first list meanwhile
 	e.placer.Update(e.registry.View(), names)
+	if listed {
+		e.placeable.Store(true)
+	}
 }
