place: other replicas that keep a prompt's shared parts are candidates

Cause: a prompt whose two affinity replicas had a long backlog, or had lost the parts, was prefilled again or waited, while another replica kept its shared parts.

Change: when the best affinity replica costs more than kept_cost (50 ms), the replicas of the long pool that keep the deepest shared part are weighed at the same cost (log reason kept).

--- a/internal/measure/prompts/load.go
+++ b/internal/measure/prompts/load.go
@@ -237,6 +237,7 @@
 		{"no_homes", func(w *Workload) { w.Placement.AffinityReplicas, w.Placement.PrefillCost = 8, 0.0001 }},
 		{"no_fetch", func(w *Workload) { w.Placement.FetchCost = disablingCost }},
 		{"no_patience", func(w *Workload) { w.Placement.QueueTimeoutTargets = 100 }},
+		{"no_kept", func(w *Workload) { w.Placement.KeptCost = disablingCost }},
 		{"no_memory", func(w *Workload) { w.UnknownMemory = true }},
 		{"no_pace", func(w *Workload) { w.Placement.MaxSlowdown = 1 }},
 		{"no_reports", func(w *Workload) { w.ReportInterval = 0 }},
--- a/internal/measure/prompts/prompts_test.go
+++ b/internal/measure/prompts/prompts_test.go
@@ -109,6 +109,8 @@
 		{"slow_replicas", "no_reports"},
 		{"shop", "no_pace"},
 		{"contested_memory", "no_memory"},
+		{"hot_tenant", "no_kept"},
+		{"mix_shift", "no_kept"},
 		{"small_memory", "no_memory"},
 	} {
 		t.Run(c.workload+"/"+c.without, func(t *testing.T) {
--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -63,6 +63,9 @@
 	// MaxReservedWait is the mean wait in the reserved part of the short pool up to which long prompts may borrow the
 	// rest. Default "50ms".
 	MaxReservedWait Duration `json:"calm_cost" default:"50ms" min:"1ms" max:"1m"`
+	// KeptCost is the cost at the affinity replicas of a prompt above which other replicas that keep its shared parts are considered
+	// too. Default "50ms".
+	KeptCost Duration `json:"kept_cost" default:"50ms" min:"1ms" max:"1h"`
 	// AffinityReplicas is the number of affinity replicas considered for a prompt before all replicas are. More of them
 	// put the shared parts in the KV cache of more replicas: 3 and 8 caused more repeated prefills on the large
 	// deployments. Default 2.
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -71,6 +71,8 @@
 	// ReasonSecondAffinity is a further affinity replica of the prompt's shared parts, because the first ones have a long
 	// backlog.
 	ReasonSecondAffinity Reason = "second_home"
+	// ReasonKept is another replica that keeps the prompt's shared parts, because its affinity replicas have a long backlog.
+	ReasonKept Reason = "kept"
 	// ReasonBorrowed is a replica of the short pool with little load, while the prompt's affinity replicas have a long
 	// backlog.
 	ReasonBorrowed Reason = "lent"
@@ -215,7 +217,7 @@
 	return xxhash.Sum64String(parts[i].ID)
 }
 
-// pickAffinity chooses among the affinity replicas of the prompt's shared parts. This handles many prompts with long
+// pickAffinity chooses among the affinity replicas of the prompt's shared parts, and the others that keep them. This handles many prompts with long
 // shared parts: each shared part is prefilled once, and the prompts are spread evenly over the replicas. A further
 // affinity replica is used only when the backlog of the one before exceeds the work of prefilling the shared parts again. Replicas
 // that have named a limit are considered in addition to as many others, so that what they may not take has affinity replicas too.
@@ -251,6 +253,15 @@
 			candidates--
 		}
 	}
+	if bestCost > milliseconds(time.Duration(p.set.KeptCost)) {
+		var keeping [maxSources]Key
+		for _, key := range p.kept.replicasHolding(keeping[:0], job.Parts, now) {
+			// An ejected replica is no candidate, and this check must not use up its probe.
+			if index, ok := l.longIndex[key]; ok && index >= added && p.Health.Usable(job.Service, key, false, now) {
+				consider(l.long[index], ReasonKept, 0)
+			}
+		}
+	}
 	if borrowCost := milliseconds(time.Duration(p.set.LongBorrowCost)); added == 0 && bestCost > borrowCost && p.mayBorrow(l, now) {
 		for _, index := range found[:l.borrowableRing.lookup(key, found[:borrowableCandidates], 0)] {
 			if p.Loads.Total(l.borrowable[index].key, now).Short <= maxShortOnBorrowed {
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -180,6 +180,41 @@
 	}
 }
 
+// Guards against prompts that wait for affinity replicas with a long backlog, or are prefilled again elsewhere, while another replica
+// keeps their shared parts; and against leaving an affinity replica that keeps them too.
+func TestOtherReplicasThatKeepThePartsAreConsidered(t *testing.T) {
+	const keeping = "replica-0007"
+	key := place.KeyOf(keeping)
+	for seed := range uint64(8) {
+		p := newPlacer(t, 12)
+		job := prompt(fmt.Sprint("subject", seed))
+		home := mustPlace(t, p, job)
+		p.FirstEvent(home, epoch.Add(400*time.Millisecond))
+		p.Ended(home, true, epoch.Add(time.Second))
+		p.ApplyReport("other", place.ReportOf{Hints: []place.CacheHint{{Replica: key, Part: xxhash.Sum64String(job.Parts[0].ID), Tokens: 13300}}}, epoch)
+		at := epoch.Add(2 * time.Second)
+		job.Arrived = at
+		first, _ := p.Enqueue(job, at)
+		if c := <-first.Granted; c.Key != home.Key {
+			t.Errorf("%s goes to %s although its affinity replica %s keeps its shared part and is idle", job.Parts[0].ID, c.Replica.ID, home.Replica.ID)
+		}
+		for n := range 12 {
+			if k := place.KeyOf(fmt.Sprintf("replica-%04d", n)); k != key {
+				p.Loads.Add(k, place.Load{Prefill: 60_000})
+			}
+		}
+		again, _ := p.Enqueue(job, at)
+		select {
+		case c := <-again.Granted:
+			if c.Replica.ID != keeping || c.Prefill != 3700 {
+				t.Errorf("%s goes to %s with %d tokens to prefill, want %s, which keeps its shared part", job.Parts[0].ID, c.Replica.ID, c.Prefill, keeping)
+			}
+		default:
+			t.Errorf("%s waits although %s keeps its shared part and is idle", job.Parts[0].ID, keeping)
+		}
+	}
+}
+
 // Guards against a fetch from a replica that can't have prefilled the parts yet, from the chosen one itself, or of parts
 // that are prefilled sooner than fetched.
 func TestSourceHasPrefilledTheSharedParts(t *testing.T) {
--- a/internal/request/place/pools.go
+++ b/internal/request/place/pools.go
@@ -76,6 +76,8 @@
 	all, short, long []member
 	byKey            map[Key]member
 	affinityRing     *ring
+	// longIndex are the indexes in long.
+	longIndex map[Key]int
 	// borrowable are the members of short that long prompts may borrow while the backlog of the reserved ones is low.
 	reserved, borrowable []member
 	borrowableRing       *ring
@@ -148,6 +150,10 @@
 	if pool != nil {
 		l.size.Store(int32(pool.size))
 	}
+	l.longIndex = make(map[Key]int, len(l.long))
+	for i, m := range l.long {
+		l.longIndex[m.key] = i
+	}
 	l.affinityRing, l.borrowableRing = newRing(l.long), newRing(l.borrowable)
 	return l
 }
