replicas: an outage soon after another keeps live replicas

Causes, from traces of drawn schedules: - 635, 933: the store is down again before live replicas have sent a heartbeat. The edge notices that after the grace of the first outage, and gives them up for the whole second one. Expired registrations are now given up on a response at least a heartbeat interval after the outage, or 3 s (contact time) after its end without one. - 2999: another edge has reported the end of the outage, then a call that began before it times out, and the next response counted as a second end. Calls that began before a reported end no longer move it. - 6175: an edge that was cut off for longer than the outage counted the grace from its own first response, though others reported since when the store was up. That time now ends the outage.

Each new test fails without the change.

--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -47,6 +47,14 @@
 	minExpiryGrace = 1700 * time.Millisecond
 )
 
+// heartbeatInterval is within which each live replica writes to the store, by the platform's documentation. Responses that end sooner
+// after an outage do not show which replicas are gone: the store may be down again before live ones have registered.
+const heartbeatInterval = 1200 * time.Millisecond
+
+// maxUnconfirmedGrace is how long after the first response after an outage an expired registration is kept for want of a response that
+// shows which replicas are gone. It is the platform's contact time.
+const maxUnconfirmedGrace = 3 * time.Second
+
 // View is an immutable list of the replicas that accept new requests, by service and sorted by ID.
 type View struct {
 	byService map[string][]*Replica
@@ -86,8 +94,9 @@
 	leaving map[string]leaving
 	// outageEnd is the end of the last outage of the store, or the zero time if there was none.
 	outageEnd time.Time
-	// graceEnd is until when registrations that expired in that outage are kept.
-	graceEnd time.Time
+	// graceEnd is until when registrations that expired in that outage are kept, and unconfirmedEnd until when if the store has not
+	// responded for heartbeatInterval after the outage.
+	graceEnd, unconfirmedEnd time.Time
 	// failing is set while this process's own calls fail, since failingSince.
 	failing      bool
 	failingSince time.Time
@@ -180,6 +189,9 @@
 	if now.Sub(r.outageEnd) < expiryGrace && now.Sub(r.failingSince) < minOutage {
 		return
 	}
+	if r.lastFailedCall.Before(r.outageEnd) {
+		return // another process has reported the end, and no call has failed that began after it
+	}
 	r.outageEnd, r.ownOutageBegin, r.ownOutageEnd = now, r.failingSince, now
 	r.graceEnd = now.Add(expiryGrace)
 	if limit := r.lastFailedCall.Add(maxExpiryGrace); limit.Before(r.graceEnd) {
@@ -188,6 +200,7 @@
 	if earliest := now.Add(minExpiryGrace); earliest.After(r.graceEnd) {
 		r.graceEnd = earliest
 	}
+	r.unconfirmedEnd = now.Add(maxUnconfirmedGrace)
 	if now.Sub(r.upHeard) < upRetention {
 		r.refuteOutage(r.upSince)
 	}
@@ -216,10 +229,18 @@
 }
 
 // refuteOutage ends the time in which expired registrations are kept, if it follows only from failed calls of this process, during
-// which the store has been up.
+// which the store has been up. If the store was up for the last part of these calls, the outage ended before that part.
 func (r *Registry) refuteOutage(upSince time.Time) {
-	if r.outageEnd.Equal(r.ownOutageEnd) && !upSince.After(r.ownOutageBegin) {
+	switch {
+	case !r.outageEnd.Equal(r.ownOutageEnd):
+	case !upSince.After(r.ownOutageBegin):
 		r.outageEnd = time.Time{}
+	case upSince.Before(r.outageEnd):
+		r.outageEnd, r.ownOutageEnd = upSince, upSince
+		if limit := upSince.Add(expiryGrace); limit.Before(r.graceEnd) {
+			r.graceEnd = limit
+		}
+		r.unconfirmedEnd = upSince.Add(maxUnconfirmedGrace)
 	}
 }
 
@@ -244,7 +265,7 @@
 	defer r.mu.Unlock()
 	wasSilent := at.Sub(r.respondedAt) >= minOutage || at.Sub(r.silenceEnd).Abs() < minOutage
 	if wasSilent && at.Sub(r.outageEnd) >= minOutage { // otherwise it is the outage that this process knows of
-		r.outageEnd, r.graceEnd = at, at.Add(minExpiryGrace)
+		r.outageEnd, r.graceEnd, r.unconfirmedEnd = at, at.Add(minExpiryGrace), at.Add(maxUnconfirmedGrace)
 	}
 }
 
@@ -345,7 +366,14 @@
 
 // inExpiryGrace reports whether the store is unavailable, or was until shortly before now.
 func (r *Registry) inExpiryGrace(now time.Time) bool {
-	return r.failing && !r.servedOthers() || !r.outageEnd.IsZero() && now.Before(r.graceEnd)
+	if r.failing && !r.servedOthers() {
+		return true
+	}
+	if r.outageEnd.IsZero() {
+		return false
+	}
+	confirmed := r.respondedAt.Sub(r.outageEnd) >= heartbeatInterval
+	return now.Before(r.graceEnd) || !confirmed && now.Before(r.unconfirmedEnd)
 }
 
 // publish rebuilds the View.
--- a/internal/process/replicas/replicas_test.go
+++ b/internal/process/replicas/replicas_test.go
@@ -190,3 +190,71 @@
 		t.Error("the start that is registered later gets no work")
 	}
 }
+
+// registryAt returns a Registry with a replica "a" at a time, and a function that turns times since then into absolute ones.
+func registryAt() (*replicas.Registry, func(time.Duration) time.Time) {
+	epoch := time.Unix(1000, 0)
+	at := func(after time.Duration) time.Time { return epoch.Add(after) }
+	r := replicas.NewRegistry()
+	r.Replace([]replicas.Change{registered("a", false)}, epoch)
+	r.StoreResponded(epoch)
+	return r, at
+}
+
+// Guards against giving up live replicas that lapsed in an outage because the store was up for less than a heartbeat interval before the
+// next outage, which this process notices after the grace (schedules 635 and 933 of the drawn outages).
+func TestOutageSoonAfterAnotherKeepsReplicas(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		lastResponse time.Duration
+		kept         bool
+	}{{6900 * ms, true}, {7300 * ms, false}} {
+		r, at := registryAt()
+		r.StoreFailed(at(1000*ms), at(2000*ms))
+		r.StoreFailed(at(4300*ms), at(5300*ms))
+		r.StoreResponded(at(6000 * ms))
+		r.Replace(nil, at(6000*ms))
+		r.StoreResponded(at(c.lastResponse))
+		r.Replace(nil, at(c.lastResponse))
+		r.Expire(at(8700 * ms))
+		if _, kept := r.View().Get("a"); kept != c.kept {
+			t.Errorf("last response at %s, 6s being the first one: kept %t", c.lastResponse, kept)
+		}
+		r.Expire(at(9000 * ms))
+		if r.View().Len() > 0 {
+			t.Errorf("last response at %s: kept beyond the contact time", c.lastResponse)
+		}
+	}
+}
+
+// Guards against an outage whose end another process has reported, and which ends anew when a call that began before that end fails
+// late: replicas that left were kept for the grace after the second end (schedule 2999 of the drawn outages).
+func TestCallFromBeforeReportedEndDoesNotMoveIt(t *testing.T) {
+	const ms = time.Millisecond
+	r, at := registryAt()
+	r.StoreFailed(at(1000*ms), at(2000*ms))
+	r.StoreRecovered(at(6000 * ms))
+	r.StoreFailed(at(5800*ms), at(6800*ms))
+	r.StoreServedOther(at(7400 * ms))
+	r.Replace(nil, at(7400*ms))
+	r.Expire(at(7800 * ms))
+	if r.View().Len() > 0 {
+		t.Error("a replica that left is kept after the grace that follows the reported end")
+	}
+}
+
+// Guards against counting the grace from the first response to a process that was cut off for longer than the outage lasted, though
+// another one has reported since when the store is up (schedule 6175 of the drawn outages).
+func TestReportedUptimeEndsOutage(t *testing.T) {
+	const ms = time.Millisecond
+	r, at := registryAt()
+	r.StoreFailed(at(1000*ms), at(2000*ms))
+	r.StoreFailed(at(4000*ms), at(5000*ms))
+	r.StoreUp(2200*ms, at(5200*ms)) // up since 3 s
+	r.StoreResponded(at(5700 * ms))
+	r.Replace(nil, at(5700*ms))
+	r.Expire(at(5800 * ms))
+	if r.View().Len() > 0 {
+		t.Error("a replica that left is kept longer than the grace after the reported return of the store")
+	}
+}
