--- a/internal/process/replicas/replicas_test.go
+++ b/internal/process/replicas/replicas_test.go
@@ -194,11 +194,10 @@
 // registryAt returns a Registry with a replica "a" at a time, and a function that turns times since then into absolute ones.
 func registryAt() (*replicas.Registry, func(time.Duration) time.Time) {
 	epoch := time.Unix(1000, 0)
-	at := func(after time.Duration) time.Time { return epoch.Add(after) }
 	r := replicas.NewRegistry()
 	r.Replace([]replicas.Change{registered("a", false)}, epoch)
 	r.StoreResponded(epoch)
-	return r, at
+	return r, epoch.Add
 }
 
 // Guards against giving up live replicas that lapsed in an outage because the store was up for less than a heartbeat interval before the
