duty: windows of long ago are given up, all old ones deleted

Cause, found in review: (1) a first holder whose time was ahead chose a first window in the future and reported nothing until then. (3) Objects whose holder was lost before it deleted them, or whose window was given up, stayed in the store.

Change: while no window was taken up by anybody, the first one follows the true time back; a window is given up before its object is deleted; up to two objects are deleted for each report, from the first one on.

--- a/internal/process/duty/reports.go
+++ b/internal/process/duty/reports.go
@@ -31,6 +31,8 @@
 	maxLateBackoff = 8 * time.Second
 	// maxRefusals is the number of times that the platform may refuse a report, other than for its rate, before it is given up.
 	maxRefusals = 8
+	// deletionsPerReport is the number of old windows that are deleted for each reported one.
+	deletionsPerReport = 2
 	// maxDeleteFailures bounds the attempts to delete an old window.
 	maxDeleteFailures = 3
 )
@@ -135,7 +137,8 @@
 	// nextWindow is the first window that has not been taken up.
 	nextWindow uint64
 	open       map[uint64]*report
-	deletions  []uint64
+	// deletions are the windows to delete, from first on without a gap.
+	deletions []uint64
 	// deleteFailures counts those of the first deletion in the list.
 	deleteFailures int
 	// away is the number of holders in a row that could not reach the platform, including this one.
@@ -180,15 +183,28 @@
 	return value
 }
 
-// takeUp adds the windows that have ended.
+// takeUp adds the windows that have ended, and gives up those whose objects are about to be deleted.
 func (r *reports) takeUp(counts Counts, now time.Time) {
-	if current := counts.Window(now); current > r.nextWindow+keptWindows {
+	current := counts.Window(now)
+	if r.nextWindow == r.first && len(r.open) == 0 && current < r.first {
+		// No window was taken up by anybody, and the time was ahead when the first one was chosen.
+		r.first, r.nextWindow = current, current
+	}
+	if current > r.nextWindow+keptWindows {
 		r.skipped += current - keptWindows - r.nextWindow
 		r.nextWindow = current - keptWindows
 	}
 	for ; counts.Ends(r.nextWindow) <= 0; r.nextWindow++ {
 		r.open[r.nextWindow] = &report{phase: counting}
 	}
+	// A later holder that does not find the object of a window would seal other counts than those that were sent.
+	maps.DeleteFunc(r.open, func(window uint64, w *report) bool {
+		old := window+keptWindows < current
+		if old && w.phase != reported {
+			r.skipped++
+		}
+		return old
+	})
 }
 
 // next returns the next step. wall is the time for Counts, and now that of the lease's clock; edges returns those that took requests
@@ -310,8 +326,11 @@
 		return false
 	}
 	w.phase, w.retryAt = reported, time.Time{}
-	if s.window >= r.first+keptWindows {
-		r.deletions = append(r.deletions, s.window-keptWindows)
+	// More than one, so that windows which an earlier holder has left are deleted too.
+	for range deletionsPerReport {
+		if oldest := r.first + uint64(len(r.deletions)); oldest+keptWindows <= s.window {
+			r.deletions = append(r.deletions, oldest)
+		}
 	}
 	return true
 }
--- a/internal/process/duty/reports_test.go
+++ b/internal/process/duty/reports_test.go
@@ -193,6 +193,55 @@
 	}
 }
 
+// Guards against a holder that reports nothing until a wrong time is reached, because its time of day was ahead when it chose the
+// first window.
+func TestFirstWindowFollowsACorrectedTime(t *testing.T) {
+	r := newReportsAt(nil)
+	r.step(t, 300, stepWait)
+	s := r.step(t, 307, stepSeal)
+	if s.window != 60 {
+		t.Errorf("first window %d, want 60", s.window)
+	}
+	r.onStored(s, storeDone, nil, stored{1}, r.at(307))
+	r.onSent(r.step(t, 307, stepSend), accepted, r.at(307), false)
+	r.step(t, 290, stepWait)
+	if r.first != 60 || r.nextWindow != 61 {
+		t.Errorf("first window %d, next %d after a window was taken up", r.first, r.nextWindow)
+	}
+}
+
+// Guards against memory that grows for as long as the platform is down, and against other counts for a window that was sent: a later
+// holder that does not find the deleted object would seal the window anew.
+func TestWindowIsGivenUpBeforeItsObjectIsDeleted(t *testing.T) {
+	r := newReportsAt(nil)
+	s := r.step(t, 507, stepSeal)
+	r.onStored(s, storeDone, nil, stored{1}, r.at(507))
+	r.onSent(r.step(t, 507, stepSend), unknown, r.at(507), false)
+	state := r.state()
+	for _, next := range []*reportsAt{r, newReportsAt(state)} {
+		now := next.at(float64(100+keptWindows+1)*5 + 2)
+		next.takeUp(next.counts, now)
+		if next.open[100] != nil || len(next.open) != keptWindows || next.skipped != 1 {
+			t.Errorf("%d windows are open, %d skipped; window 100: %v", len(next.open), next.skipped, next.open[100])
+		}
+	}
+}
+
+// Guards against windows that stay in the store for ever because their holder was lost before it deleted them.
+func TestWindowsOfEarlierHoldersAreDeleted(t *testing.T) {
+	r := newReportsAt([]byte(`{"first":100,"next":830}`))
+	r.open[829] = &report{phase: sealed}
+	r.onSent(step{window: 829}, accepted, r.at(4157), false)
+	if !slices.Equal(r.deletions, []uint64{100, 101}) {
+		t.Errorf("deletions %v", r.deletions)
+	}
+	r.open[831] = &report{phase: sealed}
+	r.onSent(step{window: 831}, accepted, r.at(4167), false)
+	if !slices.Equal(r.deletions, []uint64{100, 101, 102, 103}) {
+		t.Errorf("deletions %v", r.deletions)
+	}
+}
+
 // Guards against candidates that compete at the same time, before the lease can have ended, or never.
 func TestElectionOrder(t *testing.T) {
 	now := time.Unix(1000, 0)
