duty: the first window is chosen at the acquisition of the lease

Cause: the first window was chosen at the start of the process, when the estimate of the true time is the machine's own time of day. With a clock that is ahead by seconds the windows until then were reported by nobody.

--- a/internal/process/duty/node.go
+++ b/internal/process/duty/node.go
@@ -122,7 +122,9 @@
 	leftOnce  sync.Once
 	standBack string
 
-	// startWindow is the first window to report if there was no holder before.
+	// started is when this edge began to take part, on the clock of Counts, and startWindow the first window to report if there was no
+	// holder before.
+	started     time.Time
 	startWindow uint64
 
 	// The fields below are used by the holder of acting.
@@ -155,12 +157,7 @@
 	n.mu.Lock()
 	n.election = newElection(n.duration, n.opts.Clock())
 	n.mu.Unlock()
-	if d := n.opts.Duties; d.ReportUsage {
-		// Other edges may have started before this one without becoming the holder. Windows whose report was not due yet when this edge
-		// started are reported too.
-		n.startWindow = n.opts.Counts.Window(n.opts.Wall().Add(-d.ReportBound))
-		n.lease.Attach(newReports(Holder{}, d.ReportBound, nil, n.startWindow).state())
-	}
+	n.started = n.opts.Wall()
 	var loops sync.WaitGroup
 	loops.Go(func() { n.loop(ctx, n.wakeLease, n.stepLease) })
 	loops.Go(func() { n.loop(ctx, n.wakeReports, n.stepReports) })
@@ -327,6 +324,7 @@
 	if wait > 0 {
 		return min(wait, idleWait) // the rank may change
 	}
+	n.chooseStart()
 	fence, err := n.lease.Acquire(ctx)
 	now = n.opts.Clock()
 	n.mu.Lock()
@@ -354,6 +352,22 @@
 	return n.duration / renewalsPerLease
 }
 
+// chooseStart sets the window that this edge begins with if there was no holder before. It is not set at the start of the process, when
+// the time of day of this machine is the only one that it knows.
+func (n *Node) chooseStart() {
+	d := n.opts.Duties
+	n.mu.Lock()
+	held := n.fence != 0
+	n.mu.Unlock()
+	if !d.ReportUsage || held {
+		return
+	}
+	// Other edges may have started before this one without becoming the holder. Windows whose report was not due yet when this edge
+	// started are reported too.
+	n.startWindow = n.opts.Counts.Window(n.started.Add(-d.ReportBound))
+	n.lease.Attach(newReports(Holder{}, d.ReportBound, nil, n.startWindow).state())
+}
+
 // giveUp ends this edge's term. The lease is released only if no call may still arrive at the platform; otherwise it expires.
 func (n *Node) giveUp(ctx context.Context, standBack string) {
 	n.acting <- struct{}{} // no call is under way now, and none begins before holds is unset
--- a/internal/process/duty/reports_test.go
+++ b/internal/process/duty/reports_test.go
@@ -1,10 +1,16 @@
 package duty
 
 import (
+	"context"
+	"encoding/json"
 	"slices"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/process/lease"
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/process/tally"
 )
 
@@ -210,6 +216,60 @@
 	}
 }
 
+// startRecorder is a lease that another edge holds. It records what would be passed on with an acquisition.
+type startRecorder struct {
+	holding
+	attached atomic.Value
+	start    atomic.Value
+}
+
+func (l *startRecorder) Attach(value json.RawMessage) { l.attached.Store(value) }
+
+func (l *startRecorder) Acquire(context.Context) (uint64, error) {
+	l.start.Store(l.attached.Load())
+	return 0, lease.ErrHeld
+}
+
+func (l *startRecorder) Remaining(time.Time) (uint64, time.Duration) { return 0, 0 }
+
+// correctedCounts are counts at an edge whose time of day is ahead until it hears the other edges.
+type correctedCounts struct {
+	fixedCounts
+	error atomic.Int64
+}
+
+func (c *correctedCounts) Window(at time.Time) uint64 {
+	return c.fixedCounts.Window(at.Add(time.Duration(c.error.Load())))
+}
+
+// Guards against windows that nobody reports because the first one was chosen by the time of day of a single machine.
+func TestFirstWindowIsChosenWithTheTimeOfAllEdges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counts := &correctedCounts{}
+		counts.error.Store(int64(time.Minute))
+		node := New(Options{
+			Duties: settings.Duties{ReportUsage: true, Lease: 3 * time.Second, Window: 5 * time.Second, ReportBound: 10 * time.Second},
+			Counts: counts, Clock: time.Now, Wall: time.Now, Rank: func() int { return 0 }, Live: func() []string { return nil },
+		})
+		l := &startRecorder{}
+		node.lease = l
+		want := counts.fixedCounts.Window(time.Now().Add(-10 * time.Second))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { node.Run(ctx); close(done) }()
+		time.Sleep(discoveryDelay / 2)
+		counts.error.Store(0)
+		time.Sleep(discoveryDelay)
+		cancel()
+		<-done
+		value, _ := l.start.Load().(json.RawMessage)
+		var state reportState
+		if err := json.Unmarshal(value, &state); err != nil || state.First != want || state.Next != want {
+			t.Errorf("acquires with %s (%v), want window %d", value, err, want)
+		}
+	})
+}
+
 // Guards against memory that grows for as long as the platform is down, and against other counts for a window that was sent: a later
 // holder that does not find the deleted object would seal the window anew.
 func TestWindowIsGivenUpBeforeItsObjectIsDeleted(t *testing.T) {
