duty: a request to stand back ends with the term it was made in

Cause: a holder that asked to give the lease up, and lost it by expiry before it could, kept the request. It gave up its next term right after the acquisition, which cost a handover and 15 s behind all others.

Change: the request is dropped with the loss of the lease, and not taken without the lease.

--- a/internal/process/duty/node.go
+++ b/internal/process/duty/node.go
@@ -304,7 +304,7 @@
 func (n *Node) lost(reason string, now time.Time) {
 	n.mu.Lock()
 	fence := n.fence
-	n.holds, n.holder = false, ""
+	n.holds, n.standBack, n.holder = false, "", ""
 	if reason == "replaced" {
 		n.election.heard(now)
 	} else {
@@ -642,10 +642,12 @@
 	n.requestStandBack("platform not reached")
 }
 
-// requestStandBack lets the other edges have the lease.
+// requestStandBack lets the other edges have the lease, if this edge has not lost it meanwhile.
 func (n *Node) requestStandBack(reason string) {
 	n.mu.Lock()
-	n.standBack = reason
+	if n.holds {
+		n.standBack = reason
+	}
 	n.mu.Unlock()
 	wakeUp(n.wakeLease)
 }
--- a/internal/process/duty/reports_test.go
+++ b/internal/process/duty/reports_test.go
@@ -270,6 +270,39 @@
 	})
 }
 
+// grantedLease is a lease that this edge always gets.
+type grantedLease struct {
+	holding
+	renewals, releases int
+}
+
+func (l *grantedLease) Acquire(context.Context) (uint64, error) { return 1, nil }
+func (l *grantedLease) Held(time.Time) (uint64, bool)           { return 1, true }
+func (l *grantedLease) Version() uint64                         { return 1 }
+func (l *grantedLease) Renew(context.Context) error             { l.renewals++; return nil }
+func (l *grantedLease) Release(context.Context) error           { l.releases++; return nil }
+
+// Guards against a holder that gives up a new term at once for what happened in the one that it lost.
+func TestStandingBackEndsWithTheTerm(t *testing.T) {
+	for name, run := range map[string]func(n *Node, now time.Time){
+		"before the loss": func(n *Node, now time.Time) { n.requestStandBack("platform not reached"); n.lost("expired", now) },
+		"after the loss":  func(n *Node, now time.Time) { n.lost("expired", now); n.requestStandBack("platform not reached") },
+	} {
+		now := time.Unix(1000, 0)
+		l := &grantedLease{}
+		n := New(Options{Clock: func() time.Time { return now }, Rank: func() int { return 0 }, Announce: func(Announcement) {}})
+		n.lease = l
+		n.compete(t.Context(), now)
+		run(n, now)
+		n.compete(t.Context(), now)
+		now = now.Add(time.Second)
+		n.stepLease(t.Context())
+		if l.renewals != 1 || l.releases != 0 {
+			t.Errorf("%s: %d renewals, %d releases in the next term", name, l.renewals, l.releases)
+		}
+	}
+}
+
 // Guards against memory that grows for as long as the platform is down, and against other counts for a window that was sent: a later
 // holder that does not find the deleted object would seal the window anew.
 func TestWindowIsGivenUpBeforeItsObjectIsDeleted(t *testing.T) {
