memory: a refused charge does not refuse others at the same moment

Cause: Budget.take added first and took back what was too much. In between, another charge that fitted was refused, or closed connections to make room.

Change: compare and swap; the total is never exceeded.

--- a/internal/process/memory/memory.go
+++ b/internal/process/memory/memory.go
@@ -63,12 +63,17 @@
 // Refused returns how often there was not enough memory.
 func (b *Budget) Refused() int64 { return b.refused.Load() }
 
+// take never exceeds the total, not even for a moment: others would be refused, or closed to make room, without need.
 func (b *Budget) take(n, total int64) bool {
-	if b.used.Add(n) <= total {
-		return true
+	for {
+		used := b.used.Load()
+		if used+n > total {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+n) {
+			return true
+		}
 	}
-	b.used.Add(-n)
-	return false
 }
 
 // Charge is what one request uses of a Budget. The zero value has no Budget and is not limited. It is not safe for concurrent use.
--- a/internal/process/memory/memory_test.go
+++ b/internal/process/memory/memory_test.go
@@ -74,3 +74,34 @@
 		}
 	})
 }
+
+// Guards against a small request that is refused, or takes memory from others, because a large one is being refused at that moment.
+func TestRefusedTakeDoesNotRefuseOthers(t *testing.T) {
+	b := memory.NewBudget(1 << 20)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		large := b.Charge()
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if large.TryGrow(1 << 20) {
+				t.Error("a charge above the budget was taken")
+				return
+			}
+		}
+	}()
+	small := b.Charge()
+	for i := range 1_000_000 {
+		if !small.TryGrow(1) {
+			t.Errorf("attempt %d: one byte of an empty budget was refused", i)
+			break
+		}
+		small.Release()
+	}
+	close(stop)
+	<-stopped
+}
