intake: heads near 1 MiB have the same room as others

Cause: the bound of 1 MiB included what is read together with a head, so that a sound head may be refused with 431 if the configuration allows more than 1,044,480 bytes. Some comments used a figurative word.

Change: the bound is that of net/http and the room; the comments name ranks.

--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -160,7 +160,7 @@
 	}
 }
 
-// GrowBody charges a request body of n bytes, and reports false if there is not enough memory. Connections that have earned less are
+// GrowBody charges a request body of n bytes, and reports false if there is not enough memory. Connections of a lower rank are
 // closed for it.
 func (c *Conn) GrowBody(n int64) bool {
 	c.set.mu.Lock()
--- a/internal/connection/intake/intake.go
+++ b/internal/connection/intake/intake.go
@@ -1,5 +1,5 @@
 // Package intake bounds what connections hold before their requests are served, below net/http: it counts what arrives, charges what
-// it becomes in memory to the budget of the process, and closes the connections that have earned least when memory or descriptors run
+// it becomes in memory to the budget of the process, and closes the connections of the lowest rank when memory or descriptors run
 // low. The phases of a connection come from net/http and the handler; no bytes are parsed a second time.
 package intake
 
--- a/internal/connection/intake/intake_test.go
+++ b/internal/connection/intake/intake_test.go
@@ -190,6 +190,11 @@
 	if got.HeadBytes >= none.HeadBytes || got.HeadTime >= none.HeadTime || got.IdleTime >= none.IdleTime {
 		t.Errorf("limits %+v don't follow the configuration", got)
 	}
+	for _, n := range []int{900 << 10, http.DefaultMaxHeaderBytes} {
+		if got := LimitsOf(&routes.Version{Limits: routes.Limits{HeaderBytes: n}}); got.HeadBytes < n+bufferOfNetHTTP {
+			t.Errorf("a limit of %d bytes has no room for heads of %d", got.HeadBytes, n)
+		}
+	}
 }
 
 // Guards against connections that leave no descriptors for those to replicas.
--- a/internal/connection/intake/limits.go
+++ b/internal/connection/intake/limits.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/version/routes"
@@ -33,8 +34,9 @@
 	timeRoom       = 2 * time.Second
 )
 
-// maxHeadBytes bounds a head whatever the configuration allows. It is the default bound of net/http, which parses the head.
-const maxHeadBytes = 1 << 20
+// maxHeadBytes bounds a head whatever the configuration allows: the default bound of net/http, which parses the head, and what is read
+// together with it.
+const maxHeadBytes = http.DefaultMaxHeaderBytes + headRoomBytes
 
 // LimitsOf returns the limits of connections under a configuration, or without one if v is nil.
 func LimitsOf(v *routes.Version) Limits {
--- a/internal/connection/intake/standing.go
+++ b/internal/connection/intake/standing.go
@@ -34,7 +34,7 @@
 	number uint64
 }
 
-// Ranks of connections, by what they have earned. The lowest is closed first.
+// Ranks of connections, by what they have done so far: the lowest is closed first.
 const (
 	rankUnserved = iota
 	rankReading
@@ -55,7 +55,7 @@
 	}
 }
 
-// before reports whether a connection is closed before another one: the one that has earned less, and of equals the one that has held
+// before reports whether a connection is closed before another one: the one of the lower rank, and of equals the one that has held
 // more memory for a longer time, so that a new caller goes on beside many old ones.
 func (s standing) before(other standing) bool {
 	if a, b := s.rank(), other.rank(); a != b {
