--- a/internal/process/duty/reports_test.go
+++ b/internal/process/duty/reports_test.go
@@ -1,10 +1,16 @@
 package duty
 
 import (
+	"context"
+	"encoding/json"
 	"slices"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/process/lease"
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/process/tally"
 )
 
@@ -193,6 +199,142 @@
 	}
 }
 
+// Guards against a holder that reports nothing until a wrong time is reached, because its time of day was ahead when it chose the
+// first window.
+func TestFirstWindowFollowsACorrectedTime(t *testing.T) {
+	r := newReportsAt(nil)
+	r.step(t, 300, stepWait)
+	s := r.step(t, 307, stepSeal)
+	if s.window != 60 {
+		t.Errorf("first window %d, want 60", s.window)
+	}
+	r.onStored(s, storeDone, nil, stored{1}, r.at(307))
+	r.onSent(r.step(t, 307, stepSend), accepted, r.at(307), false)
+	r.step(t, 290, stepWait)
+	if r.first != 60 || r.nextWindow != 61 {
+		t.Errorf("first window %d, next %d after a window was taken up", r.first, r.nextWindow)
+	}
+}
+
+// startRecorder is a lease that another edge holds. It records what would be passed on with an acquisition.
+type startRecorder struct {
+	holding
+	attached atomic.Value
+	start    atomic.Value
+}
+
+func (l *startRecorder) Attach(value json.RawMessage) { l.attached.Store(value) }
+
+func (l *startRecorder) Acquire(context.Context) (uint64, error) {
+	l.start.Store(l.attached.Load())
+	return 0, lease.ErrHeld
+}
+
+func (l *startRecorder) Remaining(time.Time) (uint64, time.Duration) { return 0, 0 }
+
+// correctedCounts are counts at an edge whose time of day is ahead until it hears the other edges.
+type correctedCounts struct {
+	fixedCounts
+	error atomic.Int64
+}
+
+func (c *correctedCounts) Window(at time.Time) uint64 {
+	return c.fixedCounts.Window(at.Add(time.Duration(c.error.Load())))
+}
+
+// Guards against windows that nobody reports because the first one was chosen by the time of day of a single machine.
+func TestFirstWindowIsChosenWithTheTimeOfAllEdges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counts := &correctedCounts{}
+		counts.error.Store(int64(time.Minute))
+		node := New(Options{
+			Duties: settings.Duties{ReportUsage: true, Lease: 3 * time.Second, Window: 5 * time.Second, ReportBound: 10 * time.Second},
+			Counts: counts, Clock: time.Now, Wall: time.Now, Rank: func() int { return 0 }, Live: func() []string { return nil },
+		})
+		l := &startRecorder{}
+		node.lease = l
+		want := counts.fixedCounts.Window(time.Now().Add(-10 * time.Second))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { node.Run(ctx); close(done) }()
+		time.Sleep(discoveryDelay / 2)
+		counts.error.Store(0)
+		time.Sleep(discoveryDelay)
+		cancel()
+		<-done
+		value, _ := l.start.Load().(json.RawMessage)
+		var state reportState
+		if err := json.Unmarshal(value, &state); err != nil || state.First != want || state.Next != want {
+			t.Errorf("acquires with %s (%v), want window %d", value, err, want)
+		}
+	})
+}
+
+// grantedLease is a lease that this edge always gets.
+type grantedLease struct {
+	holding
+	renewals, releases int
+}
+
+func (l *grantedLease) Acquire(context.Context) (uint64, error) { return 1, nil }
+func (l *grantedLease) Held(time.Time) (uint64, bool)           { return 1, true }
+func (l *grantedLease) Version() uint64                         { return 1 }
+func (l *grantedLease) Renew(context.Context) error             { l.renewals++; return nil }
+func (l *grantedLease) Release(context.Context) error           { l.releases++; return nil }
+
+// Guards against a holder that gives up a new term at once for what happened in the one that it lost.
+func TestStandingBackEndsWithTheTerm(t *testing.T) {
+	for name, run := range map[string]func(n *Node, now time.Time){
+		"before the loss": func(n *Node, now time.Time) { n.requestStandBack("platform not reached"); n.lost("expired", now) },
+		"after the loss":  func(n *Node, now time.Time) { n.lost("expired", now); n.requestStandBack("platform not reached") },
+	} {
+		now := time.Unix(1000, 0)
+		l := &grantedLease{}
+		n := New(Options{Clock: func() time.Time { return now }, Rank: func() int { return 0 }, Announce: func(Announcement) {}})
+		n.lease = l
+		n.compete(t.Context(), now)
+		run(n, now)
+		n.compete(t.Context(), now)
+		now = now.Add(time.Second)
+		n.stepLease(t.Context())
+		if l.renewals != 1 || l.releases != 0 {
+			t.Errorf("%s: %d renewals, %d releases in the next term", name, l.renewals, l.releases)
+		}
+	}
+}
+
+// Guards against memory that grows for as long as the platform is down, and against other counts for a window that was sent: a later
+// holder that does not find the deleted object would seal the window anew.
+func TestWindowIsGivenUpBeforeItsObjectIsDeleted(t *testing.T) {
+	r := newReportsAt(nil)
+	s := r.step(t, 507, stepSeal)
+	r.onStored(s, storeDone, nil, stored{1}, r.at(507))
+	r.onSent(r.step(t, 507, stepSend), unknown, r.at(507), false)
+	state := r.state()
+	for _, next := range []*reportsAt{r, newReportsAt(state)} {
+		now := next.at(float64(100+keptWindows+1)*5 + 2)
+		next.takeUp(next.counts, now)
+		if next.open[100] != nil || len(next.open) != keptWindows || next.skipped != 1 {
+			t.Errorf("%d windows are open, %d skipped; window 100: %v", len(next.open), next.skipped, next.open[100])
+		}
+	}
+}
+
+// Guards against windows that stay in the store for ever because their holder was lost before it deleted them.
+func TestWindowsOfEarlierHoldersAreDeleted(t *testing.T) {
+	r := newReportsAt([]byte(`{"first":100,"next":830}`))
+	r.open[829] = &report{phase: sealed}
+	r.onSent(step{window: 829}, accepted, r.at(4157), false)
+	if !slices.Equal(r.deletions, []uint64{100, 101}) {
+		t.Errorf("deletions %v", r.deletions)
+	}
+	r.open[831] = &report{phase: sealed}
+	r.onSent(step{window: 831}, accepted, r.at(4167), false)
+	if !slices.Equal(r.deletions, []uint64{100, 101, 102, 103}) {
+		t.Errorf("deletions %v", r.deletions)
+	}
+}
+
 // Guards against candidates that compete at the same time, before the lease can have ended, or never.
 func TestElectionOrder(t *testing.T) {
 	now := time.Unix(1000, 0)
