cli: config check, and the configuration in force at an edge

A configuration was first read when edges applied it, and nobody could see what it would change. dragonflypin config check FILE [--against SERVER|FILE] decodes a configuration of the platform or a table with the code that loads it, and prints findings with path, value and what is allowed, and the differences by meaning, as text or JSON; exit status 0, 1 or 2.

--- a/internal/app/cli/commands.go
+++ b/internal/app/cli/commands.go
@@ -63,6 +63,13 @@
 			"lose_answers and crash as true or a number of calls.", commands: standinCommands(env)},
 		{name: "table", short: "Read and change the operators' table", long: "Reads and changes the operators' table. " +
 			"Rates are in requests or tokens per second, targets and waiting times are durations such as 600ms.", commands: tableCommands(env)},
+		{name: "config", short: "Check configurations", long: "Checks configurations before they are sent.", commands: []command{
+			{name: "check", short: "Check a configuration file", long: "Checks a configuration of the platform (JSON), or an operators' table (CSV or JSON with " +
+				"the field rows), with the code that loads it, without sending it: errors, entries that can never match and limits that contradict each other. " +
+				"With --against it also prints what differs from the configuration in force, by meaning, and what that does to requests under way. " +
+				"Times have units, such as 1.5s; sizes are in bytes. API keys are printed as SHA-256 hashes only.\n\n" +
+				"Exit status: 0 sound (notes and differences are no fault), 1 errors or warnings were found or the server can't be asked, 2 invalid usage.",
+				data: &configCheckCommand{env: env}}}},
 		{name: "usage", short: "Read and verify the usage record", long: "Reads and verifies the usage record. Amounts are in tokens at an entry. " +
 			"At the metrics address of an edge they are requests that began to run, as reported to the platform.",
 			commands: usageCommands(env)},
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -71,6 +71,8 @@
 	ReplicaKind                          string
 	// Configuration decodes the configuration object.
 	Configuration func(store.Object) (*routes.Version, error)
+	// RedactConfiguration returns the value of a configuration object without keys, for operators.
+	RedactConfiguration func(value []byte) ([]byte, error)
 	// Replica decodes an entry of the list of replicas. With an error, the change still has the ID of the entry.
 	Replica func(store.Object) (replicas.Change, error)
 }
--- a/internal/app/edge/exchange.go
+++ b/internal/app/edge/exchange.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// inForce returns the object of the configuration in force; its revision is 0 if there is none yet.
+func (x *configurationExchange) inForce() store.Object {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.current
+}
+
 // onReport compares the version of another edge with the own one.
 func (x *configurationExchange) onReport(from netip.Addr, f gossip.Freshness, now time.Time) {
 	x.mu.Lock()
@@ -135,9 +142,7 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	x.mu.Lock()
-	current := x.current
-	x.mu.Unlock()
+	current := x.inForce()
 	if r.URL.Path != configurationPath || current.Revision == 0 {
 		w.WriteHeader(http.StatusNotFound)
 		return
--- a/internal/app/edge/operator.go
+++ b/internal/app/edge/operator.go
@@ -11,7 +11,7 @@
 	"github.com/dragonflypin/dragonflypin/internal/version/directory"
 )
 
-// operatorHandler serves the metrics, and the quarantine, the duties, the stored usage and the state of this edge for callers with the operator key.
+// operatorHandler serves the metrics, and the quarantine, the duties, the stored usage, the configuration in force and the state of this edge for callers with the operator key.
 func (e *Edge) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", e.deps.Metrics.Handler())
@@ -19,6 +19,7 @@
 	mux.Handle("DELETE /quarantine/{part}", e.authorized(e.liftQuarantine))
 	mux.Handle("GET /duties", e.authorized(e.showDuties))
 	mux.Handle("GET /status", e.authorized(e.showStatus))
+	mux.Handle("GET /configuration", e.authorized(e.showConfiguration))
 	e.handleUsage(mux)
 	return mux
 }
@@ -32,6 +33,32 @@
 	writeJSON(w, http.StatusOK, e.duties.Status())
 }
 
+// configurationInForce is the configuration as operators see it. It contains no keys.
+type configurationInForce struct {
+	Configuration json.RawMessage `json:"configuration"`
+	// Replicas is the number of replicas of each service that accept new requests, as this edge knows them.
+	Replicas map[string]int `json:"replicas"`
+}
+
+func (e *Edge) showConfiguration(w http.ResponseWriter, _ *http.Request) {
+	v, o := e.routes.Current(), e.exchange.inForce()
+	if v == nil || o.Revision == 0 {
+		writeJSON(w, http.StatusNotFound, operatorError("no_configuration", "this edge has no configuration yet"))
+		return
+	}
+	redacted, err := e.deps.Source.RedactConfiguration(o.Value)
+	if err != nil {
+		writeJSON(w, http.StatusInternalServerError, operatorError("unreadable", "the configuration in force can't be read"))
+		return
+	}
+	body := configurationInForce{Configuration: redacted, Replicas: map[string]int{}}
+	view := e.registry.View()
+	for name := range v.Services {
+		body.Replicas[name] = len(view.Service(name))
+	}
+	writeJSON(w, http.StatusOK, body)
+}
+
 // authorized passes requests with the operator key on.
 func (e *Edge) authorized(next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
