place: bounded record of unshared parts and of replicas

Cause: each prompt's own part was a record of its own, and a replica that left the list kept its empty record for ever.

Change: own parts of 5 s are one record; records of replicas that are no longer listed are deleted when they are empty.

--- a/internal/request/place/kept.go
+++ b/internal/request/place/kept.go
@@ -17,6 +17,9 @@
 	// maxRetention is the same for a replica of known memory, in which parts yield to newer ones only. It bounds what is remembered
 	// of replicas that are no longer listed.
 	maxRetention = 5 * time.Minute
+	// ownSpan is the time for which the parts of prompts that are not shared are recorded as one. It bounds them to a few for each
+	// replica.
+	ownSpan = 5 * time.Second
 	// maxKeptParts bounds the recorded parts of all replicas together.
 	maxKeptParts = 1 << 16
 )
@@ -43,7 +46,8 @@
 	part    uint64
 }
 
-// keptPart is a part in a replica's cache. The parts of prompts that are not shared have no ID: adjacent ones are one keptPart.
+// keptPart is a part in a replica's cache. The parts of prompts that are not shared have no ID: those of
+// an ownSpan are one keptPart.
 type keptPart struct {
 	at     partAt
 	shared bool
@@ -58,9 +62,13 @@
 // keptMemory is the cache of a replica: a list from the most to the least recently used part.
 type keptMemory struct {
 	newest, oldest *keptPart
+	// own is the latest part that is not shared, or nil.
+	own *keptPart
 	// tokens is the size of all parts, and capacity that of the memory, or 0 if unknown.
 	tokens, capacity int
 	startUnixMs      int64
+	// listed is set while the replica is in the list.
+	listed bool
 }
 
 func (m *keptMemory) push(p *keptPart) {
@@ -135,10 +143,19 @@
 			k.remove(m, m.oldest)
 		}
 	}
-	m.startUnixMs, m.capacity = r.StartUnixMs, capacity
+	m.startUnixMs, m.capacity, m.listed = r.StartUnixMs, capacity, true
 	k.yield(m)
 }
 
+// unlist marks all replicas as no longer listed, before the listed ones are updated.
+func (k *keptParts) unlist() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, m := range k.memories {
+		m.listed = false
+	}
+}
+
 // kept returns the part if the replica keeps it, or nil.
 func (k *keptParts) kept(at partAt, now time.Time) *keptPart {
 	p := k.parts[at]
@@ -175,11 +192,12 @@
 	if m.capacity == 0 {
 		return
 	}
-	if p := m.newest; p != nil && !p.shared {
-		p.tokens, p.last = p.tokens+tokens, now
+	if m.own != nil && now.Sub(m.own.first) < ownSpan {
+		m.own.tokens += tokens
 		m.tokens += tokens
 	} else {
-		m.push(&keptPart{at: partAt{replica: replica}, tokens: tokens, first: now, last: now})
+		m.own = &keptPart{at: partAt{replica: replica}, tokens: tokens, first: now, last: now}
+		m.push(m.own)
 	}
 	k.yield(m)
 }
@@ -194,6 +212,9 @@
 func (k *keptParts) remove(m *keptMemory, p *keptPart) {
 	m.unlink(p)
 	if !p.shared {
+		if m.own == p {
+			m.own = nil
+		}
 		return
 	}
 	delete(k.parts, p.at)
@@ -300,7 +321,7 @@
 		for m.oldest != nil && (now.Sub(m.oldest.last) > m.retention() || len(k.parts) > maxKeptParts) {
 			k.remove(m, m.oldest)
 		}
-		if m.oldest == nil && m.capacity == 0 {
+		if m.oldest == nil && !m.listed {
 			delete(k.memories, replica)
 		}
 	}
--- a/internal/request/place/kept_test.go
+++ b/internal/request/place/kept_test.go
@@ -104,8 +104,22 @@
 	if len(k.parts) != maxKeptParts || len(k.replicas) != maxKeptParts {
 		t.Errorf("%d parts are recorded and %d have replicas, want %d", len(k.parts), len(k.replicas), maxKeptParts)
 	}
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		k.mergeOwn(key, 1, now)
+	}
+	own := 0
+	for p := k.memories[key].newest; p != nil; p = p.older {
+		if !p.shared {
+			own++
+		}
+	}
+	if own > 3 {
+		t.Errorf("%d records of the parts of 1,000 prompts in 10 s that are not shared", own)
+	}
+	k.unlist()
 	k.expire(now.Add(maxRetention + time.Second))
-	if len(k.parts) != 0 || k.memories[key].tokens != 0 {
-		t.Errorf("%d parts and %d tokens remain after their retention", len(k.parts), k.memories[key].tokens)
+	if len(k.parts) != 0 || len(k.memories) != 0 {
+		t.Errorf("%d parts and %d replicas remain after their retention", len(k.parts), len(k.memories))
 	}
 }
--- a/internal/request/place/pools.go
+++ b/internal/request/place/pools.go
@@ -108,6 +108,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.view, p.services = view, services
+	p.kept.unlist()
 	for _, name := range services {
 		for _, r := range view.Service(name) {
 			p.kept.update(r, p.memory[name])
