gossip: a restart with an earlier time of day is accepted at once

Cause: the epoch of a report is the time of day at the start of its process, and reports of a lower one were dropped until the sender was forgotten, 5 s after its last report. An edge that restarted after its time of day was set back was ignored for that time, which is above the 4 s of contact_ms.

Change: a lower epoch is accepted once the earlier process is no longer live (1.2 s). Reordered reports of a live sender are dropped as before.

--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -449,7 +449,9 @@
 			n.peers[addr] = &peer{lastReceived: now.Add(seedInterval - peerExpiry)}
 		}
 	}
-	if report.Epoch < p.epoch || report.Epoch == p.epoch && report.Seq <= p.seq {
+	// The epoch of a restarted sender is lower if its time of day was set back. Nothing of the earlier process is under way once that
+	// is no longer live.
+	if p.live && report.Epoch < p.epoch || report.Epoch == p.epoch && report.Seq <= p.seq {
 		return false
 	}
 	p.epoch, p.seq, p.lastReceived, p.storeFailing = report.Epoch, report.Seq, now, report.Freshness.StoreFailing
--- a/internal/process/gossip/gossip_test.go
+++ b/internal/process/gossip/gossip_test.go
@@ -84,22 +84,32 @@
 	eventually(t, "the stopped entry is no longer live", func() bool { return seed.Live() == 1 && second.Live() == 1 })
 }
 
-// Guards against accepting reports that arrive out of order, and datagrams that are not reports of this protocol version.
-func TestStaleAndInvalidDatagramsAreDropped(t *testing.T) {
-	port := freePort(t)
-	e := start(t, "127.0.0.1", port)
+// sender returns a socket of another address, from which an entry at 127.0.0.1 accepts reports.
+func sender(t *testing.T, port uint16) *net.UDPConn {
+	t.Helper()
 	from, err := net.DialUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 5), Port: int(port)}, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: int(port)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = from.Close() }()
-	send := func(protocol uint8, epoch, seq uint64) {
-		data, err := cbor.Marshal(&gossip.Report{Protocol: protocol, Epoch: epoch, Seq: seq, Loads: []gossip.Load{{Replica: 1, Running: 3}}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		_, _ = from.Write(append([]byte{1}, data...))
+	t.Cleanup(func() { _ = from.Close() })
+	return from
+}
+
+func sendReport(t *testing.T, from *net.UDPConn, protocol uint8, epoch, seq uint64) {
+	t.Helper()
+	data, err := cbor.Marshal(&gossip.Report{Protocol: protocol, Epoch: epoch, Seq: seq, Loads: []gossip.Load{{Replica: 1, Running: 3}}})
+	if err != nil {
+		t.Fatal(err)
 	}
+	_, _ = from.Write(append([]byte{1}, data...)) // a lost report fails the test
+}
+
+// Guards against accepting reports that arrive out of order, and datagrams that are not reports of this protocol version.
+func TestStaleAndInvalidDatagramsAreDropped(t *testing.T) {
+	port := freePort(t)
+	e := start(t, "127.0.0.1", port)
+	from := sender(t, port)
+	send := func(protocol uint8, epoch, seq uint64) { sendReport(t, from, protocol, epoch, seq) }
 	send(5, 10, 2)
 	eventually(t, "the first report is accepted", func() bool { return e.received.Load() == 1 })
 	send(5, 10, 1)
@@ -114,6 +124,19 @@
 	}
 }
 
+// Guards against an entry that is ignored for seconds after its restart because its time of day was set back meanwhile.
+func TestRestartWithAnEarlierTimeOfDayIsAccepted(t *testing.T) {
+	port := freePort(t)
+	e := start(t, "127.0.0.1", port)
+	from := sender(t, port)
+	sendReport(t, from, 5, 10, 7)
+	eventually(t, "the first process is live", func() bool { return e.Live() == 1 })
+	eventually(t, "the first process is no longer live", func() bool { return e.Live() == 0 })
+	sendReport(t, from, 5, 9, 1)
+	eventually(t, "the restarted process is live", func() bool { return e.Live() == 1 })
+	eventually(t, "the first report of the restarted process is accepted", func() bool { return e.received.Load() == 2 })
+}
+
 // Guards against a panic while decoding an arbitrary datagram.
 func FuzzReport(f *testing.F) {
 	data, err := cbor.Marshal(&gossip.Report{Protocol: 5, Seq: 1, Loads: []gossip.Load{{Replica: 1}}})
