place: a replica with an idle connection is preferred to an equal one without

Cause: each edge of many reaches a replica seldom, and a third of the new connections is the first one to its address.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -166,6 +166,7 @@
 	e.configuration, e.replicas = e.followConfiguration(), e.followReplicas()
 	e.observer = newObserver(&deps, cfg.LogLinesPerSecond)
 	e.placer.Limits = place.NewReplicaLimits(node.Address.String())
+	e.placer.Connected = e.pool.HasIdle
 	e.guard = newGuard(e)
 	e.forwarder = &forward.Forwarder{
 		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory, Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, Paused: e.observer.paused, Guard: e.guard, MaxIdle: e.maxIdle,
--- a/internal/request/place/place.go
+++ b/internal/request/place/place.go
@@ -132,11 +132,13 @@
 	// Limits are those that replicas have named. New sets those of a single entry; one of several replaces them.
 	Limits *ReplicaLimits
 	Pauses *Pauses
-	sizes  *PromptSizes
-	kept   *keptParts
-	paces  *paces
-	zone   string
-	set    settings.Placement
+	// Connected reports whether this entry has an idle connection to the replica at an address. It may be nil.
+	Connected func(address string) bool
+	sizes     *PromptSizes
+	kept      *keptParts
+	paces     *paces
+	zone      string
+	set       settings.Placement
 
 	mu sync.Mutex
 	// memory is the KV cache of the replicas of each service, in tokens; guarded by mu.
@@ -231,7 +233,7 @@
 		}
 		load := p.Loads.Total(m.key, now)
 		c := Choice{Replica: m.Replica, Key: m.key, Prefill: p.kept.missingTokens(m.key, job.Parts, now), Load: load, Reason: reason}
-		cost := p.cost(m.key, load, urgent, now) + p.prefillCost(&c, job, now) + extra
+		cost := p.cost(m.key, load, urgent, now) + p.prefillCost(&c, job, now) + p.connectionCost(m) + extra
 		if best.Replica == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -334,7 +336,7 @@
 		}
 		compared++
 		load := p.Loads.Total(m.key, now)
-		c := p.cost(m.key, load, false, now)
+		c := p.cost(m.key, load, false, now) + p.connectionCost(m)
 		if m.Zone != p.zone {
 			c += otherZonePenalty * p.runningCost()
 		}
@@ -348,6 +350,14 @@
 	return best, bestCost, best.Replica != nil
 }
 
+// connectionCost is the cost of a replica to which a connection has to be opened, in milliseconds.
+func (p *Placer) connectionCost(m member) float64 {
+	if p.Connected == nil || p.Connected(m.Address) {
+		return 0
+	}
+	return milliseconds(time.Duration(p.set.ConnectionCost))
+}
+
 // samples returns the number of replicas to compare.
 func (p *Placer) samples() int {
 	return max(minSampleSize, min(sampleSize, sampleSize*sampleEntries/max(1, p.Loads.Entries()+1)))
