--- a/internal/app/edge/operator.go
+++ b/internal/app/edge/operator.go
@@ -27,7 +27,7 @@
 // showDuties says who holds the duties at the platform, as far as this edge knows.
 func (e *Edge) showDuties(w http.ResponseWriter, _ *http.Request) {
 	if e.duties == nil {
-		writeJSON(w, http.StatusNotFound, operatorError("no_duties", "the settings of this machine name no duty"))
+		writeJSON(w, http.StatusNotFound, operatorError("no_duties", "the settings of this edge name no duty"))
 		return
 	}
 	writeJSON(w, http.StatusOK, e.duties.Status())
--- a/internal/connection/intake/intake_test.go
+++ b/internal/connection/intake/intake_test.go
@@ -208,7 +208,7 @@
 
 // Guards against a connection that is closed while its request is served, and against a caller that finds no place beside connections
 // that have earned less.
-func TestNewConnectionTakesThePlaceOfTheLeastEarned(t *testing.T) {
+func TestNewConnectionTakesThePlaceOfTheLeastServed(t *testing.T) {
 	s := serve(t, 0, 4)
 	holding := s.dial()
 	s.send(holding, "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -240,7 +240,7 @@
 	}
 }
 
-// Guards against a crowd in service that is cut, and against new connections beside it that are neither served nor closed.
+// Guards against many requests in service that are cut, and against new connections beside it that are neither served nor closed.
 func TestConnectionsInServiceAreNotClosed(t *testing.T) {
 	s := serve(t, 0, 2)
 	holding := []net.Conn{s.dial(), s.dial()}
@@ -297,11 +297,11 @@
 func TestOthersReclaimMemoryOfHeads(t *testing.T) {
 	const memoryLimit = 8 << 20
 	s := serve(t, memoryLimit, 0)
-	const crowd = 60
-	for range crowd {
+	const clients = 60
+	for range clients {
 		_, _ = io.WriteString(s.dial(), "GET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 200)) // the connection may be closed already
 	}
-	eventually(t, "all heads were read or closed", func() bool { return s.Count()[Head]+int(s.Closed(NoMemory)) == crowd })
+	eventually(t, "all heads were read or closed", func() bool { return s.Count()[Head]+int(s.Closed(NoMemory)) == clients })
 	if s.Closed(NoMemory) == 0 {
 		t.Error("the load was too small to use up the budget")
 	}
--- a/internal/process/duty/reports.go
+++ b/internal/process/duty/reports.go
@@ -12,9 +12,9 @@
 	// settleShare is the share for which a window is left open after its end, also with final counts of all edges: some requests
 	// are counted only when a replica turns out to have run them.
 	settleShare = 0.2
-	// patienceShare is the share after which a window is sealed without the final counts of an edge. What remains suffices for the
+	// sealShare is the share after which a window is sealed without the final counts of an edge. What remains suffices for the
 	// end of a lease of 3 s, its acquisition, and a few calls.
-	patienceShare = 0.5
+	sealShare = 0.5
 	// lateShare is the share after which counts that came after the seal are added.
 	lateShare = 1.5
 )
@@ -249,7 +249,7 @@
 				return step{kind: stepWait, wait: pollInterval}
 			}
 			w.complete = counts.Final(window, edges(ended))
-			if !w.complete && ended < r.share(patienceShare) {
+			if !w.complete && ended < r.share(sealShare) {
 				return step{kind: stepWait, wait: pollInterval}
 			}
 			content := NewWindow(window, r.holder.Name, r.holder.Fence, counts.Segments(window))
--- a/internal/process/scale/scale.go
+++ b/internal/process/scale/scale.go
@@ -17,7 +17,7 @@
 	// maxTrendFactor bounds the demand that is expected after the start of a new replica, in multiples of the current one, so that a
 	// burst of a second does not order a fleet.
 	maxTrendFactor = 2
-	// minHold is the shortest time for which a crest of the demand is remembered. Demand that comes in waves of some ten seconds would
+	// minHold is the shortest time for which a peak of the demand is remembered. Demand that comes in waves of some ten seconds would
 	// otherwise be followed down and up, at the cost of a start each time.
 	minHold = time.Minute
 	// holdBoots is the same in multiples of the time that a replica needs to start.
@@ -206,7 +206,7 @@
 	return float64(z.Running+z.Waiting+1) / float64(max(1, replicas))
 }
 
-// hold returns how long a crest is remembered.
+// hold returns how long a peak is remembered.
 func hold(s *Service) time.Duration { return max(minHold, holdBoots*s.Boot) }
 
 // replicasNeeded returns the replicas that the work of this moment needs, at any number in place.
@@ -257,9 +257,9 @@
 func (h *demandHistory) expected(now time.Time, boot time.Duration) float64 {
 	n := len(h.samples)
 	current := h.samples[n-1].replicas
-	crest, before := current, h.samples[n-1]
+	peak, before := current, h.samples[n-1]
 	for _, s := range h.samples {
-		crest = max(crest, s.replicas)
+		peak = max(peak, s.replicas)
 	}
 	for i := n - 1; i >= 0 && now.Sub(h.samples[i].at) <= max(boot, 2*sampleInterval); i-- {
 		before = h.samples[i]
@@ -268,5 +268,5 @@
 	if span := now.Sub(before.at); span >= 2*sampleInterval && current > before.replicas {
 		trend = min(maxTrendFactor*current, current+(current-before.replicas)*boot.Seconds()/span.Seconds())
 	}
-	return max(crest, trend)
+	return max(peak, trend)
 }
--- a/internal/process/scale/scale_test.go
+++ b/internal/process/scale/scale_test.go
@@ -90,25 +90,25 @@
 	return total * f.service.Slots
 }
 
-// Guards against a crest that is followed too late: replicas are ordered while the demand still rises.
-func TestOrdersAheadOfARisingCrest(t *testing.T) {
+// Guards against a peak that is followed too late: replicas are ordered while the demand still rises.
+func TestOrdersAheadOfARisingPeak(t *testing.T) {
 	f := newFleet(2)
 	for requests := 20; requests <= 120; requests += 5 {
 		f.step(requests)
 	}
 	f.run(f.service.Boot+tick, 120)
 	if f.capacity() < 120 {
-		t.Errorf("%d requests at once fit after a start time at the crest, want 120", f.capacity())
+		t.Errorf("%d requests at once fit after a start time at the peak, want 120", f.capacity())
 	}
 }
 
-// Guards against replicas that are taken away in the trough of a wave whose next crest needs them, and against orders up and down.
+// Guards against replicas that are taken away in the trough of a wave whose next peak needs them, and against orders up and down.
 func TestWavesKeepTheirReplicas(t *testing.T) {
 	f := newFleet(3)
 	for wave := range 8 {
 		f.run(8*time.Second, 90)
 		if wave > 0 && f.capacity() < 90 {
-			t.Errorf("wave %d: %d requests at once fit at the crest, want 90", wave, f.capacity())
+			t.Errorf("wave %d: %d requests at once fit at the peak, want 90", wave, f.capacity())
 		}
 		f.run(8*time.Second, 15)
 	}
@@ -126,7 +126,7 @@
 	largest := f.capacity()
 	f.run(30*time.Second, 5)
 	if f.capacity() < largest {
-		t.Errorf("capacity %d 30 s after the drop, want %d: the crest may return", f.capacity(), largest)
+		t.Errorf("capacity %d 30 s after the drop, want %d: the peak may return", f.capacity(), largest)
 	}
 	f.run(5*time.Minute, 5)
 	if f.capacity() != 30 {
@@ -167,7 +167,7 @@
 	}
 }
 
-// Guards against a holder that takes over and orders fewer replicas than there are, because it has not seen the crest.
+// Guards against a holder that takes over and orders fewer replicas than there are, because it has not seen the peak.
 func TestNewHolderStartsFromWhatIsThere(t *testing.T) {
 	f := newFleet(6)
 	f.step(5)
