intake: the benchmark's head has neutral names

Cause: names of the platform's wire stood outside platform/. Change: other names of about the same length in a benchmark's request.

--- a/internal/connection/intake/intake_test.go
+++ b/internal/connection/intake/intake_test.go
@@ -465,8 +465,8 @@
 
 // BenchmarkRequest compares requests on kept connections, with and without a Set.
 func BenchmarkRequest(b *testing.B) {
-	request := []byte("POST /order/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: attempt-1\r\nX-Deadline-Ms: 4000\r\nX-Model: m\r\n" +
-		"X-Token-Usage: 1460,80\r\nX-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nX-Api-Key: n2ctnfzs989anu6wsjnb\r\nContent-Length: 5\r\n\r\nhello")
+	request := []byte("POST /order/x HTTP/1.1\r\nHost: shop.example\r\nX-Request: attempt-0001\r\nX-Limit-In-Ms: 4000\r\nX-Model: m\r\n" +
+		"X-Token-Count: 1460,80\r\nX-Prompt-Shared: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nX-Any-Key: n2ctnfzs989anu6wsjnb\r\nContent-Length: 5\r\n\r\nhello")
 	plain := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
 	charged := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := Of(r)
