--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -158,7 +158,11 @@
 	if node.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryBytes)))
 	}
-	e := &Edge{node: node, cfg: cfg, deps: deps, registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement, rand.Uint64()), pool: direct.NewPool(), memory: memory.NewBudget(node.MemoryBytes)}
+	e := &Edge{
+		node: node, cfg: cfg, deps: deps,
+		registry: replicas.NewRegistry(), placer: place.New(node.Zone, cfg.Placement, rand.Uint64()), pool: direct.NewPool(),
+		memory: memory.NewBudget(node.MemoryBytes),
+	}
 	conns := intake.MaxConns(node.Descriptors)
 	e.intake = intake.New(intake.Options{Budget: e.memory, MaxConns: conns, Limits: func() intake.Limits { return intake.LimitsOf(e.routes.Current()) }})
 	e.pool.Memory, e.pool.MaxConns = e.memory, conns
@@ -169,7 +173,9 @@
 	e.placer.Connected = e.pool.HasIdle
 	e.guard = newGuard(e)
 	e.forwarder = &forward.Forwarder{
-		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory, Observer: e.observer, Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, Paused: e.observer.paused, Guard: e.guard, MaxIdle: e.maxIdle,
+		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory,
+		Observer: e.observer, Paused: e.observer.paused, Guard: e.guard,
+		Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, MaxIdle: e.maxIdle,
 	}
 	err := errors.Join(e.observeMemory(), deps.Metrics.UpstreamConnections(e.pool.OpenedBy, e.pool.ClosedBy))
 	if err != nil {
