--- a/internal/process/settings/edge.go
+++ b/internal/process/settings/edge.go
@@ -67,8 +67,9 @@
 	// too. Default "50ms".
 	KeptCost Duration `json:"kept_cost" default:"50ms" min:"1ms" max:"1h"`
 	// ConnectionCost is the minimum reduction of the wait for which a replica without an idle connection of this edge is preferred to
-	// one with it. A new connection takes a round trip and a handshake, and a slot of the replica for a moment. Default "10ms".
-	ConnectionCost Duration `json:"connection_cost" default:"10ms" min:"0s" max:"1m"`
+	// one with it. A new connection takes a round trip and a handshake, and a slot of the replica for a moment; but with a cost, an
+	// edge without load sends to the same replicas again and learns nothing of the others. Default "0s": it does not matter.
+	ConnectionCost Duration `json:"connection_cost" default:"0s" min:"0s" max:"1m"`
 	// AffinityReplicas is the number of affinity replicas considered for a prompt before all replicas are. More of them
 	// put the shared parts in the KV cache of more replicas: 3 and 8 caused more repeated prefills on the large
 	// deployments. Default 2.
--- a/internal/request/place/connections_test.go
+++ b/internal/request/place/connections_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflypin/dragonflypin/internal/process/settings"
 	"github.com/dragonflypin/dragonflypin/internal/request/place"
 )
 
@@ -14,7 +15,10 @@
 	order := func(arrived time.Time) *place.Job {
 		return &place.Job{Service: "lm", Route: "order", Target: 300 * time.Millisecond, Arrived: arrived}
 	}
-	p := newPlacer(t, 8)
+	cfg := settings.Edge{Placement: settings.Placement{ConnectionCost: settings.Duration(10 * time.Millisecond)}}
+	settings.ApplyDefaults(&cfg)
+	p := place.New("z", cfg.Placement, 1)
+	p.Update(view(8), []string{"lm"})
 	for n := range 20 {
 		p.Connected = func(address string) bool { return address == connected }
 		w, ok := p.Enqueue(order(epoch), epoch)
