--- a/internal/request/place/kept.go
+++ b/internal/request/place/kept.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -309,6 +310,10 @@
 		}
 		k.pending[at] = hint
 	}
+	// The other entries use the parts in the order in which they get them. A fixed order makes replays repeatable.
+	slices.SortFunc(list, func(a, b CacheHint) int {
+		return cmp.Or(cmp.Compare(a.Replica, b.Replica), cmp.Compare(a.Part, b.Part))
+	})
 	return list
 }
 
