edge: the log tells how a configuration came and what had arrived when a call ended

Tells the three hypotheses of docs/incidents/2026-12-06-configuration-late.md apart: a transfer that is cut off, a change that an edge was never told of, and decoding.

--- a/internal/app/edge/exchange.go
+++ b/internal/app/edge/exchange.go
@@ -99,8 +99,9 @@
 
 // fetch gets and applies the configuration of another edge.
 func (x *configurationExchange) fetch(from netip.Addr) {
+	began := time.Now()
 	o, err := x.get(from)
-	if err == nil && x.edge.acceptConfiguration(o) {
+	if err == nil && x.edge.acceptConfiguration(o, received{sourceEdge, began, time.Now()}) {
 		x.edge.configuration.synced.onReceived(time.Now())
 		x.edge.deps.Log.Emit(eventlog.EdgeConfigurationFetched, eventlog.Peer(from.String()), eventlog.Version(x.edge.version()))
 	}
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -102,7 +102,7 @@
 	return e.follow(configurationObjects, source.ConfigurationKind, e.node.ApplyBound,
 		func(f *followed, objects []store.Object) {
 			for _, o := range objects {
-				if e.acceptConfiguration(o) {
+				if e.acceptConfiguration(o, received{sourceStore, f.feed.CallBegan(), time.Now()}) {
 					f.synced.onChange()
 				}
 			}
@@ -115,13 +115,26 @@
 			if err != nil {
 				return err
 			}
-			f.synced.onList(e.acceptConfiguration(o), time.Now())
+			f.synced.onList(e.acceptConfiguration(o, received{sourceStore, f.feed.CallBegan(), time.Now()}), time.Now())
 			return nil
 		})
 }
 
+// Sources of a configuration, for the log.
+const (
+	sourceStore = "store"
+	sourceEdge  = "edge"
+)
+
+// received tells how an object came to this edge, for the log.
+type received struct {
+	source string
+	// began is when the call began that delivered it, and at when its last byte had arrived.
+	began, at time.Time
+}
+
 // acceptConfiguration applies an object if it is a newer configuration, and reports whether it is.
-func (e *Edge) acceptConfiguration(o store.Object) (changed bool) {
+func (e *Edge) acceptConfiguration(o store.Object, by received) (changed bool) {
 	if o.Name != e.deps.Source.ConfigurationName || o.Deleted {
 		return false
 	}
@@ -134,6 +147,8 @@
 		return false
 	}
 	e.exchange.applied(o)
+	e.deps.Log.Emit(eventlog.EdgeConfigured, eventlog.Version(v.Number), eventlog.Count(len(v.Routes)), eventlog.Source(by.source),
+		eventlog.Bytes(len(o.Value)), eventlog.Transfer(by.at.Sub(by.began)), eventlog.Took(time.Since(by.began)))
 	return true
 }
 
@@ -144,7 +159,6 @@
 	}
 	e.updatePlacer()
 	e.deps.Metrics.TableVersion(v.Number)
-	e.deps.Log.Emit(eventlog.EdgeConfigured, eventlog.Version(v.Number), eventlog.Count(len(v.Routes)))
 	return true
 }
 
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -86,7 +86,7 @@
 	EdgeStarted              = define(1501, "edge_started", logrus.InfoLevel, "An edge listens for callers; it is ready once it has a configuration and a list of replicas.")
 	EdgeReloaded             = define(1502, "edge_reloaded", logrus.InfoLevel, "The machine's settings were reloaded.")
 	EdgeReloadFailed         = define(1503, "edge_reload_failed", logrus.WarnLevel, "The machine's settings can't be read; the previous ones stay in force.")
-	EdgeConfigured           = define(1504, "edge_configured", logrus.InfoLevel, "A configuration is in force at this edge; count is the number of routes.")
+	EdgeConfigured           = define(1504, "edge_configured", logrus.InfoLevel, "A configuration is in force at this edge; count is the number of routes, transfer_ms the part of took_ms until its last byte had arrived.")
 	EdgeConfigurationInvalid = define(1505, "edge_configuration_invalid", logrus.ErrorLevel, "A configuration can't be read; the previous one stays in force.")
 	EdgeReplicas             = define(1506, "edge_replicas", logrus.InfoLevel, "The list of replicas changed; count is the number of replicas that get new requests.")
 	EdgeReplicaInvalid       = define(1507, "edge_replica_invalid", logrus.WarnLevel, "An element of the list of replicas is invalid and is treated as removed.")
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -116,6 +116,15 @@
 // Count is a number; the event's meaning states what it counts.
 func Count(n int) Field { return Field{"count", n} }
 
+// Source is where an object came from: the store or another edge.
+func Source(name string) Field { return Field{"source", name} }
+
+// Bytes is the size of an object.
+func Bytes(n int) Field { return Field{"bytes", n} }
+
+// Transfer is the part of the duration until the last byte had arrived, in milliseconds.
+func Transfer(d time.Duration) Field { return Field{"transfer_ms", milliseconds(d)} }
+
 // Outcome is how a request ended.
 func Outcome(name string) Field { return Field{"outcome", truncate(name)} }
 
--- a/internal/process/store/http.go
+++ b/internal/process/store/http.go
@@ -276,6 +276,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err != nil {
+		err = fmt.Errorf("after %d of %d bytes: %w", len(body), resp.ContentLength, err)
+	}
 	if err == nil && len(body) > maxResponseBytes {
 		err = fmt.Errorf("answer exceeds %d bytes", maxResponseBytes)
 	}
