edge: a configuration that a poll has read is a change, also if it was known before

What callers could see: CONFIG on an edge that others told of no change. Cause: an edge published as unchanged each revision that changed nothing at this edge. A configuration that it had got from another edge while its own poll read the same one changed nothing, so that an edge which went on from that range skipped it (a second check, the fetch by version, hid this in most cases). Change: the last change is the revision of the newest object that a call has read. The rule that two calls after a fetch extend nothing is gone. Test: TestConfigurationKnownBeforeItsPollIsAChange failed before (published range 0 to 30 without a change, a configuration at 15) and passes.

--- a/internal/app/edge/exchange.go
+++ b/internal/app/edge/exchange.go
@@ -102,7 +102,6 @@
 	began := time.Now()
 	o, err := x.get(from)
 	if err == nil && x.edge.acceptConfiguration(o, received{sourceEdge, began, time.Now()}) {
-		x.edge.configuration.synced.onReceived(time.Now())
 		x.edge.deps.Log.Emit(eventlog.EdgeConfigurationFetched, eventlog.Peer(from.String()), eventlog.Version(x.edge.version()))
 	}
 	if err != nil {
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -102,9 +102,10 @@
 	return e.follow(configurationObjects, source.ConfigurationKind, e.node.ApplyBound,
 		func(f *followed, objects []store.Object) {
 			for _, o := range objects {
-				if e.acceptConfiguration(o, received{sourceStore, f.feed.CallBegan(), time.Now()}) {
-					f.synced.onChange()
+				if o.Name == source.ConfigurationName {
+					f.synced.onWrite(o.Revision)
 				}
+				e.acceptConfiguration(o, received{sourceStore, f.feed.CallBegan(), time.Now()})
 			}
 		},
 		func(ctx context.Context, f *followed) error {
@@ -115,7 +116,8 @@
 			if err != nil {
 				return err
 			}
-			f.synced.onList(e.acceptConfiguration(o, received{sourceStore, f.feed.CallBegan(), time.Now()}), time.Now())
+			f.synced.onWrite(o.Revision)
+			e.acceptConfiguration(o, received{sourceStore, f.feed.CallBegan(), time.Now()})
 			return nil
 		})
 }
--- a/internal/app/edge/schedules_test.go
+++ b/internal/app/edge/schedules_test.go
@@ -30,6 +30,8 @@
 	scheduleConfigBound  = 2 * time.Second
 	scheduleRefusedBound = 7 * time.Second
 	scheduleContact      = 3 * time.Second
+	// scheduleFetchTime is the time of a fetch from another edge.
+	scheduleFetchTime = 10 * time.Millisecond
 )
 
 // configStore has one configuration, whose value is its version. Renewals of other objects raise its revision.
@@ -136,13 +138,8 @@
 }
 
 // accept applies a version if it is newer.
-func (e *scheduledEdge) accept(version int) (changed bool) {
-	e.set(func(e *scheduledEdge) {
-		if version > e.version {
-			e.version, changed = version, true
-		}
-	})
-	return changed
+func (e *scheduledEdge) accept(version int) {
+	e.set(func(e *scheduledEdge) { e.version = max(e.version, version) })
 }
 
 // schedule is one drawn sequence of disruptions.
@@ -164,9 +161,8 @@
 		Client: e, MinInterval: minWatchInterval(700*time.Millisecond, scheduleConfigBound), Poll: true, MaxRetryDelay: maxStoreRetryDelay,
 		OnObjects: func(objects []store.Object) {
 			for _, o := range objects {
-				if e.accept(int(o.Version)) {
-					e.synced.onChange()
-				}
+				e.synced.onWrite(o.Revision)
+				e.accept(int(o.Version))
 			}
 		},
 		OnGap: func(context.Context) error {
@@ -175,9 +171,10 @@
 				return store.ErrUnavailable
 			}
 			s.store.mu.Lock()
-			version := s.store.version
+			version, changed := s.store.version, s.store.changed
 			s.store.mu.Unlock()
-			e.synced.onList(e.accept(version), time.Now())
+			e.synced.onWrite(changed)
+			e.accept(version)
 			return nil
 		},
 		OnError:    func(error) { e.set(func(e *scheduledEdge) { e.failing = true }) },
@@ -258,9 +255,13 @@
 func (e *scheduledEdge) onVersion(version int) {
 	fetch := false
 	e.set(func(e *scheduledEdge) { fetch = e.lag.isFetchDue(uint64(e.version), uint64(version), time.Now()) })
-	if fetch && e.accept(version) {
-		e.synced.onReceived(time.Now())
+	if !fetch {
+		return
 	}
+	go func() {
+		time.Sleep(scheduleFetchTime)
+		e.accept(version)
+	}()
 }
 
 // disrupt draws one disruption or change.
--- a/internal/app/edge/synced.go
+++ b/internal/app/edge/synced.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -12,8 +13,9 @@
 // passed in.
 type syncTracker struct {
 	mu sync.Mutex
-	// changed is set when the call in progress changed the list.
-	changed bool
+	// changed is the revision of the last write that the call in progress has read and that is a change; 0 means none, and
+	// unknownRevision some revision up to the one that the call reads.
+	changed uint64
 	// nonExtending is the number of calls, including the one in progress, that don't extend the synced range because the whole
 	// list was read.
 	nonExtending int
@@ -24,11 +26,18 @@
 	began time.Time
 }
 
+// unknownRevision is some revision up to the one that a call reads.
+const unknownRevision = math.MaxUint64
+
 // onChange records that the call in progress changed the list.
-func (t *syncTracker) onChange() {
+func (t *syncTracker) onChange() { t.onWrite(unknownRevision) }
+
+// onWrite records that the call in progress has read a write that other edges have to read, whether or not this edge knew it before:
+// it may have got the object from another edge.
+func (t *syncTracker) onWrite(revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.changed = true
+	t.changed = max(t.changed, revision)
 }
 
 // nonExtendingCalls is the number of calls that don't extend the synced range after a read of the whole list, including the
@@ -41,15 +50,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.nonExtending, t.listedAt = nonExtendingCalls, now
-	t.changed = changed && t.synced.To > 0
-}
-
-// onReceived records that this edge got an object from another edge. As after a list, its next calls may deliver the write again
-// without a change.
-func (t *syncTracker) onReceived(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.nonExtending, t.listedAt = nonExtendingCalls, now
+	t.changed = 0
+	if changed && t.synced.To > 0 {
+		t.changed = unknownRevision
+	}
 }
 
 // onApplied records that this edge got changes up to the revision from another edge: they are not in the ranges that it publishes.
@@ -75,14 +79,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	complete = t.nonExtending == 0
-	if t.changed {
-		t.synced.LastChange = revision
+	if t.changed > 0 {
+		t.synced.LastChange = min(t.changed, revision)
+		t.synced.From = t.synced.LastChange
 	}
-	if t.changed || t.nonExtending > 0 {
+	if t.nonExtending > 0 {
 		t.synced.From = revision
 	}
 	t.synced.To, t.began = revision, began
-	t.changed, t.nonExtending = false, max(0, t.nonExtending-1)
+	t.changed, t.nonExtending = 0, max(0, t.nonExtending-1)
 	return complete
 }
 
--- a/internal/app/edge/synced_test.go
+++ b/internal/app/edge/synced_test.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
 	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/internal/version/routes"
 )
 
 // fakeList is a store with one list. It returns ErrUnavailable to clients whose number is below refusedClients.
@@ -451,3 +452,23 @@
 		t.Errorf("got %v, complete %t, want both parts of the later call", changes, complete)
 	}
 }
+
+// Guards against an edge that tells the others of no change between two revisions although its poll has read a configuration there: it
+// had got the same one from another edge meanwhile.
+func TestConfigurationKnownBeforeItsPollIsAChange(t *testing.T) {
+	e := &Edge{registry: replicas.NewRegistry(), deps: Deps{Source: Source{
+		ConfigurationKind: "config", ConfigurationName: "main",
+		Configuration: func(o store.Object) (*routes.Version, error) { return &routes.Version{Number: o.Version}, nil },
+	}}}
+	e.exchange = newConfigurationExchange(e)
+	e.routes.Offer(&routes.Version{Number: 2}) // from another edge
+	f := e.followConfiguration()
+	now := time.Now()
+	f.synced.onSynced(10, now)
+	f.feed.OnObjects([]store.Object{{Name: "main", Version: 2, Revision: 15}})
+	f.synced.onSynced(20, now)
+	f.synced.onSynced(30, now)
+	if synced := f.synced.snapshot(now); synced.LastChange < 15 || synced.From < 15 {
+		t.Errorf("a configuration at revision 15 was read; the other edges are told of %+v", synced)
+	}
+}
