store, edge: large configurations reach edges behind narrow links in time

Cause: a store call ended after a fixed time whatever had arrived, and a watch returns each version since its revision in full, so that on 10 Mbit/s each failed call was followed by a larger one; fetches between edges had the same fixed time. Change: calls end for want of progress (process/transfer). The poller announces a change with the head of its response. Only the newest version is decoded.

--- a/internal/app/edge/exchange.go
+++ b/internal/app/edge/exchange.go
@@ -2,36 +2,33 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
 	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/internal/process/transfer"
 )
 
 const (
 	// behindDelay is how long another edge may have a newer configuration before this one asks it. An edge that hears of a change
 	// reads it from the store within some ms, unless the store refuses it or the change was missed.
 	behindDelay = 300 * time.Millisecond
-	// fetchTimeout bounds one fetch of the configuration from another edge.
+	// fetchTimeout is the time without progress after which a fetch of the configuration from another edge ends.
 	fetchTimeout = time.Second
 	// configurationPath is served to other edges over TCP, at the number of the port for datagrams.
 	configurationPath = "/configuration"
 )
 
-// configurationJSON is a configuration as one edge sends it to another.
-type configurationJSON struct {
-	Revision uint64 `json:"revision"`
-	Value    []byte `json:"value"`
-}
+// revisionHeader carries the revision of a configuration that one edge sends to another as the body.
+const revisionHeader = "Dragonflypin-Revision"
 
 // configurationExchange gets the configuration from other edges when they have a newer one and the store does not deliver it.
 type configurationExchange struct {
@@ -48,7 +45,7 @@
 func newConfigurationExchange(e *Edge) *configurationExchange {
 	dialer := &net.Dialer{Timeout: fetchTimeout, LocalAddr: &net.TCPAddr{IP: e.node.Address.AsSlice()}}
 	return &configurationExchange{edge: e, client: &http.Client{
-		Timeout: fetchTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
 	}}
 }
 
@@ -72,7 +69,7 @@
 func (x *configurationExchange) onReport(from netip.Addr, f gossip.Freshness, now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if !x.fetching && x.lag.isFetchDue(x.edge.version(), f.Version, now) {
+	if !x.fetching && !x.edge.configuration.feed.Receiving() && x.lag.isFetchDue(x.edge.version(), f.Version, now) {
 		x.fetching = true
 		go x.fetch(from)
 	}
@@ -114,7 +111,9 @@
 
 func (x *configurationExchange) get(from netip.Addr) (store.Object, error) {
 	url := "http://" + netip.AddrPortFrom(from, x.edge.node.PeerPort).String() + configurationPath
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	ctx, guard := transfer.New(context.Background(), fetchTimeout, fetchTimeout)
+	defer guard.Stop()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return store.Object{}, err
 	}
@@ -126,13 +125,16 @@
 	if response.StatusCode != http.StatusOK {
 		return store.Object{}, fmt.Errorf("status %d", response.StatusCode)
 	}
-	var content configurationJSON
-	// The value is base64 in JSON.
-	if err := json.NewDecoder(io.LimitReader(response.Body, 2*store.MaxValue)).Decode(&content); err != nil {
+	revision, err := strconv.ParseUint(response.Header.Get(revisionHeader), 10, 64)
+	if err != nil {
+		return store.Object{}, err
+	}
+	value, err := guard.Read(response.Body, response.ContentLength, store.MaxValue)
+	if err != nil {
 		return store.Object{}, err
 	}
 	source := &x.edge.deps.Source
-	return store.Object{Kind: source.ConfigurationKind, Name: source.ConfigurationName, Revision: content.Revision, Version: content.Revision, Value: content.Value}, nil
+	return store.Object{Kind: source.ConfigurationKind, Name: source.ConfigurationName, Revision: revision, Version: revision, Value: value}, nil
 }
 
 // ServeHTTP serves the configuration to other live edges only, because it has callers' keys.
@@ -147,5 +149,8 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, configurationJSON{Revision: current.Revision, Value: current.Value})
+	w.Header().Set(revisionHeader, strconv.FormatUint(current.Revision, 10))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(current.Value)))
+	_, _ = w.Write(current.Value) // the other edge may have left
 }
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
@@ -99,27 +100,44 @@
 
 func (e *Edge) followConfiguration() *followed {
 	source := &e.deps.Source
-	return e.follow(configurationObjects, source.ConfigurationKind, e.node.ApplyBound,
-		func(f *followed, objects []store.Object) {
-			for _, o := range objects {
-				if o.Name == source.ConfigurationName {
-					f.synced.onWrite(o.Revision)
-				}
-				e.acceptConfiguration(o, received{sourceStore, f.feed.CallBegan(), time.Now()})
-			}
-		},
-		func(ctx context.Context, f *followed) error {
+	f := e.follow(configurationObjects, source.ConfigurationKind, e.node.ApplyBound, e.onConfigurations, nil)
+	f.feed.OnSnapshot = func(ctx context.Context, objects []store.Object) error {
+		if len(objects) > 0 && newestOf(objects, source.ConfigurationName) == nil {
+			// Objects of others fill the first page.
 			o, err := e.deps.Store.Get(ctx, source.ConfigurationKind, source.ConfigurationName)
-			if errors.Is(err, store.ErrNotFound) {
-				return nil // the watch delivers the first configuration
-			}
 			if err != nil {
 				return err
 			}
-			f.synced.onWrite(o.Revision)
-			e.acceptConfiguration(o, received{sourceStore, f.feed.CallBegan(), time.Now()})
-			return nil
-		})
+			objects = []store.Object{o}
+		}
+		e.onConfigurations(f, objects)
+		return nil
+	}
+	f.feed.OnWrites = func(after uint64) {
+		e.broadcast(updateBroadcast, &update{Kind: configurationObjects, From: after, To: after, Synced: f.synced.announceWrite(after, time.Now())})
+	}
+	return f
+}
+
+// onConfigurations applies the newest configuration among objects that the store has delivered.
+func (e *Edge) onConfigurations(f *followed, objects []store.Object) {
+	now := time.Now()
+	o := newestOf(objects, e.deps.Source.ConfigurationName)
+	if o == nil {
+		return
+	}
+	f.synced.onWrite(o.Revision)
+	e.acceptConfiguration(*o, received{sourceStore, f.feed.CallBegan(), now})
+}
+
+// newestOf returns the newest version of the named object among objects in the order of their revisions, or nil.
+func newestOf(objects []store.Object, name string) *store.Object {
+	for i := range slices.Backward(objects) {
+		if objects[i].Name == name && !objects[i].Deleted {
+			return &objects[i]
+		}
+	}
+	return nil
 }
 
 // Sources of a configuration, for the log.
--- a/internal/app/edge/schedules_test.go
+++ b/internal/app/edge/schedules_test.go
@@ -30,6 +30,8 @@
 	scheduleConfigBound  = 2 * time.Second
 	scheduleRefusedBound = 7 * time.Second
 	scheduleContact      = 3 * time.Second
+	// scheduleObjectBytes is the size of a configuration in a response: two fit into the response to a watch, three don't.
+	scheduleObjectBytes = 30 << 10
 	// scheduleFetchTime is the time of a fetch from another edge.
 	scheduleFetchTime = 10 * time.Millisecond
 )
@@ -123,8 +125,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case after == 0:
-		return nil, s.revision, ctx.Err()
 	case after < s.compacted:
 		return nil, 0, store.ErrGap
 	}
@@ -134,14 +134,39 @@
 			objects = append(objects, store.Object{Revision: c.revision, Version: uint64(c.version)})
 		}
 	}
+	if _, err := store.BeginResponse(ctx, int64(len(objects)*scheduleObjectBytes)); err != nil {
+		return nil, after, err
+	}
 	return objects, s.revision, ctx.Err()
 }
 
+// Snapshot implements store.Client.
+func (e *scheduledEdge) Snapshot(ctx context.Context, _ string) ([]store.Object, uint64, error) {
+	time.Sleep(5 * time.Millisecond)
+	if cut, refused := e.isCut(); cut || refused {
+		return nil, 0, store.ErrUnavailable
+	}
+	s := e.fleet.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, err := store.BeginResponse(ctx, scheduleObjectBytes); err != nil {
+		return nil, 0, err
+	}
+	return []store.Object{{Revision: s.changed, Version: uint64(s.version)}}, s.revision, ctx.Err()
+}
+
 // accept applies a version if it is newer.
 func (e *scheduledEdge) accept(version int) {
 	e.set(func(e *scheduledEdge) { e.version = max(e.version, version) })
 }
 
+func (e *scheduledEdge) onObjects(objects []store.Object) {
+	for _, o := range objects {
+		e.synced.onWrite(o.Revision)
+		e.accept(int(o.Version))
+	}
+}
+
 // schedule is one drawn sequence of disruptions.
 type schedule struct {
 	rng   *rand.Rand
@@ -159,24 +184,15 @@
 	e := &scheduledEdge{followed: &followed{}, fleet: s, index: index}
 	e.feed = &store.Feed{
 		Client: e, MinInterval: minWatchInterval(700*time.Millisecond, scheduleConfigBound), Poll: true, MaxRetryDelay: maxStoreRetryDelay,
-		OnObjects: func(objects []store.Object) {
-			for _, o := range objects {
-				e.synced.onWrite(o.Revision)
-				e.accept(int(o.Version))
-			}
-		},
-		OnGap: func(context.Context) error {
-			time.Sleep(5 * time.Millisecond)
-			if cut, refused := e.isCut(); cut || refused {
-				return store.ErrUnavailable
-			}
-			s.store.mu.Lock()
-			version, changed := s.store.version, s.store.changed
-			s.store.mu.Unlock()
-			e.synced.onWrite(changed)
-			e.accept(version)
+		OnObjects: e.onObjects,
+		OnSnapshot: func(_ context.Context, objects []store.Object) error {
+			e.onObjects(objects)
 			return nil
 		},
+		OnWrites: func(after uint64) {
+			announced := e.synced.announceWrite(after, time.Now())
+			s.send(e, func(to *scheduledEdge) { to.applySyncedRange(announced, replicas.NewRegistry(), time.Now()) })
+		},
 		OnError:    func(error) { e.set(func(e *scheduledEdge) { e.failing = true }) },
 		OnResponse: func() { e.set(func(e *scheduledEdge) { e.failing = false }) },
 		OnSynced: func(from, to uint64, began time.Time) {
--- a/internal/app/edge/synced.go
+++ b/internal/app/edge/synced.go
@@ -91,6 +91,13 @@
 	return complete
 }
 
+// announceWrite returns the synced range to publish when a call begins to read writes after the revision, which end it.
+func (t *syncTracker) announceWrite(after uint64, now time.Time) gossip.SyncedRange {
+	synced := t.snapshot(now)
+	synced.To, synced.LastChange = min(synced.To, after), after+1
+	return synced
+}
+
 // snapshot returns the synced range to publish in the next report.
 func (t *syncTracker) snapshot(now time.Time) gossip.SyncedRange {
 	t.mu.Lock()
--- a/internal/process/store/codec.go
+++ b/internal/process/store/codec.go
@@ -42,8 +42,8 @@
 	EncodeRequest(base *sling.Sling, req *Request) *sling.Sling
 	// DecodeObject decodes the response to a get, create or update.
 	DecodeObject(req *Request, resp *Response) (Object, error)
-	// DecodeList decodes the response to a list.
-	DecodeList(req *Request, resp *Response) ([]Object, error)
+	// DecodeList decodes the response to a list and returns the revision at which it was read.
+	DecodeList(req *Request, resp *Response) ([]Object, uint64, error)
 	// DecodeWatch decodes the response to a watch and returns the revision to continue from.
 	DecodeWatch(req *Request, resp *Response) ([]Object, uint64, error)
 }
@@ -75,9 +75,10 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
-// ListResponse is the body of a list response: objects in name order.
+// ListResponse is the body of a list response: objects in name order, and the revision at which they were read.
 type ListResponse struct {
-	Objects []ObjectJSON `json:"objects"`
+	Objects  []ObjectJSON `json:"objects"`
+	Revision uint64       `json:"revision"`
 }
 
 // WatchResponse is the body of a watch response: writes in revision order, and the revision to continue from.
@@ -141,12 +142,12 @@
 }
 
 // DecodeList implements Codec.
-func (standinCodec) DecodeList(req *Request, resp *Response) ([]Object, error) {
+func (standinCodec) DecodeList(req *Request, resp *Response) ([]Object, uint64, error) {
 	var body ListResponse
 	if err := json.Unmarshal(resp.Body, &body); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return decodeObjects(req.Kind, body.Objects), nil
+	return decodeObjects(req.Kind, body.Objects), body.Revision, nil
 }
 
 // DecodeWatch implements Codec.
--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +24,13 @@
 	// OnGap lists the current state. It is called before the first watch and whenever writes were missed, and is retried
 	// until it returns nil.
 	OnGap func(ctx context.Context) error
+	// OnSnapshot, if it is set, gets the objects of a Client.Snapshot instead of OnGap. Use it for a kind whose objects are few and
+	// large and of which only the newest state matters: the Feed then reads a snapshot also when it knows of a write, so that no
+	// response is much larger than the state, however many writes there are.
+	OnSnapshot func(ctx context.Context, objects []Object) error
+	// OnWrites is called with OnSnapshot as soon as the response to a watch begins and is so large that it has writes after the
+	// revision; it may be nil.
+	OnWrites func(after uint64)
 	// OnError is called after each failed call; it may be nil.
 	OnError func(error)
 	// OnResponse is called after each successful watch, before its result is delivered; it may be nil.
@@ -41,7 +50,7 @@
 	OnSynced func(from, to uint64, began time.Time)
 
 	mu sync.Mutex
-	// revision is where the next watch continues; 0 means that the state has to be listed again.
+	// revision is where the next watch continues; 0 means that the state has to be read again.
 	revision uint64
 	// syncedAt is the start of the call that read up to revision; later writes may be missing.
 	syncedAt time.Time
@@ -49,14 +58,26 @@
 	retryAt time.Time
 	// waiting is set while Run waits to start the next watch.
 	waiting bool
-	// catchingUp ends the current wait.
-	catchingUp bool
+	// catchingUp ends the current wait. snapshotDue is set if it ended the last one.
+	catchingUp, snapshotDue bool
 	// wakeup receives a value when the end of the current wait may have changed.
 	wakeup chan struct{}
-	// began is the start of the call in progress. It is only used by the goroutine of Run.
-	began time.Time
+	// receiving is set while the body of a response arrives.
+	receiving atomic.Bool
+	// The fields below are only used by the goroutine of Run.
+
+	// began is the start of the call in progress, and stateBytes the size of the last snapshot.
+	began      time.Time
+	stateBytes int64
 }
 
+const (
+	// watchSlack is by how much the response to a watch may exceed two states of a kind that is read in snapshots.
+	watchSlack = 64 << 10
+	// emptyWatchBytes is above the size of a response without writes.
+	emptyWatchBytes = 2 << 10
+)
+
 // pollTimeout is the watch timeout of a Feed that polls.
 const pollTimeout = time.Millisecond
 
@@ -134,6 +155,7 @@
 func (f *Feed) setWaiting(on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.snapshotDue = f.catchingUp
 	f.waiting, f.catchingUp = on, false
 }
 
@@ -188,10 +210,19 @@
 	}
 }
 
-// step makes one watch, which is followed by a list if revision is 0, and delivers the result. It returns the revision to
-// continue from; 0 means that the state has to be listed again.
+// Receiving reports whether the body of a response is arriving. It is known for Feeds with OnSnapshot only.
+func (f *Feed) Receiving() bool { return f.receiving.Load() }
+
+// step makes one watch, or reads the state if revision is 0, and delivers the result. It returns the revision to continue from; 0
+// means that the state has to be read again.
 func (f *Feed) step(ctx context.Context, revision uint64, began time.Time) (uint64, error) {
-	objs, next, err := f.Client.Watch(ctx, f.Kind, revision)
+	if f.OnSnapshot != nil && (revision == 0 || f.isSnapshotDue()) {
+		return f.stepSnapshot(ctx, revision, began)
+	}
+	objs, next, err := f.watch(ctx, revision)
+	if errors.Is(err, ErrLongResponse) {
+		return f.stepSnapshot(ctx, revision, began)
+	}
 	if err == nil && f.OnResponse != nil {
 		f.OnResponse()
 	}
@@ -213,3 +244,46 @@
 	}
 	return next, nil
 }
+
+func (f *Feed) isSnapshotDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshotDue
+}
+
+// watch makes one watch. With OnSnapshot its response is bounded.
+func (f *Feed) watch(ctx context.Context, revision uint64) ([]Object, uint64, error) {
+	if f.OnSnapshot == nil {
+		return f.Client.Watch(ctx, f.Kind, revision)
+	}
+	defer f.receiving.Store(false)
+	return f.Client.Watch(WithResponse(ctx, 2*f.stateBytes+watchSlack, func(bytes int64) {
+		f.receiving.Store(true)
+		if bytes > emptyWatchBytes && f.OnWrites != nil {
+			f.OnWrites(revision)
+		}
+	}), f.Kind, revision)
+}
+
+// stepSnapshot reads the state and delivers it. It returns as step does.
+func (f *Feed) stepSnapshot(ctx context.Context, revision uint64, began time.Time) (uint64, error) {
+	defer f.receiving.Store(false)
+	objs, next, err := f.Client.Snapshot(WithResponse(ctx, math.MaxInt64, func(int64) { f.receiving.Store(true) }), f.Kind)
+	if err != nil {
+		return revision, err
+	}
+	if f.OnResponse != nil {
+		f.OnResponse()
+	}
+	f.stateBytes = 0
+	for _, o := range objs {
+		f.stateBytes += int64(len(o.Value))
+	}
+	if err := f.OnSnapshot(ctx, objs); err != nil {
+		return revision, err
+	}
+	if f.OnSynced != nil {
+		f.OnSynced(revision, next, began)
+	}
+	return next, nil
+}
--- a/internal/process/store/http.go
+++ b/internal/process/store/http.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
+	"math"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/dghubble/sling"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/transfer"
 )
 
 // Defaults of Options.
@@ -26,7 +28,7 @@
 // MaxWatchTimeout is the longest time that the platform waits for writes before it responds to a watch.
 const MaxWatchTimeout = 30 * time.Second
 
-// defaultWatchGrace is the time allowed after the watch timeout for the response to arrive.
+// defaultWatchGrace is the time allowed after the watch timeout for the head of the response to arrive.
 const defaultWatchGrace = 5 * time.Second
 
 // maxResponseBytes bounds a response body: a list of 20 objects with the largest value, in base64.
@@ -69,7 +71,8 @@
 	CallsPerSecond float64
 	// Burst is the number of calls that may be made at once after an idle period. Default 50.
 	Burst int
-	// Timeout bounds one attempt, except a watch. Default 2 s.
+	// Timeout bounds the time until the head of a response, except that of a watch, and the time without progress in its body.
+	// Default 2 s.
 	Timeout time.Duration
 	// Attempts is the maximum number of attempts of one call. Default 3.
 	Attempts int
@@ -79,7 +82,7 @@
 	Transport http.RoundTripper
 	// Codec is the HTTP encoding of the object API. Default: that of internal/standin/store.
 	Codec Codec
-	// WatchGrace is the time allowed after the watch timeout for the response to arrive. Default 5 s.
+	// WatchGrace is the time allowed after the watch timeout for the head of the response to arrive. Default 5 s.
 	WatchGrace time.Duration
 }
 
@@ -168,16 +171,25 @@
 
 // List implements Client.
 func (h *HTTP) List(ctx context.Context, kind, prefix, after string, limit int) ([]Object, error) {
-	req := &Request{Op: OpList, Kind: kind, Prefix: prefix, AfterName: after, Limit: limit}
+	objs, _, err := h.list(ctx, &Request{Op: OpList, Kind: kind, Prefix: prefix, AfterName: after, Limit: limit})
+	return objs, err
+}
+
+// Snapshot implements Client.
+func (h *HTTP) Snapshot(ctx context.Context, kind string) ([]Object, uint64, error) {
+	return h.list(ctx, &Request{Op: OpList, Kind: kind})
+}
+
+func (h *HTTP) list(ctx context.Context, req *Request) ([]Object, uint64, error) {
 	resp, err := h.call(ctx, req)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	objs, err := h.opt.Codec.DecodeList(req, resp)
+	objs, revision, err := h.opt.Codec.DecodeList(req, resp)
 	if err != nil {
-		return nil, invalidResponse(err)
+		return nil, 0, invalidResponse(err)
 	}
-	return objs, nil
+	return objs, revision, nil
 }
 
 // Watch implements Client. A watch that times out without writes is not an error.
@@ -208,6 +220,34 @@
 	return MaxWatchTimeout
 }
 
+// responseKey is the context key of what WithResponse sets.
+type responseKey struct{}
+
+type expectedResponse struct {
+	maxBytes int64
+	began    func(bytes int64)
+}
+
+// WithResponse sets what is expected of the responses to calls with this context. A body above maxBytes fails with ErrLongResponse
+// before it has been read. began is called when the head of a successful response has arrived, with the size of the body or -1.
+func WithResponse(ctx context.Context, maxBytes int64, began func(bytes int64)) context.Context {
+	return context.WithValue(ctx, responseKey{}, expectedResponse{maxBytes, began})
+}
+
+// BeginResponse reports the size of a response's body, or -1, to whoever has made the call. It returns ErrLongResponse for a body that
+// is too large, which is not to be read, and the largest size.
+func BeginResponse(ctx context.Context, bytes int64) (maxBytes int64, err error) {
+	expected, ok := ctx.Value(responseKey{}).(expectedResponse)
+	if !ok {
+		return math.MaxInt64, nil
+	}
+	expected.began(bytes)
+	if bytes > expected.maxBytes {
+		return expected.maxBytes, fmt.Errorf("%w: %d bytes, at most %d", ErrLongResponse, bytes, expected.maxBytes)
+	}
+	return expected.maxBytes, nil
+}
+
 // callObject makes a call that returns one object.
 func (h *HTTP) callObject(ctx context.Context, req *Request) (Object, error) {
 	resp, err := h.call(ctx, req)
@@ -261,8 +301,8 @@
 	if op == OpWatch {
 		timeout = watchTimeout(ctx) + h.opt.WatchGrace
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, guard := transfer.New(ctx, timeout, h.opt.Timeout)
+	defer guard.Stop()
 	req, err := s.Request()
 	if err != nil {
 		return nil, fmt.Errorf("store %s: %w: %w", op, ErrUnavailable, err)
@@ -275,17 +315,22 @@
 		return nil, fmt.Errorf("store %s: %w: %w", op, noResponseError(op, connected.Load()), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
-		err = fmt.Errorf("after %d of %d bytes: %w", len(body), resp.ContentLength, err)
-	}
-	if err == nil && len(body) > maxResponseBytes {
-		err = fmt.Errorf("answer exceeds %d bytes", maxResponseBytes)
+	statusErr := statusError(op, resp.StatusCode)
+	limit := int64(maxResponseBytes)
+	if statusErr == nil {
+		expected, err := BeginResponse(ctx, resp.ContentLength)
+		if err != nil {
+			return nil, fmt.Errorf("store %s: %w", op, err)
+		}
+		limit = min(limit, expected)
 	}
-	if statusErr := statusError(op, resp.StatusCode); statusErr != nil {
+	body, err := guard.Read(resp.Body, resp.ContentLength, limit)
+	switch {
+	case statusErr != nil:
 		return nil, fmt.Errorf("store %s: status %d: %w", op, resp.StatusCode, statusErr)
-	}
-	if err != nil {
+	case errors.Is(err, transfer.ErrTooLong) && !op.writes():
+		return nil, fmt.Errorf("store %s: %w: %w", op, ErrLongResponse, err)
+	case err != nil:
 		return nil, fmt.Errorf("store %s: %w: %w", op, noResponseError(op, true), err)
 	}
 	return &Response{Header: resp.Header, Body: body}, nil
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -22,6 +22,8 @@
 	// ErrGap reports that the history after the revision to watch from is no longer available; watch from 0, then list to
 	// find the writes that were missed.
 	ErrGap = errors.New("store watch history no longer available")
+	// ErrLongResponse reports a response that exceeds the size given by WithResponse. Its rest was not read.
+	ErrLongResponse = errors.New("store response exceeds the expected size")
 	// ErrTooLarge reports a value above MaxValue; it was not sent.
 	ErrTooLarge = errors.New("store value too large")
 )
@@ -55,6 +57,9 @@
 	Delete(ctx context.Context, obj Object) error
 	// List returns up to limit objects of kind in name order, with names that start with prefix and are greater than after.
 	List(ctx context.Context, kind, prefix, after string, limit int) ([]Object, error)
+	// Snapshot returns the first objects of kind in name order, as many as the platform puts into one response, and the revision at
+	// which they were read.
+	Snapshot(ctx context.Context, kind string) ([]Object, uint64, error)
 	// Watch waits up to 30 s for writes to kind after the revision, and returns them with the revision to continue from.
 	// With after 0 it returns the current revision at once, without objects. It fails with ErrGap if writes were missed or
 	// if the store's revision is lower than after.
--- a/internal/process/store/storetest/memory.go
+++ b/internal/process/store/storetest/memory.go
@@ -268,6 +268,16 @@
 	return objs, m.afterCall(ctx, store.OpList, f)
 }
 
+// Snapshot implements store.Client.
+func (m *Memory) Snapshot(ctx context.Context, kind string) ([]store.Object, uint64, error) {
+	m.mu.Lock()
+	revision := m.revision
+	m.mu.Unlock()
+	// Later writes may be among the objects; a watch from the revision delivers them again.
+	objs, err := m.List(ctx, kind, "", "", 0)
+	return objs, revision, err
+}
+
 // Watch implements store.Client.
 func (m *Memory) Watch(ctx context.Context, kind string, after uint64) ([]store.Object, uint64, error) {
 	f, err := m.beforeCall(ctx, store.OpWatch, kind, "")
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -182,6 +182,7 @@
 	page := store.ListResponse{Objects: []store.ObjectJSON{}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	page.Revision = s.revision
 	k := s.kind(r.PathValue("kind"))
 	start, _ := slices.BinarySearch(k.names, max(prefix, after))
 	for _, name := range k.names[start:] {
