--- a/internal/app/cli/edge.go
+++ b/internal/app/cli/edge.go
@@ -53,7 +53,8 @@
 	if err != nil {
 		return err
 	}
-	client, err := newPlatformStore(node, cfg, m)
+	log := eventlog.New(lines, cfg.Log.Level, roleEdge, node.Name)
+	client, err := newPlatformStore(node, cfg, m, log)
 	if err != nil {
 		return err
 	}
@@ -64,7 +65,7 @@
 	e, err := edge.New(node, cfg, edge.Deps{
 		Platform: api,
 		Store:    client, Source: platform.Source(), Front: platform.Front{}, Dialect: platform.Dialect{},
-		Log: eventlog.New(lines, cfg.Log.Level, roleEdge, node.Name), Metrics: m,
+		Log: log, Metrics: m,
 		Reload: func() (settings.Node, error) { return platform.LoadNode(platform.NodeFile()) },
 		Hangup: hangup, DroppedLines: lines.Dropped,
 	})
@@ -74,12 +75,18 @@
 	return e.Run(c.env.ctx)
 }
 
-func newPlatformStore(node settings.Node, cfg settings.Edge, m *metrics.Metrics) (*store.HTTP, error) {
+func newPlatformStore(node settings.Node, cfg settings.Edge, m *metrics.Metrics, log *eventlog.Log) (*store.HTTP, error) {
 	return store.NewHTTP(store.Options{
 		BaseURL: "http://" + node.StoreAddress.String(), Codec: platform.StoreCodec{},
 		CallsPerSecond: cfg.StoreCallsPerSecond, Timeout: storeTimeout, Attempts: 1,
 		WatchGrace: storeWatchGrace,
 		Observer:   compose.StoreObserver(m),
-		Transport:  &http.Transport{DialContext: direct.Dialer(storeConnectTimeout).DialContext, DisableCompression: true, IdleConnTimeout: time.Minute},
+		OnEra: func(before, era uint64) {
+			m.StoreEra(era)
+			if before > 0 {
+				log.Emit(eventlog.StoreRestored, eventlog.Era(era))
+			}
+		},
+		Transport: &http.Transport{DialContext: direct.Dialer(storeConnectTimeout).DialContext, DisableCompression: true, IdleConnTimeout: time.Minute},
 	})
 }
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -74,6 +74,7 @@
 	TableInForce      = define(1305, "table_in_force", logrus.InfoLevel, "A table version is in force at this entry.")
 	TableInvalid      = define(1306, "table_invalid", logrus.ErrorLevel, "A table version in the store is invalid; the previous version stays in force.")
 	ClaimsUnavailable = define(1310, "claims_unavailable", logrus.WarnLevel, "Claims cannot be written; non-idempotent calls are refused with the outcome not_run.")
+	StoreRestored     = define(1311, "store_restored", logrus.WarnLevel, "The store has come back from an older copy and has a new era: what it had acknowledged after that copy is gone.")
 )
 
 // Events of usage.
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -95,6 +95,9 @@
 // Version is the number of a table or directory version.
 func Version(n uint64) Field { return Field{"version", n} }
 
+// Era is the number of the store's history, which rises each time that it comes back from an older copy.
+func Era(n uint64) Field { return Field{"era", n} }
+
 // Fence is a fencing number.
 func Fence(n uint64) Field { return Field{"fence", n} }
 
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -42,6 +42,7 @@
 	sessions  metric.Int64UpDownCounter
 	tokens    metric.Int64Counter
 	version   metric.Int64Gauge
+	era       metric.Int64Gauge
 	held      metric.Int64Gauge
 	limited   metric.Int64Gauge
 	decision  metric.Float64Histogram
@@ -119,6 +120,9 @@
 	version, err := meter.Int64Gauge("dragonflypin.table.version", metric.WithDescription("Table version in force."))
 	b.recordError(err)
 	m.version = version
+	era, err := meter.Int64Gauge("dragonflypin.store.era", metric.WithDescription("Era of the store, which rises each time that it comes back from an older copy."))
+	b.recordError(err)
+	m.era = era
 	held, err := meter.Int64Gauge("dragonflypin.quarantined.parts", metric.WithDescription("Prompt parts whose requests are refused because they crash replicas."))
 	b.recordError(err)
 	m.held = held
@@ -372,6 +376,14 @@
 	m.version.Record(context.Background(), int64(version))
 }
 
+// StoreEra records the era of the store.
+func (m *Metrics) StoreEra(era uint64) {
+	if m == nil {
+		return
+	}
+	m.era.Record(context.Background(), int64(era))
+}
+
 // QuarantinedParts records the number of quarantined prompt parts.
 func (m *Metrics) QuarantinedParts(n int) {
 	if m == nil {
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -25,6 +25,7 @@
 	m.Sessions("sidecar", 2)
 	m.Tokens("draft", 30, 4)
 	m.TableVersion(7)
+	m.StoreEra(3)
 	m.Decision(time.Microsecond)
 	err = m.UpstreamConnections(func(f func(string, int64)) { f("first", 3) }, func(f func(string, int64)) { f("expired", 2) })
 	if err != nil {
@@ -46,6 +47,7 @@
 		`dragonflypin_tokens_total{class="draft",use="useful"} 30`,
 		`dragonflypin_tokens_total{class="draft",use="wasted"} 4`,
 		`dragonflypin_table_version 7`,
+		`dragonflypin_store_era 3`,
 		`dragonflypin_routing_decision_seconds_count 1`,
 		`dragonflypin_upstream_connections_opened_total{reason="first"} 3`,
 		`dragonflypin_upstream_connections_closed_total{reason="expired"} 2`,
--- a/internal/process/store/codec.go
+++ b/internal/process/store/codec.go
@@ -40,6 +40,8 @@
 type Codec interface {
 	// EncodeRequest completes an HTTP request whose base URL is set.
 	EncodeRequest(base *sling.Sling, req *Request) *sling.Sling
+	// Era returns the era of the store that sent a response with the header, or 0 if it names none.
+	Era(header http.Header) uint64
 	// DecodeObject decodes the response to a get, create or update.
 	DecodeObject(req *Request, resp *Response) (Object, error)
 	// DecodeList decodes the response to a list and returns the revision at which it was read.
@@ -64,6 +66,9 @@
 	WatchPath = "/watch/"
 	// RevisionHeader carries the revision of the returned object version.
 	RevisionHeader = "Store-Revision"
+	// EraHeader carries the era of the store in all responses. It rises by one each time that the store comes back from an older copy:
+	// what it has acknowledged since is gone, and its revisions are given out again.
+	EraHeader = "Store-Era"
 )
 
 // ObjectJSON is one object in the JSON body of a list or watch response. Value is base64 in JSON.
@@ -100,6 +105,18 @@
 	After uint64 `url:"after"`
 }
 
+// Era implements Codec.
+func (standinCodec) Era(header http.Header) uint64 { return ParseEra(header) }
+
+// ParseEra returns the number in EraHeader, or 0 if there is none.
+func ParseEra(header http.Header) uint64 {
+	era, err := strconv.ParseUint(header.Get(EraHeader), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return era
+}
+
 // EncodeRequest implements Codec.
 func (standinCodec) EncodeRequest(base *sling.Sling, req *Request) *sling.Sling {
 	switch req.Op {
--- a/internal/process/store/http.go
+++ b/internal/process/store/http.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -78,6 +79,9 @@
 	Attempts int
 	// Observer is notified of every call; it may be nil.
 	Observer Observer
+	// OnEra is called with the era of the store when a response first names it, and with the era before it when the store has come back
+	// from an older copy. It may be nil.
+	OnEra func(before, era uint64)
 	// Transport makes the HTTP calls. Default: a new http.Transport.
 	Transport http.RoundTripper
 	// Codec is the HTTP encoding of the object API. Default: that of internal/standin/store.
@@ -93,6 +97,10 @@
 	client *http.Client
 	budget *budget
 	calls  atomic.Uint64
+
+	eraMu sync.Mutex
+	// era is the highest era that a response has named.
+	era uint64
 }
 
 var _ Client = (*HTTP)(nil)
@@ -315,6 +323,7 @@
 		return nil, fmt.Errorf("store %s: %w: %w", op, noResponseError(op, connected.Load()), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	h.noteEra(h.opt.Codec.Era(resp.Header))
 	statusErr := statusError(op, resp.StatusCode)
 	limit := int64(maxResponseBytes)
 	if statusErr == nil {
@@ -336,6 +345,17 @@
 	return &Response{Header: resp.Header, Body: body}, nil
 }
 
+// noteEra records the era of a response.
+func (h *HTTP) noteEra(era uint64) {
+	h.eraMu.Lock()
+	before := h.era
+	h.era = max(before, era)
+	h.eraMu.Unlock()
+	if era > before && h.opt.OnEra != nil {
+		h.opt.OnEra(before, era)
+	}
+}
+
 // noResponseError returns the error for a call without a valid response.
 func noResponseError(op Op, sent bool) error {
 	if op.writes() && sent {
