--- a/internal/app/edge/schedules_test.go
+++ b/internal/app/edge/schedules_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -42,8 +43,72 @@
 	mu sync.Mutex
 	// revision is the store's, changed that of the last change, and compacted that up to which the history is gone.
 	revision, changed, compacted uint64
-	version                      int
-	changes                      []configChange
+	// era is the number of the store's history, and rewrites the number of writes that others still make again after a restore.
+	era, rewrites uint64
+	version       int
+	changes       []configChange
+	// acknowledged has all changes, also those that the store has lost.
+	acknowledged []configChange
+	// past has the revisions at earlier times.
+	past []pastRevision
+	// downUntil is the end of the current outage, and disturbed that of the last one.
+	downUntil, disturbed time.Time
+}
+
+type pastRevision struct {
+	at       time.Time
+	revision uint64
+}
+
+// restore takes the store down for some time, after which it is as it was some time before. The operator writes again what was lost,
+// and others make the given number of writes in each of the next renewals.
+func (s *configStore) restore(age, down time.Duration, writes uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	began := time.Now()
+	s.downUntil, s.disturbed = began.Add(down), began.Add(down)
+	copied := uint64(10)
+	for _, p := range s.past {
+		if !p.at.After(began.Add(-age)) {
+			copied = p.revision
+		}
+	}
+	time.AfterFunc(down, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.era++
+		s.compacted = min(s.compacted, copied)
+		s.changes = slices.DeleteFunc(s.changes, func(c configChange) bool { return c.revision > copied })
+		s.past = slices.DeleteFunc(s.past, func(p pastRevision) bool { return p.revision > copied })
+		s.revision, s.rewrites = copied, rewriteRenewals*writes
+		if n := len(s.changes); n == 0 || s.changes[n-1].version < s.version {
+			s.write()
+		} else {
+			s.changed = s.changes[n-1].revision
+		}
+	})
+}
+
+// write writes the newest version. The caller holds the lock.
+func (s *configStore) write() {
+	s.revision++
+	s.changed = s.revision
+	s.changes = append(s.changes, configChange{s.revision, s.version, time.Now()})
+	s.past = append(s.past, pastRevision{time.Now(), s.revision})
+}
+
+// isDisturbed reports whether an outage has not ended for the time of contact.
+func (s *configStore) isDisturbed(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.disturbed) < scheduleContact
+}
+
+// isDown reports whether the store is down.
+func (s *configStore) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.downUntil)
 }
 
 type configChange struct {
@@ -55,18 +120,29 @@
 func (s *configStore) change() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	if time.Now().Before(s.downUntil) {
+		return // the operator's call fails
+	}
 	s.version++
-	s.changed = s.revision
-	s.changes = append(s.changes, configChange{s.revision, s.version, time.Now()})
+	s.write()
+	s.acknowledged = append(s.acknowledged, s.changes[len(s.changes)-1])
 }
 
 func (s *configStore) renew() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	if time.Now().Before(s.downUntil) {
+		return
+	}
+	rewrites := min(s.rewrites, (s.rewrites+rewriteRenewals-1)/rewriteRenewals)
+	s.rewrites -= rewrites
+	s.revision += 1 + rewrites
+	s.past = append(s.past, pastRevision{time.Now(), s.revision})
 }
 
+// rewriteRenewals is about the number of renewals in which others write again what was lost.
+const rewriteRenewals = 8
+
 func (s *configStore) compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,7 +154,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version := 0
-	for _, c := range s.changes {
+	for _, c := range s.acknowledged {
 		if c.at.Before(at) {
 			version = c.version
 		}
@@ -118,14 +194,14 @@
 // Watch implements store.Client.
 func (e *scheduledEdge) Watch(ctx context.Context, _ string, after uint64) ([]store.Object, uint64, error) {
 	time.Sleep(5 * time.Millisecond)
-	if cut, refused := e.isCut(); cut || refused {
+	if cut, refused := e.isCut(); cut || refused || e.fleet.store.isDown() {
 		return nil, after, store.ErrUnavailable
 	}
 	s := e.fleet.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case after < s.compacted:
+	case after < s.compacted || after > s.revision:
 		return nil, 0, store.ErrGap
 	}
 	var objects []store.Object
@@ -143,7 +219,7 @@
 // Snapshot implements store.Client.
 func (e *scheduledEdge) Snapshot(ctx context.Context, _ string) ([]store.Object, uint64, error) {
 	time.Sleep(5 * time.Millisecond)
-	if cut, refused := e.isCut(); cut || refused {
+	if cut, refused := e.isCut(); cut || refused || e.fleet.store.isDown() {
 		return nil, 0, store.ErrUnavailable
 	}
 	s := e.fleet.store
@@ -169,10 +245,12 @@
 
 // schedule is one drawn sequence of disruptions.
 type schedule struct {
-	rng   *rand.Rand
-	store *configStore
-	edges []*scheduledEdge
-	log   []string
+	rng *rand.Rand
+	// restores is set if the store comes back from older copies.
+	restores bool
+	store    *configStore
+	edges    []*scheduledEdge
+	log      []string
 
 	// lossMu guards the share of the messages that is lost, and what draws them.
 	lossMu  sync.Mutex
@@ -285,7 +363,7 @@
 	e := s.edges[s.rng.IntN(len(s.edges))]
 	now := time.Now()
 	event := ""
-	switch s.rng.IntN(9) {
+	switch s.rng.IntN(10) {
 	case 0:
 		event = "cut"
 		e.set(func(e *scheduledEdge) { e.cut, e.disturbed = true, now })
@@ -313,6 +391,14 @@
 		s.loss = loss
 		s.lossMu.Unlock()
 		event = fmt.Sprint("loss ", loss)
+	case 6:
+		if s.restores && !s.store.isDown() {
+			age, down := time.Duration(100+s.rng.IntN(8000))*time.Millisecond, time.Duration(50+s.rng.IntN(2000))*time.Millisecond
+			writes := s.rng.Uint64N(60)
+			s.store.restore(age, down, writes)
+			event = fmt.Sprint("restore ", age, " ", down, " ", writes)
+			time.AfterFunc(down+time.Duration(s.rng.IntN(600))*time.Millisecond, s.store.change)
+		}
 	default:
 		event = "change"
 		s.store.change()
@@ -336,6 +422,9 @@
 // check returns a line about an edge that has an older configuration than it may have.
 func (s *schedule) check() string {
 	now := time.Now()
+	if s.store.isDisturbed(now) {
+		return ""
+	}
 	reader := s.hasReader(now)
 	for _, e := range s.edges {
 		e.mu.Lock()
@@ -383,10 +472,16 @@
 
 // Guards against an edge that keeps an old configuration because of what the edges tell each other: lost and old messages, edges that
 // are cut off or refused, a history that is dropped, and edges that poll by turns.
-func TestConfigurationIsInForceInDrawnSchedules(t *testing.T) {
+func TestConfigurationIsInForceInDrawnSchedules(t *testing.T) { playSchedules(t, false) }
+
+// Guards against edges that go on in a lost history of the store, or mix it with the new one, after it came back from an older copy.
+func TestConfigurationIsInForceAfterRestoresInDrawnSchedules(t *testing.T) { playSchedules(t, true) }
+
+func playSchedules(t *testing.T, restores bool) {
+	t.Helper()
 	for n := range *schedules {
 		seed := *firstSchedule + uint64(n)
-		s := &schedule{rng: rand.New(rand.NewPCG(seed, 24)), lossRng: rand.New(rand.NewPCG(seed, 25)), store: &configStore{revision: 10}}
+		s := &schedule{rng: rand.New(rand.NewPCG(seed, 24)), restores: restores, lossRng: rand.New(rand.NewPCG(seed, 25)), store: &configStore{revision: 10, era: 1}}
 		if broken := s.run(t); broken != "" {
 			t.Fatalf("schedule %d: %s; %s", seed, broken, strings.Join(s.log, ", "))
 		}
