store, edge: a position in the store's history is era and revision

Cause: edges watched from revisions of the lost history. Once the new history has passed such a revision, the store answers without a 410, and what was written below it is never delivered. The ranges that edges send each other were revisions alone too. Change: store.Position. A watch whose response has another era is a gap; ranges and updates name their era and count in it only; an edge that hears of a later era reads the state again.

--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -50,9 +50,9 @@
 
 	// changes are the changes that the call in progress has read.
 	changes []replicas.Change
-	// recent are the latest calls, and lastTo is the revision up to which the latest one has read.
+	// recent are the latest calls, and lastTo is the position up to which the latest one has read.
 	recent recentCalls
-	lastTo uint64
+	lastTo store.Position
 }
 
 // followed returns what follows the kind, or nil for an unknown kind.
@@ -85,7 +85,7 @@
 			e.storeFailing.Store(false)
 			e.registry.StoreResponded(time.Now())
 		},
-		OnSynced: func(from, to uint64, began time.Time) {
+		OnSynced: func(from, to store.Position, began time.Time) {
 			e.publish(f, f.synchronized(kind, from, to, began))
 		},
 		MaxRetryDelay: maxStoreRetryDelay,
@@ -113,8 +113,8 @@
 		e.onConfigurations(f, objects)
 		return nil
 	}
-	f.feed.OnWrites = func(after uint64) {
-		e.broadcast(updateBroadcast, &update{Kind: configurationObjects, From: after, To: after, Synced: f.synced.announceWrite(after, time.Now())})
+	f.feed.OnWrites = func(after store.Position) {
+		e.broadcast(updateBroadcast, &update{Kind: configurationObjects, From: after.Revision, To: after.Revision, Synced: f.synced.announceWrite(after, time.Now())})
 	}
 	return f
 }
--- a/internal/app/edge/synced.go
+++ b/internal/app/edge/synced.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
 )
 
 // syncTracker tracks which revisions of a kind this edge has read, for publication in its updates and reports. Nearly all
@@ -21,7 +22,8 @@
 	nonExtending int
 	// listedAt is when the whole list was read.
 	listedAt time.Time
-	synced   gossip.SyncedRange
+	// synced is a range of one era: the first call of another era begins it anew.
+	synced gossip.SyncedRange
 	// began is the start of the last completed call.
 	began time.Time
 }
@@ -56,11 +58,13 @@
 	}
 }
 
-// onApplied records that this edge got changes up to the revision from another edge: they are not in the ranges that it publishes.
-func (t *syncTracker) onApplied(revision uint64) {
+// onApplied records that this edge got changes up to the position from another edge: they are not in the ranges that it publishes.
+func (t *syncTracker) onApplied(to store.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.synced.From = max(t.synced.From, revision)
+	if t.synced.Era == to.Era {
+		t.synced.From = max(t.synced.From, to.Revision)
+	}
 }
 
 // onAdvance records that this edge has applied what another edge read with a call that began at the given time. A call that
@@ -73,12 +77,16 @@
 	}
 }
 
-// onSynced records the end of a call that began at the given time and read all writes up to the revision. It reports whether
+// onSynced records the end of a call that began at the given time and read all writes up to the position. It reports whether
 // the changes that the call delivered are all changes since the call before.
-func (t *syncTracker) onSynced(revision uint64, began time.Time) (complete bool) {
+func (t *syncTracker) onSynced(to store.Position, began time.Time) (complete bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	complete = t.nonExtending == 0
+	revision := to.Revision
+	complete = t.nonExtending == 0 && t.synced.Era == to.Era
+	if t.synced.Era != to.Era {
+		t.synced = gossip.SyncedRange{Era: to.Era, From: revision}
+	}
 	if t.changed > 0 {
 		t.synced.LastChange = min(t.changed, revision)
 		t.synced.From = t.synced.LastChange
@@ -91,10 +99,13 @@
 	return complete
 }
 
-// announceWrite returns the synced range to publish when a call begins to read writes after the revision, which end it.
-func (t *syncTracker) announceWrite(after uint64, now time.Time) gossip.SyncedRange {
+// announceWrite returns the synced range to publish when a call begins to read writes after the position.
+func (t *syncTracker) announceWrite(after store.Position, now time.Time) gossip.SyncedRange {
 	synced := t.snapshot(now)
-	synced.To, synced.LastChange = min(synced.To, after), after+1
+	if synced.Era != after.Era {
+		return gossip.SyncedRange{Era: after.Era, From: after.Revision, To: after.Revision, LastChange: after.Revision + 1}
+	}
+	synced.To, synced.LastChange = min(synced.To, after.Revision), after.Revision+1
 	return synced
 }
 
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflypin/dragonflypin/internal/process/eventlog"
 	"github.com/dragonflypin/dragonflypin/internal/process/gossip"
 	"github.com/dragonflypin/dragonflypin/internal/process/replicas"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
 	"github.com/dragonflypin/dragonflypin/internal/request/place"
 )
 
@@ -50,7 +51,7 @@
 type update struct {
 	_    struct{} `cbor:",toarray"`
 	Kind followedKind
-	// From and To are the revisions between which the changes were read.
+	// From and To are the revisions between which the changes were read, in the era of Synced.
 	From, To uint64
 	// Synced is the sender's synced range.
 	Synced gossip.SyncedRange
@@ -97,8 +98,8 @@
 	}
 }
 
-func (c *replicaChange) decode() replicas.Change {
-	change := replicas.Change{ID: c.ID, Revision: c.Revision}
+func (c *replicaChange) decode(era uint64) replicas.Change {
+	change := replicas.Change{ID: c.ID, Revision: c.Revision, Era: era}
 	if !c.Removed {
 		change.Replica = &replicas.Replica{
 			ID: c.ID, Service: c.Service, Address: c.Address, Zone: c.Zone, Slots: c.Slots, Draining: c.Draining, StartUnixMs: c.StartUnixMs,
@@ -129,14 +130,14 @@
 }
 
 type pendingCall struct {
-	from, to uint64
-	count    uint8
-	parts    map[uint8][]replicaChange
+	from, to, era uint64
+	count         uint8
+	parts         map[uint8][]replicaChange
 }
 
 // has reports whether an update is a part of the call.
 func (p *pendingCall) has(u *update) bool {
-	return p.from == u.From && p.to == u.To && p.count == u.Parts
+	return p.from == u.From && p.to == u.To && p.era == u.Synced.Era && p.count == u.Parts
 }
 
 // maxPendingCalls bounds the senders with incomplete updates.
@@ -145,14 +146,14 @@
 // add records an update and returns all changes of its call once all of its updates have arrived.
 func (a *assembly) add(from netip.Addr, u *update) (changes []replicas.Change, complete bool) {
 	if u.Parts <= 1 {
-		return decodeChanges(u.Changes), true
+		return decodeChanges(u.Changes, u.Synced.Era), true
 	}
 	if a.bySender == nil || len(a.bySender) >= maxPendingCalls {
 		a.bySender = map[netip.Addr]*pendingCall{}
 	}
 	p := a.bySender[from]
 	if p == nil || !p.has(u) {
-		p = &pendingCall{from: u.From, to: u.To, count: u.Parts, parts: map[uint8][]replicaChange{}}
+		p = &pendingCall{from: u.From, to: u.To, era: u.Synced.Era, count: u.Parts, parts: map[uint8][]replicaChange{}}
 		a.bySender[from] = p
 	}
 	p.parts[u.Part] = u.Changes
@@ -161,15 +162,15 @@
 	}
 	delete(a.bySender, from)
 	for part := range u.Parts {
-		changes = append(changes, decodeChanges(p.parts[part])...)
+		changes = append(changes, decodeChanges(p.parts[part], p.era)...)
 	}
 	return changes, true
 }
 
-func decodeChanges(list []replicaChange) []replicas.Change {
+func decodeChanges(list []replicaChange, era uint64) []replicas.Change {
 	changes := make([]replicas.Change, 0, len(list))
 	for i := range list {
-		changes = append(changes, list[i].decode())
+		changes = append(changes, list[i].decode(era))
 	}
 	return changes
 }
@@ -203,18 +204,18 @@
 	return r.calls[0].from, all
 }
 
-// synchronized records that a call has read the changes between two revisions, and returns the updates for the other edges.
-func (f *followed) synchronized(kind followedKind, from, to uint64, began time.Time) []update {
-	complete := f.synced.onSynced(to, began)
+// synchronized records that a call has read the changes between two positions, and returns the updates for the other edges.
+func (f *followed) synchronized(kind followedKind, from, to store.Position, began time.Time) []update {
+	complete := f.synced.onSynced(to, began) && from.Era == to.Era
 	if !complete {
 		from, f.changes = to, nil
 	}
 	// The edge may have applied updates of other edges since its call before, whose changes are not in its recent calls.
 	contiguous := complete && from == f.lastTo
 	f.lastTo = to
-	from, changes := f.recent.add(from, f.changes, contiguous)
+	first, changes := f.recent.add(from.Revision, f.changes, contiguous)
 	f.changes = nil
-	return newUpdates(kind, from, to, changes)
+	return newUpdates(kind, first, to.Revision, changes)
 }
 
 // publish sends updates to the other edges.
@@ -345,18 +346,23 @@
 }
 
 // apply applies the changes between the revisions of an update if this edge has read up to the first one. Otherwise it
-// applies the sender's synced range. onChange is called if the list of replicas changed.
+// applies the sender's synced range. The changes of a later era than this edge's are applied in any case: the store may refuse this
+// edge, which then can't read the state in that era. onChange is called if the list of replicas changed.
 func (f *followed) apply(u *update, changes []replicas.Change, registry *replicas.Registry, now time.Time, onChange func()) {
 	at := now.Add(-time.Duration(u.Synced.AgeMs) * time.Millisecond)
-	applied := u.complete() && u.From < u.To && f.feed.Advance(u.From, u.To, at, func(read uint64) {
+	from, to := store.Position{Era: u.Synced.Era, Revision: u.From}, store.Position{Era: u.Synced.Era, Revision: u.To}
+	applied := u.complete() && u.From < u.To && f.feed.Advance(from, to, at, func(read store.Position) {
 		f.synced.onAdvance(at)
 		registry.StoreServedOther(now)
-		if len(registry.Apply(unread(changes, read), now)) > 0 {
-			f.synced.onApplied(u.To)
+		if len(registry.Apply(unread(changes, read.Revision), now)) > 0 {
+			f.synced.onApplied(to)
 			onChange()
 		}
 	})
 	if !applied {
+		if f.feed.IsBehind(to.Era) && len(registry.Apply(changes, now)) > 0 {
+			onChange()
+		}
 		f.applySyncedRange(u.Synced, registry, now)
 	}
 }
@@ -371,9 +377,10 @@
 // change that this edge has not read.
 func (f *followed) applySyncedRange(synced gossip.SyncedRange, registry *replicas.Registry, now time.Time) {
 	at := now.Add(-time.Duration(synced.AgeMs) * time.Millisecond)
-	f.feed.Advance(synced.From, synced.To, at, func(uint64) {
+	from, to := store.Position{Era: synced.Era, Revision: synced.From}, store.Position{Era: synced.Era, Revision: synced.To}
+	f.feed.Advance(from, to, at, func(store.Position) {
 		f.synced.onAdvance(at)
 		registry.StoreServedOther(now)
 	})
-	f.feed.CatchUp(synced.LastChange)
+	f.feed.CatchUp(store.Position{Era: synced.Era, Revision: synced.LastChange})
 }
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -43,7 +43,7 @@
 )
 
 // protocolVersion is incremented with every incompatible change. Reports of other versions are dropped.
-const protocolVersion = 5
+const protocolVersion = 6
 
 // Load is the load that the sender has outstanding at a replica.
 type Load struct {
@@ -111,6 +111,8 @@
 	LastChange uint64
 	// AgeMs is the time since the sender's last call for the kind began, in milliseconds.
 	AgeMs uint32
+	// Era is the era of the store in which the revisions are.
+	Era uint64
 }
 
 // State is the state of an entry that its reports carry.
--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -30,8 +30,8 @@
 	ID string
 	// Replica is nil if the registration was removed or is invalid.
 	Replica *Replica
-	// Revision is the store's revision of the write, or 0 if unknown. A write that is older than the one in force is ignored.
-	Revision uint64
+	// Revision is the store's revision of the write in its Era, or 0 if unknown. A write that is older than the one in force is ignored.
+	Revision, Era uint64
 }
 
 // expiryGrace is how long a registration that expired during an outage of the store may be missing after the outage:
@@ -111,14 +111,16 @@
 	respondedAt, silenceEnd time.Time
 	// listed is set once a complete list was read.
 	listed bool
-	view   atomic.Pointer[View]
+	// era is the latest era of the store in which a write was applied.
+	era  uint64
+	view atomic.Pointer[View]
 }
 
 // registration is one element of the list.
 type registration struct {
 	Replica
-	// revision is the revision of the latest applied write.
-	revision uint64
+	// revision is the revision of the latest applied write, in the era.
+	revision, era uint64
 	// missingSince is the time at which the registration expired, or the zero time while it is present.
 	missingSince time.Time
 }
@@ -336,13 +338,14 @@
 
 func (r *Registry) apply(c Change, now time.Time) bool {
 	old, known := r.registrations[c.ID]
-	if known && c.Revision > 0 && c.Revision < old.revision {
-		return false // a newer write was delivered before
+	if c.Era < r.era || known && c.Revision > 0 && c.Era == old.era && c.Revision < old.revision {
+		return false // a newer write was delivered before, or the store has another history now
 	}
+	r.era = max(r.era, c.Era)
 	if c.Replica == nil {
 		return r.remove(c.ID, now)
 	}
-	next := registration{Replica: *c.Replica, revision: c.Revision}
+	next := registration{Replica: *c.Replica, revision: c.Revision, era: c.Era}
 	r.registrations[c.ID] = next
 	return !known || old.Replica != next.Replica || !old.missingSince.IsZero()
 }
--- a/internal/process/store/codec.go
+++ b/internal/process/store/codec.go
@@ -34,9 +34,12 @@
 type Response struct {
 	Header http.Header
 	Body   []byte
+	// Era is the era of the store when it responded.
+	Era uint64
 }
 
-// Codec encodes a Request as an HTTP request and decodes its Response. It is stateless and makes no retries.
+// Codec encodes a Request as an HTTP request and decodes its Response. It is stateless and makes no retries. The Client sets the era of
+// the objects.
 type Codec interface {
 	// EncodeRequest completes an HTTP request whose base URL is set.
 	EncodeRequest(base *sling.Sling, req *Request) *sling.Sling
--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -29,8 +29,8 @@
 	// response is much larger than the state, however many writes there are.
 	OnSnapshot func(ctx context.Context, objects []Object) error
 	// OnWrites is called with OnSnapshot as soon as the response to a watch begins and is so large that it has writes after the
-	// revision; it may be nil.
-	OnWrites func(after uint64)
+	// position; it may be nil.
+	OnWrites func(after Position)
 	// OnError is called after each failed call; it may be nil.
 	OnError func(error)
 	// OnResponse is called after each successful watch, before its result is delivered; it may be nil.
@@ -45,14 +45,18 @@
 	// StaggerDelay returns a delay in addition to MinInterval, so that another process that follows the same kind may call
 	// the store first and share its result through Advance; it may be nil.
 	StaggerDelay func() time.Duration
-	// OnSynced is called after OnObjects or OnGap with the revisions from which the call has read and up to which the state is
+	// OnRestored is called before OnGap if the store has come back from an older copy since the state was read; it may be nil.
+	OnRestored func(era uint64)
+	// OnSynced is called after OnObjects or OnGap with the positions from which the call has read and up to which the state is
 	// known, and the start time of the call; it may be nil.
-	OnSynced func(from, to uint64, began time.Time)
+	OnSynced func(from, to Position, began time.Time)
 
 	mu sync.Mutex
-	// revision is where the next watch continues; 0 means that the state has to be read again.
-	revision uint64
-	// syncedAt is the start of the call that read up to revision; later writes may be missing.
+	// position is where the next watch continues; zero means that the state has to be read again.
+	position Position
+	// era is the latest era of the store that is known.
+	era uint64
+	// syncedAt is the start of the call that read up to position; later writes may be missing.
 	syncedAt time.Time
 	// retryAt is the time of the next call after a failed one; zero if the state was synced since.
 	retryAt time.Time
@@ -95,8 +99,8 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		f.began = began
-		next, err := f.step(ctx, f.position(), began)
-		if err == nil && next > 0 {
+		next, err := f.step(ctx, f.Position(), began)
+		if err == nil && !next.IsZero() {
 			backoff.Reset()
 			f.setPosition(next, began)
 		} else {
@@ -115,23 +119,23 @@
 // CallBegan returns when the call in progress began, or the last one. It is for the callbacks.
 func (f *Feed) CallBegan() time.Time { return f.began }
 
-// position returns the revision from which the next watch continues; 0 means that the state has to be listed again.
-func (f *Feed) position() uint64 {
+// Position returns the position from which the next watch continues; zero means that the state has to be read again.
+func (f *Feed) Position() Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision
+	return f.position
 }
 
-func (f *Feed) setPosition(revision uint64, syncedAt time.Time) {
+func (f *Feed) setPosition(p Position, syncedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision, f.syncedAt, f.retryAt = revision, syncedAt, time.Time{}
+	f.position, f.era, f.syncedAt, f.retryAt = p, max(f.era, p.Era), syncedAt, time.Time{}
 }
 
-func (f *Feed) setFailed(revision uint64, retryAt time.Time) {
+func (f *Feed) setFailed(p Position, retryAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision, f.retryAt = revision, retryAt
+	f.position, f.retryAt = p, retryAt
 }
 
 // waitForNext waits until the next watch may start and returns false if the context ended first.
@@ -176,31 +180,42 @@
 	}
 }
 
-// Advance reports that another process read up to the revision to with a call that began at the given time, and that apply
-// delivers all writes between the revisions from and to that matter. If the Feed waits for its next watch and has read at
-// least up to from, it calls apply with the revision up to which it has read, continues at to and returns true.
-func (f *Feed) Advance(from, to uint64, at time.Time, apply func(read uint64)) bool {
+// Advance reports that another process read up to the position to with a call that began at the given time, and that apply
+// delivers all writes between the positions from and to that matter. If the Feed waits for its next watch and has read at
+// least up to from, in the same era, it calls apply with the position up to which it has read, continues at to and returns true.
+func (f *Feed) Advance(from, to Position, at time.Time, apply func(read Position)) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.waiting || f.revision == 0 || f.revision < from || f.revision > to || !at.After(f.syncedAt) {
+	if !f.waiting || f.position.IsZero() || !f.position.Within(from, to) || !at.After(f.syncedAt) {
 		return false
 	}
 	// The lock is held, so that no watch starts that would deliver older writes later.
-	apply(f.revision)
-	f.revision, f.syncedAt, f.retryAt = to, at, time.Time{}
+	apply(f.position)
+	f.position, f.syncedAt, f.retryAt = to, at, time.Time{}
 	f.wake()
 	return true
 }
 
-// CatchUp reports that a write at the revision matters. A Feed that waits for its next watch and has not read the write
-// starts that watch at once.
-func (f *Feed) CatchUp(revision uint64) {
+// IsBehind reports whether the Feed has read the state, but not in an era that another process knows.
+func (f *Feed) IsBehind(era uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.waiting && revision > f.revision {
-		f.catchingUp = true
-		f.wake()
+	return f.era > 0 && era > f.era
+}
+
+// CatchUp reports that a write at the position matters. A Feed that waits for its next watch and has not read the write
+// starts that watch at once. In a later era than its own it reads the state again: no earlier position counts there.
+func (f *Feed) CatchUp(write Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.waiting || !f.position.Before(write) {
+		return
+	}
+	if f.position.Era < write.Era {
+		f.position = Position{}
 	}
+	f.catchingUp = true
+	f.wake()
 }
 
 func (f *Feed) wake() {
@@ -213,38 +228,50 @@
 // Receiving reports whether the body of a response is arriving. It is known for Feeds with OnSnapshot only.
 func (f *Feed) Receiving() bool { return f.receiving.Load() }
 
-// step makes one watch, or reads the state if revision is 0, and delivers the result. It returns the revision to continue from; 0
-// means that the state has to be read again.
-func (f *Feed) step(ctx context.Context, revision uint64, began time.Time) (uint64, error) {
-	if f.OnSnapshot != nil && (revision == 0 || f.isSnapshotDue()) {
-		return f.stepSnapshot(ctx, revision, began)
+// step makes one watch, or reads the state if the position is zero, and delivers the result. It returns the position to continue
+// from; zero means that the state has to be read again.
+func (f *Feed) step(ctx context.Context, from Position, began time.Time) (Position, error) {
+	if f.OnSnapshot != nil && (from.IsZero() || f.isSnapshotDue()) {
+		return f.stepSnapshot(ctx, from, began)
 	}
-	objs, next, err := f.watch(ctx, revision)
+	objs, next, err := f.watch(ctx, from)
 	if errors.Is(err, ErrLongResponse) {
-		return f.stepSnapshot(ctx, revision, began)
+		return f.stepSnapshot(ctx, from, began)
 	}
 	if err == nil && f.OnResponse != nil {
 		f.OnResponse()
 	}
 	switch {
 	case errors.Is(err, ErrGap):
-		return 0, err
+		return Position{}, err
 	case err != nil:
-		return revision, err
-	case revision == 0:
-		// The revision is read before the list, so the next watch returns the writes between the two.
+		return from, err
+	case from.IsZero():
+		f.noteRestore(next.Era)
+		// The position is read before the list, so the next watch returns the writes between the two.
 		if err := f.OnGap(ctx); err != nil {
-			return 0, err
+			return Position{}, err
 		}
 	case len(objs) > 0:
 		f.OnObjects(objs)
 	}
 	if f.OnSynced != nil {
-		f.OnSynced(revision, next, began)
+		f.OnSynced(from, next, began)
 	}
 	return next, nil
 }
 
+// noteRestore tells of a new era before the state is read in it.
+func (f *Feed) noteRestore(era uint64) {
+	f.mu.Lock()
+	restored := f.era > 0 && era > f.era
+	f.era = max(f.era, era)
+	f.mu.Unlock()
+	if restored && f.OnRestored != nil {
+		f.OnRestored(era)
+	}
+}
+
 func (f *Feed) isSnapshotDue() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -252,38 +279,39 @@
 }
 
 // watch makes one watch. With OnSnapshot its response is bounded.
-func (f *Feed) watch(ctx context.Context, revision uint64) ([]Object, uint64, error) {
+func (f *Feed) watch(ctx context.Context, from Position) ([]Object, Position, error) {
 	if f.OnSnapshot == nil {
-		return f.Client.Watch(ctx, f.Kind, revision)
+		return f.Client.Watch(ctx, f.Kind, from)
 	}
 	defer f.receiving.Store(false)
 	return f.Client.Watch(WithResponse(ctx, 2*f.stateBytes+watchSlack, func(bytes int64) {
 		f.receiving.Store(true)
 		if bytes > emptyWatchBytes && f.OnWrites != nil {
-			f.OnWrites(revision)
+			f.OnWrites(from)
 		}
-	}), f.Kind, revision)
+	}), f.Kind, from)
 }
 
 // stepSnapshot reads the state and delivers it. It returns as step does.
-func (f *Feed) stepSnapshot(ctx context.Context, revision uint64, began time.Time) (uint64, error) {
+func (f *Feed) stepSnapshot(ctx context.Context, from Position, began time.Time) (Position, error) {
 	defer f.receiving.Store(false)
 	objs, next, err := f.Client.Snapshot(WithResponse(ctx, math.MaxInt64, func(int64) { f.receiving.Store(true) }), f.Kind)
 	if err != nil {
-		return revision, err
+		return from, err
 	}
 	if f.OnResponse != nil {
 		f.OnResponse()
 	}
+	f.noteRestore(next.Era)
 	f.stateBytes = 0
 	for _, o := range objs {
 		f.stateBytes += int64(len(o.Value))
 	}
 	if err := f.OnSnapshot(ctx, objs); err != nil {
-		return revision, err
+		return from, err
 	}
 	if f.OnSynced != nil {
-		f.OnSynced(revision, next, began)
+		f.OnSynced(from, next, began)
 	}
 	return next, nil
 }
--- a/internal/process/store/http.go
+++ b/internal/process/store/http.go
@@ -184,34 +184,45 @@
 }
 
 // Snapshot implements Client.
-func (h *HTTP) Snapshot(ctx context.Context, kind string) ([]Object, uint64, error) {
+func (h *HTTP) Snapshot(ctx context.Context, kind string) ([]Object, Position, error) {
 	return h.list(ctx, &Request{Op: OpList, Kind: kind})
 }
 
-func (h *HTTP) list(ctx context.Context, req *Request) ([]Object, uint64, error) {
+func (h *HTTP) list(ctx context.Context, req *Request) ([]Object, Position, error) {
 	resp, err := h.call(ctx, req)
 	if err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	objs, revision, err := h.opt.Codec.DecodeList(req, resp)
 	if err != nil {
-		return nil, 0, invalidResponse(err)
+		return nil, Position{}, invalidResponse(err)
 	}
-	return objs, revision, nil
+	return setEra(objs, resp.Era), Position{resp.Era, revision}, nil
+}
+
+func setEra(objs []Object, era uint64) []Object {
+	for i := range objs {
+		objs[i].Era = era
+	}
+	return objs
 }
 
 // Watch implements Client. A watch that times out without writes is not an error.
-func (h *HTTP) Watch(ctx context.Context, kind string, after uint64) ([]Object, uint64, error) {
-	req := &Request{Op: OpWatch, Kind: kind, After: after, WatchTimeout: watchTimeout(ctx)}
+func (h *HTTP) Watch(ctx context.Context, kind string, after Position) ([]Object, Position, error) {
+	req := &Request{Op: OpWatch, Kind: kind, After: after.Revision, WatchTimeout: watchTimeout(ctx)}
 	resp, err := h.call(ctx, req)
 	if err != nil {
 		return nil, after, err
 	}
+	if !after.IsZero() && resp.Era != after.Era {
+		// The new history has passed the revision, so that the store did not refuse it.
+		return nil, after, fmt.Errorf("store %s: era %d, want %d: %w", req.Op, resp.Era, after.Era, ErrGap)
+	}
 	objs, revision, err := h.opt.Codec.DecodeWatch(req, resp)
 	if err != nil {
 		return nil, after, invalidResponse(err)
 	}
-	return objs, max(after, revision), nil
+	return setEra(objs, resp.Era), Position{resp.Era, max(after.Revision, revision)}, nil
 }
 
 type watchTimeoutKey struct{}
@@ -266,6 +277,7 @@
 	if err != nil {
 		return Object{}, invalidResponse(err)
 	}
+	obj.Era = resp.Era
 	return obj, nil
 }
 
@@ -323,7 +335,10 @@
 		return nil, fmt.Errorf("store %s: %w: %w", op, noResponseError(op, connected.Load()), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	h.noteEra(h.opt.Codec.Era(resp.Header))
+	era, current := h.noteEra(h.opt.Codec.Era(resp.Header))
+	if !current {
+		return nil, fmt.Errorf("store %s: response of the earlier era %d: %w", op, era, noResponseError(op, true))
+	}
 	statusErr := statusError(op, resp.StatusCode)
 	limit := int64(maxResponseBytes)
 	if statusErr == nil {
@@ -342,18 +357,22 @@
 	case err != nil:
 		return nil, fmt.Errorf("store %s: %w: %w", op, noResponseError(op, true), err)
 	}
-	return &Response{Header: resp.Header, Body: body}, nil
+	return &Response{Header: resp.Header, Body: body, Era: era}, nil
 }
 
-// noteEra records the era of a response.
-func (h *HTTP) noteEra(era uint64) {
+// noteEra records the era that a response names, and returns that of the response. What a response of an earlier era says may be gone.
+func (h *HTTP) noteEra(named uint64) (era uint64, current bool) {
 	h.eraMu.Lock()
 	before := h.era
-	h.era = max(before, era)
+	h.era = max(before, named)
 	h.eraMu.Unlock()
-	if era > before && h.opt.OnEra != nil {
-		h.opt.OnEra(before, era)
+	if named > before && h.opt.OnEra != nil {
+		h.opt.OnEra(before, named)
+	}
+	if named == 0 {
+		return before, true
 	}
+	return named, named >= before
 }
 
 // noResponseError returns the error for a call without a valid response.
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -19,8 +19,8 @@
 	// ErrThrottled reports that the store's rate limit or the process's own call budget refused the call; it was not
 	// applied.
 	ErrThrottled = errors.New("store calls throttled")
-	// ErrGap reports that the history after the revision to watch from is no longer available; watch from 0, then list to
-	// find the writes that were missed.
+	// ErrGap reports that the history after the position to watch from is no longer available, or that the store has come back from
+	// an older copy and has another history; watch from the zero Position, then list to find the writes that were missed.
 	ErrGap = errors.New("store watch history no longer available")
 	// ErrLongResponse reports a response that exceeds the size given by WithResponse. Its rest was not read.
 	ErrLongResponse = errors.New("store response exceeds the expected size")
@@ -38,13 +38,16 @@
 	Name string
 	// Version changes with every update of the object and is not reused after a deletion.
 	Version uint64
-	// Revision is the store-wide sequence number of the write that produced this version.
-	Revision uint64
-	Value    []byte
+	// Revision is the store-wide sequence number, within the store's Era, of the write that produced this version.
+	Revision, Era uint64
+	Value         []byte
 	// Deleted is set only in watch results.
 	Deleted bool
 }
 
+// Position returns the position of the write that produced this version.
+func (o *Object) Position() Position { return Position{o.Era, o.Revision} }
+
 // Client calls the object API. Implementations are safe for concurrent use and honour the context's deadline.
 type Client interface {
 	// Get returns the object, or ErrNotFound.
@@ -57,11 +60,11 @@
 	Delete(ctx context.Context, obj Object) error
 	// List returns up to limit objects of kind in name order, with names that start with prefix and are greater than after.
 	List(ctx context.Context, kind, prefix, after string, limit int) ([]Object, error)
-	// Snapshot returns the first objects of kind in name order, as many as the platform puts into one response, and the revision at
+	// Snapshot returns the first objects of kind in name order, as many as the platform puts into one response, and the position at
 	// which they were read.
-	Snapshot(ctx context.Context, kind string) ([]Object, uint64, error)
-	// Watch waits up to 30 s for writes to kind after the revision, and returns them with the revision to continue from.
-	// With after 0 it returns the current revision at once, without objects. It fails with ErrGap if writes were missed or
-	// if the store's revision is lower than after.
-	Watch(ctx context.Context, kind string, after uint64) ([]Object, uint64, error)
+	Snapshot(ctx context.Context, kind string) ([]Object, Position, error)
+	// Watch waits up to 30 s for writes to kind after the position, and returns them with the position to continue from.
+	// After the zero Position it returns the current one at once, without objects. It fails with ErrGap if writes were missed, if
+	// the store has another era, or if its revision is lower than after.
+	Watch(ctx context.Context, kind string, after Position) ([]Object, Position, error)
 }
--- a/internal/process/store/storetest/contract.go
+++ b/internal/process/store/storetest/contract.go
@@ -115,9 +115,9 @@
 		_, _ = c.Create(ctx, "other", "y", nil)
 		_, _ = c.Update(ctx, first)
 	})
-	objs, next, err := c.Watch(ctx, "watch", first.Revision)
+	objs, next, err := c.Watch(ctx, "watch", first.Position())
 	wantError(t, err, nil)
-	if len(objs) != 1 || string(objs[0].Value) != "2" || next < objs[0].Revision {
+	if len(objs) != 1 || string(objs[0].Value) != "2" || next.Before(objs[0].Position()) {
 		t.Fatalf("watch after revision %d: %+v, next %d", first.Revision, objs, next)
 	}
 	wantError(t, c.Delete(ctx, objs[0]), nil)
@@ -126,13 +126,13 @@
 	if len(objs) != 1 || !objs[0].Deleted || objs[0].Name != "x" {
 		t.Errorf("watch after a deletion: %+v", objs)
 	}
-	_, current, err := c.Watch(ctx, "watch", 0)
+	_, current, err := c.Watch(ctx, "watch", store.Position{})
 	wantError(t, err, nil)
 	if current != next {
 		t.Errorf("watch after 0 returned revision %d, the last write had %d", current, next)
 	}
 	// After a store was restored from an older state, watches from a newer revision must fail, not wait.
-	_, _, err = c.Watch(ctx, "watch", next+1000)
+	_, _, err = c.Watch(ctx, "watch", store.Position{Era: next.Era, Revision: next.Revision + 1000})
 	wantError(t, err, store.ErrGap)
 	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer cancel()
--- a/internal/process/store/storetest/memory.go
+++ b/internal/process/store/storetest/memory.go
@@ -36,6 +36,7 @@
 	faults   Faults
 	hook     func(op store.Op, kind, name string) error
 	counts   Counts
+	era      uint64
 	revision uint64
 	version  uint64
 	objects  map[string]map[string]store.Object
@@ -231,7 +232,7 @@
 	}
 	m.revision++
 	m.version++
-	obj.Version, obj.Revision = m.version, m.revision
+	obj.Version, obj.Revision, obj.Era = m.version, m.revision, m.era
 	if m.objects[obj.Kind] == nil {
 		m.objects[obj.Kind] = map[string]store.Object{}
 	}
@@ -269,17 +270,17 @@
 }
 
 // Snapshot implements store.Client.
-func (m *Memory) Snapshot(ctx context.Context, kind string) ([]store.Object, uint64, error) {
+func (m *Memory) Snapshot(ctx context.Context, kind string) ([]store.Object, store.Position, error) {
 	m.mu.Lock()
-	revision := m.revision
+	at := store.Position{Era: m.era, Revision: m.revision}
 	m.mu.Unlock()
 	// Later writes may be among the objects; a watch from the revision delivers them again.
 	objs, err := m.List(ctx, kind, "", "", 0)
-	return objs, revision, err
+	return objs, at, err
 }
 
 // Watch implements store.Client.
-func (m *Memory) Watch(ctx context.Context, kind string, after uint64) ([]store.Object, uint64, error) {
+func (m *Memory) Watch(ctx context.Context, kind string, after store.Position) ([]store.Object, store.Position, error) {
 	f, err := m.beforeCall(ctx, store.OpWatch, kind, "")
 	if err != nil {
 		return nil, after, err
@@ -287,14 +288,14 @@
 	timer := time.NewTimer(store.MaxWatchTimeout)
 	defer timer.Stop()
 	for {
-		objs, revision, changed, err := m.since(kind, after)
-		if err != nil || len(objs) > 0 || after == 0 {
-			return objs, max(after, revision), firstError(m.afterCall(ctx, store.OpWatch, f), err)
+		objs, at, changed, err := m.since(kind, after)
+		if err != nil || len(objs) > 0 || after.IsZero() {
+			return objs, at, firstError(m.afterCall(ctx, store.OpWatch, f), err)
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil, max(after, revision), nil
+			return nil, at, nil
 		case <-ctx.Done():
 			return nil, after, store.ErrUnavailable
 		}
@@ -308,26 +309,27 @@
 	return second
 }
 
-// since returns the writes to kind after the revision, the current revision and a channel closed by the next write.
-func (m *Memory) since(kind string, after uint64) ([]store.Object, uint64, <-chan struct{}, error) {
+// since returns the writes to kind after the position, the current position and a channel closed by the next write.
+func (m *Memory) since(kind string, after store.Position) ([]store.Object, store.Position, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.faults.Outage {
 		return nil, after, nil, store.ErrUnavailable
 	}
-	if after > 0 && after < m.compacted || after > m.revision {
-		return nil, after, nil, store.ErrGap
+	at := store.Position{Era: m.era, Revision: m.revision}
+	if after.IsZero() {
+		return nil, at, nil, nil
 	}
-	if after == 0 {
-		return nil, m.revision, nil, nil
+	if after.Era != m.era || after.Revision < m.compacted || after.Revision > m.revision {
+		return nil, after, nil, store.ErrGap
 	}
 	var objs []store.Object
 	for _, obj := range m.log {
-		if obj.Kind == kind && obj.Revision > after {
+		if obj.Kind == kind && obj.Revision > after.Revision {
 			objs = append(objs, clone(obj))
 		}
 	}
-	return objs, m.revision, m.changed, nil
+	return objs, at, m.changed, nil
 }
 
 func clone(obj store.Object) store.Object {
