edge: the configuration for other edges is the one with the highest version

What callers could see: an edge that starts after the store came back from an older copy keeps the copy's configuration, although others have a newer one. Cause: an edge kept for others the object with the highest revision. A later version has a lower revision after a restore, so the others fetched an older one again and again. Change: the version decides. Evidence: TestEdgeThatStartsAfterARestoreGetsTheNewestConfiguration failed before (not within 5 s) and passes.

--- a/internal/app/edge/exchange.go
+++ b/internal/app/edge/exchange.go
@@ -36,8 +36,9 @@
 	client *http.Client
 
 	mu sync.Mutex
-	// current is the object of the configuration in force, for other edges.
+	// current is the object of the newest configuration, and version its number, for other edges.
 	current  store.Object
+	version  uint64
 	lag      versionLag
 	fetching bool
 }
@@ -49,12 +50,13 @@
 	}}
 }
 
-// applied records the object of the configuration that is now in force.
-func (x *configurationExchange) applied(o store.Object) {
+// applied records the object of a configuration that was put in force.
+func (x *configurationExchange) applied(version uint64, o store.Object) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if o.Revision > x.current.Revision {
-		x.current = o
+	// Not the revision: a store that comes back from an older copy gives revisions out again.
+	if version > x.version {
+		x.version, x.current = version, o
 	}
 }
 
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -166,7 +166,7 @@
 	if !e.applyConfiguration(v) {
 		return false
 	}
-	e.exchange.applied(o)
+	e.exchange.applied(v.Number, o)
 	e.deps.Log.Emit(eventlog.EdgeConfigured, eventlog.Version(v.Number), eventlog.Count(len(v.Routes)), eventlog.Source(by.source),
 		eventlog.Bytes(len(o.Value)), eventlog.Transfer(by.at.Sub(by.began)), eventlog.Took(time.Since(by.began)))
 	return true
