replicas: a restored list brings back no replica that has left

What callers could see: requests at replicas that drain or are gone, after the store came back from a copy in which they were ready (DRAIN). Cause: the registry took a list as it was. A restored one has replicas again that were removed, and ready ones that drain; and it lacks those that have registered since the copy, which were removed at once although they would write their entries again within two seconds. Change: a start that drains stays so, and one that was removed counts again once its entry is written in the new era. A new era is an outage for the entries that are missing.

--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -85,6 +85,7 @@
 			e.storeFailing.Store(false)
 			e.registry.StoreResponded(time.Now())
 		},
+		OnRestored: func(uint64) { e.registry.StoreRestored(time.Now()) },
 		OnSynced: func(from, to store.Position, began time.Time) {
 			e.publish(f, f.synchronized(kind, from, to, began))
 		},
--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -92,6 +92,8 @@
 	registrations map[string]registration
 	// leaving has the replicas that have said that they leave, by ID.
 	leaving map[string]leaving
+	// removed has the starts of replicas that were removed shortly before, by ID.
+	removed map[string]removal
 	// outageEnd is the end of the last outage of the store, or the zero time if there was none.
 	outageEnd time.Time
 	// graceEnd is until when registrations that expired in that outage are kept, and unconfirmedEnd until when if the store has not
@@ -127,7 +129,7 @@
 
 // NewRegistry returns a Registry without replicas.
 func NewRegistry() *Registry {
-	r := &Registry{registrations: map[string]registration{}, leaving: map[string]leaving{}}
+	r := &Registry{registrations: map[string]registration{}, leaving: map[string]leaving{}, removed: map[string]removal{}}
 	r.publish()
 	return r
 }
@@ -271,6 +273,16 @@
 	}
 }
 
+// StoreRestored records that the store has come back from an older copy: registrations since that copy are missing from its list until
+// their replicas write them again.
+func (r *Registry) StoreRestored(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.outageEnd) >= minOutage { // otherwise it is the outage that this process knows of
+		r.outageEnd, r.graceEnd, r.unconfirmedEnd = now, now.Add(minExpiryGrace), now.Add(maxUnconfirmedGrace)
+	}
+}
+
 // OutageEnd returns the end of the last outage, and whether registrations that expired in it are still kept.
 func (r *Registry) OutageEnd(now time.Time) (end time.Time, kept bool) {
 	r.mu.Lock()
@@ -279,13 +291,17 @@
 }
 
 // Replace applies a complete list and reports whether it changed anything. Registrations that are missing from the list
-// are removed, or kept for expiryGrace if the store was unavailable until shortly before.
+// are removed, or kept for expiryGrace if the store was unavailable until shortly before. What the list of a store that came back from an
+// older copy has again, although it was removed before, counts only once it is written again.
 func (r *Registry) Replace(list []Change, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	present := make(map[string]bool, len(list))
 	changed := false
 	for _, c := range list {
+		if r.isRevived(c) {
+			continue
+		}
 		present[c.ID] = c.Replica != nil
 		changed = r.apply(c, now) || changed
 	}
@@ -323,10 +339,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forgetLeaving(now, leavingRetention)
+	r.forgetRemoved(now)
 	var expired []string
 	for id, e := range r.registrations {
 		if !e.missingSince.IsZero() && !r.inExpiryGrace(now) {
-			delete(r.registrations, id)
+			r.forget(id, now)
 			expired = append(expired, id)
 		}
 	}
@@ -345,7 +362,11 @@
 	if c.Replica == nil {
 		return r.remove(c.ID, now)
 	}
+	delete(r.removed, c.ID)
 	next := registration{Replica: *c.Replica, revision: c.Revision, era: c.Era}
+	if c.Era > old.era && old.Draining && isSameKnownStart(&old.Replica, c.Replica) {
+		next.Draining = true // the copy is older than the write that said so
+	}
 	r.registrations[c.ID] = next
 	return !known || old.Replica != next.Replica || !old.missingSince.IsZero()
 }
@@ -356,7 +377,7 @@
 	e, ok := r.registrations[id]
 	switch {
 	case ok && (e.Draining || !r.inExpiryGrace(now)):
-		delete(r.registrations, id)
+		r.forget(id, now)
 		return true
 	case ok && e.missingSince.IsZero():
 		e.missingSince = now
