direct: a reset during an upload is not the end of a body

Cause: a replica answers a long upload at once with a body that ends with its connection, and resets the connection. The kernel reports the reset once, to the write of the request; the read after it returns the end of the stream, and another connection to the replica shows that its process lives. Change: a body that ends with its connection is whole only if the request was written without an error. Evidence: TestResetDuringAnUploadIsNotEndOfBody failed before in all four cases (reset with a length and in chunks, close with unread bytes, half close) and passes, 20 runs each.

--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -607,3 +607,86 @@
 		response.Close()
 	}
 }
+
+// uploadServer responds to each request before it has read the body, of which it reads nothing, and ends the connection.
+func uploadServer(t *testing.T, response string, end func(conn *net.TCPConn)) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, response)
+				time.Sleep(50 * time.Millisecond)
+				end(conn.(*net.TCPConn))
+			}()
+		}
+	}()
+	return l
+}
+
+// Guards against a part of a body without a length that looks complete because its connection was reset during a long upload: the write
+// of the request takes the error of the reset, after which a read reports the end of the body.
+func TestResetDuringAnUploadIsNotEndOfBody(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n\r\na part of the body"
+	for name, c := range map[string]struct {
+		chunked bool
+		end     func(conn *net.TCPConn)
+	}{
+		"reset":               {false, func(conn *net.TCPConn) { _ = conn.SetLinger(0); _ = conn.Close() }},
+		"reset, chunked":      {true, func(conn *net.TCPConn) { _ = conn.SetLinger(0); _ = conn.Close() }},
+		"close, unread bytes": {false, func(conn *net.TCPConn) { _ = conn.Close() }},
+		"half closed, reset": {false, func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for range 20 {
+				l := uploadServer(t, part, c.end)
+				request := &direct.Request{
+					Address: l.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Chunked: c.chunked,
+					Body: []byte(strings.Repeat("x", 16<<20)),
+				}
+				if body, err := do(t, direct.NewPool(), request); err == nil {
+					t.Fatalf("%q was returned as a complete body", body)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a response that was cut within its head, or within the framing of its body, and is returned with an empty or short body.
+func TestResponseCutAtEachByte(t *testing.T) {
+	for name, response := range map[string]string{
+		"length":    "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Attempt: 1\r\n\r\ntwelve bytes",
+		"chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Attempt: 1\r\n\r\n5\r\n12345\r\n0\r\n\r\n",
+		"trailer":   "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\nX-T: 1\r\n\r\n",
+		"no length": "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nContent-Type: text/plain\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for cut := 1; cut < len(response); cut++ {
+				s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+					_, _ = io.WriteString(conn, response[:cut])
+					return false
+				})
+				if body, err := do(t, direct.NewPool(), newRequest(s, "1")); err == nil {
+					t.Errorf("%q was returned as a response with the body %q", response[:cut], body)
+				}
+			}
+		})
+	}
+}
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -393,7 +393,7 @@
 type exchange struct {
 	pool *Pool
 	conn *conn
-	// written receives the result of writing the request.
+	// written receives the result of writing the request, and keeps it.
 	written chan error
 	// witness is set while the response is one that ends with its connection.
 	witness *witness
@@ -476,19 +476,20 @@
 // writtenWhole reports whether the request was written completely. It is false if the upstream responded before it had read
 // the whole request body.
 func (x *exchange) writtenWhole() bool {
+	var err error
 	select {
-	case err := <-x.written:
-		return err == nil
+	case err = <-x.written:
 	default:
+		timer := time.NewTimer(maxWriteDelay)
+		defer timer.Stop()
+		select {
+		case err = <-x.written:
+		case <-timer.C:
+			return false
+		}
 	}
-	timer := time.NewTimer(maxWriteDelay)
-	defer timer.Stop()
-	select {
-	case err := <-x.written:
-		return err == nil
-	case <-timer.C:
-		return false
-	}
+	x.written <- err // for the next call
+	return err == nil
 }
 
 // fail closes the connection.
@@ -506,12 +507,18 @@
 // errReplicaGone reports a body that ended with its connection, as did another connection to the replica.
 var errReplicaGone = errors.New("the connection ended because the replica is gone")
 
+// errEndInRequest reports a body that ended with its connection before the request was written. A reset is reported to the write of the
+// request, and the end of the body then looks like a regular one.
+var errEndInRequest = errors.New("the connection ended before the request was written")
+
 // Read reads the body. io.EOF means that the body is complete.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	x := r.exchange
 	switch {
 	case x.witness == nil:
+	case errors.Is(err, io.EOF) && !r.complete && !x.writtenWhole():
+		return n, errEndInRequest
 	case errors.Is(err, io.EOF) && !r.complete && !x.witness.processRuns():
 		return n, errReplicaGone
 	case err == nil && time.Since(x.witness.opened) > witnessMaxAge:
