direct: a response with an undefined status is none

Here a status below 100 was taken for an interim response, so that the body after it was read as the next response and could be passed on; one above 599 was passed on. Change: a status outside of 100 to 599 fails the attempt and closes the connection. Evidence: TestInvalidStatusIsNoResponse failed before for six of nine statuses, among them 000 whose body was returned as the response, and passes.

--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -40,6 +40,8 @@
 	// maxHeadBytes bounds a status line with its headers, in bytes. It is four times the bound on callers' headers in the
 	// published deployment specifications.
 	maxHeadBytes = 64 << 10
+	// maxStatus is the highest status that HTTP defines a class for.
+	maxStatus = 599
 	// maxInterim bounds the interim (1xx) responses before a response.
 	maxInterim = 8
 	// maxDiscardedBytes bounds the body of a response to another request that is read to reach the next response, in bytes.
@@ -52,6 +54,7 @@
 	errHeadMemory     = errors.New("no memory is left for the response header")
 	errTooManyInterim = errors.New("too many interim responses")
 	errUpgraded       = errors.New("the upstream switched protocols")
+	errInvalidStatus  = errors.New("the status of the response is not defined")
 )
 
 // headReader reads from a connection and fails when a response header exceeds its bound, or the memory of the process.
@@ -129,6 +132,8 @@
 		switch {
 		case err != nil:
 			return nil, err
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus:
+			return nil, errInvalidStatus
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errUpgraded // no request asks for it, and no response can follow
 		case resp.StatusCode >= http.StatusOK:
--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -668,6 +668,21 @@
 	}
 }
 
+// Guards against a status outside of 100 to 599 that is passed on, or taken for an interim response, so that its body would be read as
+// the response.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	smuggled := okResponse("1", "body")
+	for _, status := range []string{"000", "001", "099", "600", "999", "-01", "+20", "20", "2000"} {
+		s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Status\r\nX-Attempt: 1\r\nContent-Length: %d\r\n\r\n%s", status, len(smuggled), smuggled)
+			return false
+		})
+		if body, err := do(t, direct.NewPool(), newRequest(s, "1")); err == nil {
+			t.Errorf("status %s: %q was returned as a response", status, body)
+		}
+	}
+}
+
 // Guards against a response that was cut within its head, or within the framing of its body, and is returned with an empty or short body.
 func TestResponseCutAtEachByte(t *testing.T) {
 	for name, response := range map[string]string{
