--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -126,6 +126,13 @@
 	return f.position
 }
 
+// Era returns the latest era of the store in which the Feed has read.
+func (f *Feed) Era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 func (f *Feed) setPosition(p Position, syncedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
