lease: a new era of the store ends all terms, and its fencing numbers begin higher

Cause: a lease and its number are revisions of one history. After a restore a candidate took over a record of the copy, or created a missing one with number 1, while a holder of the lost history could still act; late writes of the era before replaced records. Change: a response of another era ends the holder's term; nobody acquires before a whole duration has passed in the new era; numbers of an era begin above all of the one before, by the time of day where the record is not of this era. Announcements name the era. Until a store has come back once, nothing changes: no call and no wait more.

--- a/internal/app/edge/duties.go
+++ b/internal/app/edge/duties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -29,11 +30,20 @@
 		Store: e.deps.Store, Platform: e.deps.Platform, Counts: counts, Orders: orders,
 		Clock: boottime.Now, Wall: boottime.Now, // the counter takes times of the boot-time clock
 		Rank: func() int { return e.gossip.Rank(true) }, Live: e.liveEdges,
+		TrueTime: e.trueTime,
 		Announce: func(a duty.Announcement) { e.broadcast(dutiesBroadcast, &a) },
 		Log:      e.deps.Log, Metrics: e.deps.Metrics,
 	})
 }
 
+// trueTime returns the time of day as the edges agree on it, where they exchange it.
+func (e *Edge) trueTime() time.Time {
+	if e.tally == nil {
+		return time.Now()
+	}
+	return e.tally.clock.Now()
+}
+
 // liveEdges returns the addresses of the other live edges.
 func (e *Edge) liveEdges() []string {
 	peers := e.gossip.LivePeers()
--- a/internal/app/entry/order_test.go
+++ b/internal/app/entry/order_test.go
@@ -25,7 +25,7 @@
 	clockOffset := 0 * time.Second
 	holder := func(name string) *lease.Lease {
 		return lease.New(lease.Settings{
-			Store: f.store, Name: "models/lm-pool", Holder: name, Duration: time.Second, Term: rand.Text,
+			Store: f.store, Name: "models/lm-pool", Holder: name, Duration: time.Second, Time: time.Now, Term: rand.Text,
 			Clock: func() time.Time { return time.Now().Add(clockOffset) },
 		})
 	}
--- a/internal/process/duty/duty.go
+++ b/internal/process/duty/duty.go
@@ -68,8 +68,8 @@
 // Announcement is what the holder tells the other edges about its lease.
 type Announcement struct {
 	_ struct{} `cbor:",toarray"`
-	// Version is the version of the lease that the holder has written last, and Fence its fencing number.
-	Version, Fence uint64
+	// Version is the version of the lease that the holder has written last, in the Era of the store, and Fence its fencing number.
+	Version, Fence, Era uint64
 	// Released is set when the holder has given the lease up.
 	Released bool
 }
--- a/internal/process/duty/holding.go
+++ b/internal/process/duty/holding.go
@@ -43,6 +43,9 @@
 		n.announce(fence, false)
 		n.setRenewal(now.Add(n.duration / renewalsPerLease))
 		return n.duration / renewalsPerLease
+	case errors.Is(err, lease.ErrRestored):
+		n.lost("restored", now)
+		return 0
 	case errors.Is(err, lease.ErrLost):
 		n.lost("replaced", now)
 		return 0
@@ -92,7 +95,7 @@
 	switch {
 	case err == nil:
 		n.holds, n.fence, n.since = true, fence, now
-		n.holder, n.holderVersion = n.opts.Address, n.lease.Version()
+		n.holder, n.holderPosition = n.opts.Address, n.lease.Position()
 		n.renewAt = now.Add(n.duration / renewalsPerLease)
 	case errors.Is(err, lease.ErrHeld):
 		n.election.heard(now)
@@ -163,5 +166,6 @@
 }
 
 func (n *Node) announce(fence uint64, released bool) {
-	n.opts.Announce(Announcement{Version: n.lease.Version(), Fence: fence, Released: released})
+	position := n.lease.Position()
+	n.opts.Announce(Announcement{Version: position.Revision, Era: position.Era, Fence: fence, Released: released})
 }
--- a/internal/process/duty/node.go
+++ b/internal/process/duty/node.go
@@ -66,6 +66,8 @@
 	Orders Orders
 	// Clock is boottime.Now; Wall is time.Now, for Counts.
 	Clock, Wall func() time.Time
+	// TrueTime is the time of day, as far as the edges agree on it.
+	TrueTime func() time.Time
 	// Rank returns the number of live edges before this one in the order of addresses, Live the addresses of the other live edges.
 	Rank func() int
 	Live func() []string
@@ -81,10 +83,10 @@
 	Renew(ctx context.Context) error
 	Release(ctx context.Context) error
 	Abandon()
-	Heard(version uint64)
+	Heard(write store.Position, fence uint64)
 	Held(now time.Time) (fence uint64, ok bool)
 	Remaining(now time.Time) (fence uint64, remaining time.Duration)
-	Version() uint64
+	Position() store.Position
 	Attach(value json.RawMessage)
 	Attached() json.RawMessage
 }
@@ -105,9 +107,9 @@
 
 	mu       sync.Mutex
 	election election
-	// holder is the address of the current holder as last heard, holderVersion the version that it has announced.
-	holder        string
-	holderVersion uint64
+	// holder is the address of the current holder as last heard, holderPosition that of the lease's write that it has announced.
+	holder         string
+	holderPosition store.Position
 	// holds is set from an acquisition to the loss of the lease, fence its number, since its time, and renewAt the next renewal.
 	holds   bool
 	fence   uint64
@@ -143,7 +145,7 @@
 	return &Node{
 		opts: o, duration: duration,
 		lease: lease.New(lease.Settings{
-			Store: o.Store, Name: LeaseName, Holder: o.Name + "@" + o.Address, Duration: duration, Clock: o.Clock, Term: rand.Text,
+			Store: o.Store, Name: LeaseName, Holder: o.Name + "@" + o.Address, Duration: duration, Clock: o.Clock, Time: o.TrueTime, Term: rand.Text,
 		}),
 		wakeLease: make(chan struct{}, 1), wakeReports: make(chan struct{}, 1), acting: make(chan struct{}, 1), left: make(chan struct{}),
 		edges: map[string]time.Time{},
@@ -212,18 +214,19 @@
 	fence, _ := n.Fence()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return Status{Holder: n.holder, Fence: fence, Version: n.holderVersion}
+	return Status{Holder: n.holder, Fence: fence, Version: n.holderPosition.Revision}
 }
 
 // Heard applies an announcement of another edge.
 func (n *Node) Heard(from string, a Announcement) {
-	n.lease.Heard(a.Version)
+	write := store.Position{Era: a.Era, Revision: a.Version}
+	n.lease.Heard(write, a.Fence)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if a.Version <= n.holderVersion {
+	if !n.holderPosition.Before(write) {
 		return
 	}
-	n.holder, n.holderVersion = from, a.Version
+	n.holder, n.holderPosition = from, write
 	now := n.opts.Clock()
 	if a.Released {
 		n.holder = ""
--- a/internal/process/duty/reports_test.go
+++ b/internal/process/duty/reports_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/dragonflypin/dragonflypin/internal/process/lease"
 	"github.com/dragonflypin/dragonflypin/internal/process/settings"
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
+	"github.com/dragonflypin/dragonflypin/internal/process/store/storetest"
 	"github.com/dragonflypin/dragonflypin/internal/process/tally"
 )
 
@@ -249,7 +251,7 @@
 		counts.error.Store(int64(time.Minute))
 		node := New(Options{
 			Duties: settings.Duties{ReportUsage: true, Lease: 3 * time.Second, Window: 5 * time.Second, ReportBound: 10 * time.Second},
-			Counts: counts, Clock: time.Now, Wall: time.Now, Rank: func() int { return 0 }, Live: func() []string { return nil },
+			Counts: counts, Clock: time.Now, Wall: time.Now, Rank: func() int { return 0 }, Live: func() []string { return nil }, Store: storetest.New(),
 		})
 		l := &startRecorder{}
 		node.lease = l
@@ -278,7 +280,7 @@
 
 func (l *grantedLease) Acquire(context.Context) (uint64, error) { return 1, nil }
 func (l *grantedLease) Held(time.Time) (uint64, bool)           { return 1, true }
-func (l *grantedLease) Version() uint64                         { return 1 }
+func (l *grantedLease) Position() store.Position                { return store.Position{Era: 1, Revision: 1} }
 func (l *grantedLease) Renew(context.Context) error             { l.renewals++; return nil }
 func (l *grantedLease) Release(context.Context) error           { l.releases++; return nil }
 
@@ -290,7 +292,7 @@
 	} {
 		now := time.Unix(1000, 0)
 		l := &grantedLease{}
-		n := New(Options{Clock: func() time.Time { return now }, Rank: func() int { return 0 }, Announce: func(Announcement) {}})
+		n := New(Options{Clock: func() time.Time { return now }, Rank: func() int { return 0 }, Announce: func(Announcement) {}, Store: storetest.New()})
 		n.lease = l
 		n.compete(t.Context(), now)
 		run(n, now)
--- a/internal/process/duty/sim_test.go
+++ b/internal/process/duty/sim_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -154,7 +155,7 @@
 	node := New(Options{
 		Duties: settings.Duties{ReportUsage: true, OrderReplicas: e.sim.orders, CallsPerSecond: simRate, Lease: simLease, Window: simWindow, ReportBound: simBound},
 		Name:   fmt.Sprintf("edge-%d", e.id), Address: e.address,
-		Store: client, Platform: client, Counts: &simCounts{edge: e, generation: generation}, Clock: e.clock, Wall: time.Now,
+		Store: client, Platform: client, Counts: &simCounts{edge: e, generation: generation}, Clock: e.clock, Wall: time.Now, TrueTime: time.Now,
 		Orders: &simOrders{edge: e}, Rank: e.rank, Live: e.live, Announce: e.announce,
 	})
 	if l, ok := node.lease.(*lease.Lease); ok {
@@ -310,8 +311,16 @@
 
 	edge       *simEdge
 	generation int
+	// era is that of the last response.
+	era atomic.Uint64
 }
 
+// Era implements store.Client.
+func (c *simClient) Era() uint64 { return c.era.Load() }
+
+// noteEra records the era of a response. The caller holds the lock of the store.
+func (c *simClient) noteEra() { c.era.Store(c.edge.sim.era) }
+
 // enter waits for the store. It returns an error if the call was not carried out.
 func (c *simClient) enter(ctx context.Context) error {
 	c.edge.pause()
@@ -355,6 +364,7 @@
 	s.mu.Lock()
 	obj, ok := s.objects[kind+"/"+name]
 	era := s.era
+	c.noteEra()
 	s.mu.Unlock()
 	sleep(ctx, s.random(4*time.Millisecond))
 	c.edge.pause()
@@ -385,6 +395,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.objects, obj.Kind+"/"+obj.Name)
+	c.noteEra()
 	return nil
 }
 
@@ -411,6 +422,11 @@
 		return store.Object{}, err
 	}
 	written, err := s.apply(obj, create)
+	if !lost {
+		s.mu.Lock()
+		c.noteEra()
+		s.mu.Unlock()
+	}
 	if lost {
 		<-ctx.Done()
 		c.edge.pause()
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -114,7 +114,7 @@
 // Events of the duties at the platform.
 var (
 	DutiesAcquired  = define(1601, "duties_acquired", logrus.InfoLevel, "This edge holds the duties at the platform; fence is its fencing number.")
-	DutiesLost      = define(1602, "duties_lost", logrus.WarnLevel, "This edge no longer holds the duties: its lease could not be renewed (reason expired) or another edge has it (reason replaced).")
+	DutiesLost      = define(1602, "duties_lost", logrus.WarnLevel, "This edge no longer holds the duties: its lease could not be renewed (reason expired), another edge has it (reason replaced), or the store came back from an older copy (reason restored).")
 	DutiesReleased  = define(1603, "duties_released", logrus.InfoLevel, "This edge has given up the duties; without settled the next edge waits for the end of the lease, because a call may still arrive.")
 	UsageSealed     = define(1604, "usage_sealed", logrus.InfoLevel, "The usage of a window is stored and will not change; count is the number of segments. Without complete, an edge had not sent its final counts in time.")
 	UsageReported   = define(1605, "usage_reported", logrus.InfoLevel, "The platform has accepted the usage of a window in time.")
--- a/internal/process/lease/fake_test.go
+++ b/internal/process/lease/fake_test.go
@@ -38,6 +38,8 @@
 	return lost, !lost || f.rng.IntN(2) == 0, nil
 }
 
+func (f *fakeStore) Era() uint64 { return 1 }
+
 func (f *fakeStore) wait() {
 	if f.delay > 0 {
 		f.mu.Lock()
--- a/internal/process/lease/late_test.go
+++ b/internal/process/lease/late_test.go
@@ -150,9 +150,9 @@
 			if err := a.Renew(t.Context()); err != nil {
 				t.Fatal(err)
 			}
-			b.Heard(a.Version())
+			b.Heard(a.Position(), 1)
 		}
-		b.Heard(1) // a message that is older than others
+		b.Heard(store.Position{Era: 1, Revision: 1}, 1) // a message that is older than others
 		s.reads = 0
 		time.Sleep(leaseDuration - time.Millisecond)
 		if _, err := b.Acquire(t.Context()); !errors.Is(err, ErrHeld) {
--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -27,6 +27,8 @@
 	ErrHeld = errors.New("lease held by another process")
 	// ErrLost reports that this process does not have the lease to renew, or that another process has acquired it.
 	ErrLost = errors.New("lease lost")
+	// ErrRestored reports that this process no longer has the lease because the store came back from an older copy.
+	ErrRestored = errors.New("lease lost with the store's history")
 )
 
 // record is the stored value of a lease object.
@@ -76,6 +78,8 @@
 	// Clock is boottime.Now, which also counts the time for which the machine is suspended, or virtual in tests. Only
 	// differences of its times are used.
 	Clock func() time.Time
+	// Time is the time of day. It is only used for the first fencing numbers after the store came back from an older copy.
+	Time func() time.Time
 	// Term returns a globally unique string, for example crypto/rand.Text.
 	Term func() string
 }
@@ -104,6 +108,11 @@
 	writes uint64
 	sentAt map[uint64]time.Time
 
+	// era is the latest era of the store that is known, and eraSince since when, or the zero time if nothing was lost before it.
+	era      uint64
+	eraSince time.Time
+	// heardFence is the highest fencing number of other holders that this process has heard of.
+	heardFence uint64
 	// seenVersion is the last version seen, and seenAt when it was first seen. Its holder has expired once the duration
 	// has passed since then.
 	seenVersion uint64
@@ -138,11 +147,11 @@
 	return l.rec.Fence, l.held && now.Before(l.validUntil)
 }
 
-// Version returns the version of the holder's last write that is known to have taken effect.
-func (l *Lease) Version() uint64 {
+// Position returns the position of the holder's last write that is known to have taken effect.
+func (l *Lease) Position() store.Position {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.obj.Version
+	return store.Position{Era: l.era, Revision: l.obj.Version}
 }
 
 // Attached returns the value that the previous holder has attached, or the last one that this holder has.
@@ -159,13 +168,16 @@
 	l.attached = value
 }
 
-// Heard records that the holder has told this process of the version of its last write. A candidate that hears it counts the
-// duration from then on without a store call.
-func (l *Lease) Heard(version uint64) {
+// Heard records that a holder has told this process of its fencing number and of the position of its last write. A candidate that hears
+// it counts the duration from then on without a store call.
+func (l *Lease) Heard(write store.Position, fence uint64) {
+	now := l.settings.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if version > l.seenVersion {
-		l.seenVersion, l.seenAt = version, l.settings.Clock()
+	l.heardFence = max(l.heardFence, fence)
+	l.enterEra(write.Era, now)
+	if write.Era == l.era && write.Revision > l.seenVersion {
+		l.seenVersion, l.seenAt = write.Revision, now
 	}
 }
 
@@ -184,25 +196,37 @@
 	l.givenUp = false
 	l.mu.Unlock()
 	obj, err := l.get(ctx)
-	if errors.Is(err, store.ErrNotFound) {
-		obj = store.Object{Kind: Kind, Name: l.settings.Name}
-		return l.put(ctx, obj, record{Term: l.newTerm(obj.Version, nil), Fence: 1})
-	}
-	if err != nil {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return 0, fmt.Errorf("read lease %s: %w", l.settings.Name, err)
 	}
+	l.noteEra()
+	mayBeHeld := l.mayBeHeld()
+	switch {
+	case err != nil && mayBeHeld:
+		return 0, ErrHeld
+	case err != nil:
+		obj = store.Object{Kind: Kind, Name: l.settings.Name}
+		return l.put(ctx, obj, record{Term: l.newTerm(obj.Version, nil), Fence: l.nextFence(0)})
+	}
 	var rec record
 	if err := json.Unmarshal(obj.Value, &rec); err != nil {
 		return 0, fmt.Errorf("lease %s has an invalid value: %w", l.settings.Name, err)
 	}
-	if !rec.Released && rec.Term == l.term {
+	if !rec.Released && l.isOwnTerm(rec.Term) {
 		// An earlier write of this process took effect although its response was lost.
 		return l.put(ctx, obj, rec)
 	}
-	if !rec.Released && !l.expired(obj, rec) {
+	if expired := l.expired(obj, rec); mayBeHeld || !expired && !(rec.Released && l.isOfThisEra(rec.Fence)) {
 		return 0, ErrHeld
 	}
-	return l.put(ctx, obj, record{Term: l.newTerm(obj.Version, rec.Attached), Fence: rec.Fence + 1, Recent: rec.successor()})
+	return l.put(ctx, obj, record{Term: l.newTerm(obj.Version, rec.Attached), Fence: l.nextFence(rec.Fence), Recent: rec.successor()})
+}
+
+// isOwnTerm reports whether the term is that of this process's last attempt, in the current era.
+func (l *Lease) isOwnTerm(term string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return term == l.term
 }
 
 // newTerm returns the term for an acquisition that replaces a version. It is that of the previous attempt if that one would
@@ -302,10 +326,15 @@
 	}
 	obj.Value = value
 	written, err := l.writeObject(ctx, obj)
+	if l.noteEra(); !l.isOwnTerm(rec.Term) {
+		return 0, ErrRestored
+	}
 	if errors.Is(err, store.ErrUnknown) || errors.Is(err, store.ErrConflict) {
 		written, err = l.readBack(ctx, rec, err)
 	}
 	switch {
+	case errors.Is(err, ErrRestored):
+		return 0, ErrRestored
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
 		l.markLost()
 		return 0, ErrHeld
@@ -340,6 +369,9 @@
 // sent, and the next write replaces it.
 func (l *Lease) readBack(ctx context.Context, rec record, cause error) (store.Object, error) {
 	obj, err := l.get(ctx)
+	if l.noteEra(); !l.isOwnTerm(rec.Term) {
+		return store.Object{}, ErrRestored
+	}
 	if errors.Is(err, store.ErrNotFound) {
 		return store.Object{}, store.ErrUnknown
 	}
--- a/internal/process/store/http.go
+++ b/internal/process/store/http.go
@@ -360,6 +360,13 @@
 	return &Response{Header: resp.Header, Body: body, Era: era}, nil
 }
 
+// Era implements Client.
+func (h *HTTP) Era() uint64 {
+	h.eraMu.Lock()
+	defer h.eraMu.Unlock()
+	return h.era
+}
+
 // noteEra records the era that a response names, and returns that of the response. What a response of an earlier era says may be gone.
 func (h *HTTP) noteEra(named uint64) (era uint64, current bool) {
 	h.eraMu.Lock()
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -50,6 +50,8 @@
 
 // Client calls the object API. Implementations are safe for concurrent use and honour the context's deadline.
 type Client interface {
+	// Era returns the latest era of the store that a response has named, 0 before the first one.
+	Era() uint64
 	// Get returns the object, or ErrNotFound.
 	Get(ctx context.Context, kind, name string) (Object, error)
 	// Create writes a new object, or fails with ErrConflict if the name exists.
--- a/internal/process/store/storetest/memory.go
+++ b/internal/process/store/storetest/memory.go
@@ -269,6 +269,13 @@
 	return objs, m.afterCall(ctx, store.OpList, f)
 }
 
+// Era implements store.Client.
+func (m *Memory) Era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
 // Snapshot implements store.Client.
 func (m *Memory) Snapshot(ctx context.Context, kind string) ([]store.Object, store.Position, error) {
 	m.mu.Lock()
