duty: edges keep the usage of sealed windows, and a restored store gets it again

Cause: that a window was sealed and reported stood in the store only. After a restore the next holder counted it again. Change: the holder tells all live edges the sum of a window before it reports it and after that; each keeps 64 windows. A new holder in a later era waits half a second for them to tell what they know, writes those windows again and reports only what is not known to be reported.

--- a/internal/app/edge/duties.go
+++ b/internal/app/edge/duties.go
@@ -30,9 +30,11 @@
 		Store: e.deps.Store, Platform: e.deps.Platform, Counts: counts, Orders: orders,
 		Clock: boottime.Now, Wall: boottime.Now, // the counter takes times of the boot-time clock
 		Rank: func() int { return e.gossip.Rank(true) }, Live: e.liveEdges,
-		TrueTime: e.trueTime,
-		Announce: func(a duty.Announcement) { e.broadcast(dutiesBroadcast, &a) },
-		Log:      e.deps.Log, Metrics: e.deps.Metrics,
+		TrueTime:       e.trueTime,
+		Announce:       func(a duty.Announcement) { e.broadcast(dutiesBroadcast, &a) },
+		AnnounceWindow: func(w duty.WindowNews) { e.broadcast(windowBroadcast, &w) },
+		TellWindow:     e.tellWindow,
+		Log:            e.deps.Log, Metrics: e.deps.Metrics,
 	})
 }
 
@@ -44,6 +46,23 @@
 	return e.tally.clock.Now()
 }
 
+func (e *Edge) tellWindow(to string, w duty.WindowNews) {
+	if address, err := netip.ParseAddr(to); err == nil {
+		e.sendTo(address, windowBroadcast, &w)
+	}
+}
+
+func (e *Edge) onWindow(payload []byte) error {
+	var w duty.WindowNews
+	if err := cbor.Unmarshal(payload, &w); err != nil {
+		return err
+	}
+	if e.duties != nil {
+		e.duties.HeardWindow(w)
+	}
+	return nil
+}
+
 // liveEdges returns the addresses of the other live edges.
 func (e *Edge) liveEdges() []string {
 	peers := e.gossip.LivePeers()
--- a/internal/app/edge/update.go
+++ b/internal/app/edge/update.go
@@ -36,6 +36,7 @@
 	leavingBroadcast
 	dutiesBroadcast
 	tallyBroadcast
+	windowBroadcast
 )
 
 // evidence tells the other edges what a request of this one has shown about a replica.
@@ -304,6 +305,8 @@
 		return e.onDuties(from, message)
 	case tallyBroadcast:
 		return e.onTally(from, message)
+	case windowBroadcast:
+		return e.onWindow(message)
 	default:
 		return errUnknownBroadcast
 	}
--- a/internal/process/duty/calls.go
+++ b/internal/process/duty/calls.go
@@ -27,6 +27,9 @@
 		return pollInterval
 	}
 	if n.reports == nil || n.reports.holder.Fence != fence {
+		if wait := n.newsWait(now); wait > 0 {
+			return wait
+		}
 		n.begin(fence)
 	}
 	if n.isolated(now) {
@@ -46,9 +49,31 @@
 	return wait
 }
 
+// newsTime is the time after an acquisition, once the store has come back from an older copy, in which the other edges tell the holder
+// which windows they know.
+const newsTime = 500 * time.Millisecond
+
+// newsWait returns for how long a new holder still waits for the other edges, because the store may lack what they know.
+func (n *Node) newsWait(now time.Time) time.Duration {
+	if n.opts.Store.Era() <= firstEra {
+		return 0
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.since.Add(newsTime).Sub(now)
+}
+
 // begin starts the work of a new term.
 func (n *Node) begin(fence uint64) {
-	n.reports = newReports(Holder{Name: n.opts.Name, Fence: fence}, n.opts.Duties.ReportBound, n.lease.Attached(), n.startWindow)
+	attached, era := n.lease.Attached(), n.opts.Store.Era()
+	n.reports = newReports(Holder{Name: n.opts.Name, Fence: fence}, n.opts.Duties.ReportBound, attached, n.startWindow, era, &n.known)
+	if n.opts.Duties.ReportUsage && era > firstEra {
+		if isRestored(attached, era) {
+			n.reports.recover(n.opts.Counts, n.opts.Wall(), n.mayBeLost)
+			n.logSkipped()
+		}
+		n.reports.useKnown()
+	}
 	n.unreached = 0
 	n.lease.Attach(n.reports.state())
 	if n.opts.Orders != nil {
@@ -56,6 +81,23 @@
 	}
 }
 
+// mayBeLost reports whether another holder may have reported the window in the lost history although this edge does not know its usage.
+// It can't have if the window ended in the new era; nor if this edge has heard all holders since its end, no other edge knows of the window,
+// and at least one has said so, if there are others.
+func (n *Node) mayBeLost(window uint64, ended time.Duration) bool {
+	end := n.opts.Clock().Add(-ended)
+	n.mu.Lock()
+	eraSince, holderSince, heard := n.eraSince, n.since, n.heardBefore
+	n.mu.Unlock()
+	if len(n.opts.Live()) == 0 {
+		holderSince = time.Time{}
+	}
+	if !end.Before(eraSince) {
+		return false
+	}
+	return !heard.covers(end, eraSince) || n.known.mayHave(window, holderSince)
+}
+
 // order sends the next order, if there is one, and returns the time until the next step.
 func (n *Node) order(ctx context.Context, now time.Time) time.Duration {
 	if !n.opts.Duties.OrderReplicas || n.opts.Orders == nil {
@@ -147,6 +189,22 @@
 		n.opts.Log.Emit(eventlog.UsageFailed, eventlog.Window(s.window), eventlog.Err(err))
 	}
 	n.reports.onStored(s, outcome, nil, stored{obj.Version}, n.opts.Clock())
+	n.announceSealed(s.window)
+}
+
+// announceSealed tells the other edges the usage of a window before it is reported. An edge that has lost the lease meanwhile may have sealed
+// it in another history of the store than the one in which a later holder has reported it.
+func (n *Node) announceSealed(window uint64) {
+	fence, remaining := n.lease.Remaining(n.opts.Clock())
+	if w := n.reports.open[window]; w != nil && w.phase == sealed && remaining > 0 && fence == n.reports.holder.Fence {
+		n.announceWindow(w.content, false)
+	}
+}
+
+func (n *Node) announceWindow(content *Window, reported bool) {
+	for _, news := range n.known.record(content, reported) {
+		n.opts.AnnounceWindow(news)
+	}
 }
 
 func (n *Node) read(ctx context.Context, s step) {
@@ -162,10 +220,32 @@
 		}
 		content = &decoded
 	}
+	if outcome == storeDone {
+		obj, outcome = n.replaceUnknown(ctx, s.window, content, obj)
+	}
 	if err != nil && outcome != storeAbsent {
 		n.opts.Log.Emit(eventlog.UsageFailed, eventlog.Window(s.window), eventlog.Err(err))
 	}
 	n.reports.onStored(s, outcome, content, stored{obj.Version}, n.opts.Clock())
+	n.announceSealed(s.window)
+}
+
+// replaceUnknown writes a window as an earlier holder has sealed it in a lost history of the store, if somebody else has sealed it with
+// other counts since.
+func (n *Node) replaceUnknown(ctx context.Context, window uint64, have *Window, obj store.Object) (store.Object, storeOutcome) {
+	w := n.reports.open[window]
+	if !w.known || maps.Equal(have.Sum, w.content.Sum) {
+		return obj, storeDone
+	}
+	value, err := w.content.Encode()
+	if err != nil {
+		return obj, storeFailed
+	}
+	written, err := n.opts.Store.Update(ctx, store.Object{Kind: WindowKind, Name: WindowName(window), Version: obj.Version, Value: value})
+	if outcome := storeOutcomeOf(err, false); outcome != storeDone {
+		return obj, storeFailed
+	}
+	return written, storeDone
 }
 
 func (n *Node) amend(ctx context.Context, s step) {
@@ -190,6 +270,9 @@
 	err := n.call(ctx, h, now, func(ctx context.Context) error { return n.opts.Platform.ReportUsage(ctx, h, s.window, s.content.Sum) })
 	late := n.reports.late(s.window, n.opts.Counts)
 	settled := n.reports.onSent(s, outcomeOf(err), n.opts.Clock(), late)
+	if err == nil {
+		n.announceWindow(s.content, true)
+	}
 	n.logSent(s.window, err, settled, late)
 	return 0
 }
--- a/internal/process/duty/holding.go
+++ b/internal/process/duty/holding.go
@@ -15,6 +15,9 @@
 	holds, leaving, standBack, renewAt := n.holds, n.leaving, n.standBack, n.renewAt
 	n.mu.Unlock()
 	now := n.opts.Clock()
+	n.mu.Lock()
+	n.noteEra(n.opts.Store.Era(), now)
+	n.mu.Unlock()
 	switch {
 	case holds && (leaving || standBack != ""):
 		n.giveUp(ctx, standBack)
@@ -129,7 +132,7 @@
 	// Other edges may have started before this one without becoming the holder. Windows whose report was not due yet when this edge
 	// started are reported too.
 	n.startWindow = n.opts.Counts.Window(n.started.Add(-d.ReportBound))
-	n.lease.Attach(newReports(Holder{}, d.ReportBound, nil, n.startWindow).state())
+	n.lease.Attach(newReports(Holder{}, d.ReportBound, nil, n.startWindow, 0, &n.known).state())
 }
 
 // giveUp ends this edge's term. The lease is released only if no call may still arrive at the platform; otherwise it expires.
@@ -167,5 +170,8 @@
 
 func (n *Node) announce(fence uint64, released bool) {
 	position := n.lease.Position()
+	n.mu.Lock()
+	n.hearing.heard(n.opts.Clock())
+	n.mu.Unlock()
 	n.opts.Announce(Announcement{Version: position.Revision, Era: position.Era, Fence: fence, Released: released})
 }
--- a/internal/process/duty/node.go
+++ b/internal/process/duty/node.go
@@ -71,10 +71,12 @@
 	// Rank returns the number of live edges before this one in the order of addresses, Live the addresses of the other live edges.
 	Rank func() int
 	Live func() []string
-	// Announce sends an Announcement to the other edges.
-	Announce func(Announcement)
-	Log      *eventlog.Log
-	Metrics  *metrics.Metrics
+	// Announce sends an Announcement to the other edges, AnnounceWindow the usage of a window, and TellWindow the latter to one of them.
+	Announce       func(Announcement)
+	AnnounceWindow func(WindowNews)
+	TellWindow     func(to string, news WindowNews)
+	Log            *eventlog.Log
+	Metrics        *metrics.Metrics
 }
 
 // holding is the lease of the duties; *lease.Lease implements it.
@@ -127,6 +129,14 @@
 	started     time.Time
 	startWindow uint64
 
+	// known is the usage of the latest sealed windows, also of those that other edges have sealed.
+	known knownUsage
+	// era is the latest era of the store that this edge has noticed, and eraSince when.
+	era      uint64
+	eraSince time.Time
+	// hearing is how well this edge has heard the holders, and heardBefore how well at the end of the era before.
+	hearing, heardBefore hearing
+
 	// The fields below are used by the holder of acting.
 	reports   *reports
 	edges     map[string]time.Time
@@ -221,22 +231,77 @@
 func (n *Node) Heard(from string, a Announcement) {
 	write := store.Position{Era: a.Era, Revision: a.Version}
 	n.lease.Heard(write, a.Fence)
+	if n.hear(from, write, a.Released) && a.Era > firstEra {
+		// The store may lack what earlier holders have sealed and reported.
+		for _, news := range n.known.recent() {
+			n.opts.TellWindow(from, news)
+		}
+	}
+}
+
+// hear records the announcement of a holder, and reports whether it is a new one.
+func (n *Node) hear(from string, write store.Position, released bool) (newHolder bool) {
+	heardAt := n.opts.Clock()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.holderPosition.Before(write) {
-		return
+		return false
 	}
+	n.noteEra(write.Era, heardAt)
+	n.hearing.heard(heardAt)
+	newHolder = n.holder != from || n.holderPosition.Era < write.Era
 	n.holder, n.holderPosition = from, write
 	now := n.opts.Clock()
-	if a.Released {
+	if released {
 		n.holder = ""
 		n.election.released(now)
 		wakeUp(n.wakeLease)
-		return
+		return false
 	}
 	n.election.heard(now)
+	return newHolder
+}
+
+// HeardWindow applies the usage of a window that another edge knows.
+func (n *Node) HeardWindow(news WindowNews) { n.known.hear(&news, n.opts.Clock()) }
+
+// firstEra is the era of a store that has never come back from an older copy.
+const firstEra = 1
+
+// noteEra records the era of the store. n.mu must be locked.
+func (n *Node) noteEra(era uint64, now time.Time) {
+	if era > n.era {
+		n.era, n.eraSince, n.heardBefore = era, now, n.hearing
+	}
 }
 
+// maxSilence is the longest time between two announcements of holders in which no other edge can have become the holder unheard: it is
+// above the time between renewals, some of which may fail, and below the duration of a lease.
+const maxSilence = 2500 * time.Millisecond
+
+// hearing is what an edge has heard of the holders' announcements, with its own ones.
+type hearing struct {
+	// last is when the latest one was heard, and since the start of the latest time without a longer silence than maxSilence.
+	last, since time.Time
+}
+
+func (h *hearing) heard(now time.Time) {
+	if h.last.IsZero() || now.Sub(h.last) > maxSilence {
+		h.since = now
+	}
+	h.last = now
+}
+
+// covers reports whether all holders were heard from a time until the store went away, before an edge noticed at the end that it had come
+// back.
+func (h *hearing) covers(from, end time.Time) bool {
+	return !h.last.IsZero() && !h.since.After(from) && end.Sub(h.last) <= maxOutage
+}
+
+// maxOutage is the longest time from the last announcement to the new era in which nobody can have acquired the lease: its duration, and
+// what passes until an edge notices the era.
+const maxOutage = 4 * time.Second
+
 // Leave gives up the lease and takes no further part. It returns when the lease has been given up, or when ctx ends.
 func (n *Node) Leave(ctx context.Context) {
 	n.mu.Lock()
--- a/internal/process/duty/reports.go
+++ b/internal/process/duty/reports.go
@@ -64,6 +64,10 @@
 	retryAt  time.Time
 	failures int
 	refusals int
+	// known is set if content is what an earlier holder has sealed in a lost history of the store, and wasReported if it has reported it.
+	known, wasReported bool
+	// inDoubt is set if the window may have been reported in a lost history and nobody knows its usage: only the store's object counts.
+	inDoubt bool
 }
 
 // stored identifies an object's version.
@@ -80,6 +84,14 @@
 	Sealed []uint64 `json:"sealed,omitempty"`
 	// Away is the number of holders in a row that could not reach the platform.
 	Away int `json:"away,omitempty"`
+	// Era is the era of the store in which this was written. In a later one it may lack windows.
+	Era uint64 `json:"era,omitempty"`
+}
+
+// isRestored reports whether the state that a holder has found is one of an earlier era: later ones are lost.
+func isRestored(state json.RawMessage, era uint64) bool {
+	var s reportState
+	return era > firstEra && (json.Unmarshal(state, &s) != nil || s.Era < era)
 }
 
 // stepKind is the kind of the next step of the holder.
@@ -145,12 +157,16 @@
 	away int
 	// skipped is the number of windows that were too old to report.
 	skipped uint64
+	// era is the era of the store when this holder began.
+	era uint64
+	// known is what the edges know of sealed windows.
+	known *knownUsage
 }
 
 // newReports returns the reports of a new holder. state is what the previous one has passed on; without it, the first window is
 // start.
-func newReports(holder Holder, bound time.Duration, state json.RawMessage, start uint64) *reports {
-	r := &reports{holder: holder, bound: bound, first: start, nextWindow: start, open: map[uint64]*report{}}
+func newReports(holder Holder, bound time.Duration, state json.RawMessage, start, era uint64, known *knownUsage) *reports {
+	r := &reports{holder: holder, bound: bound, first: start, nextWindow: start, open: map[uint64]*report{}, era: era, known: known}
 	var s reportState
 	if len(state) == 0 || json.Unmarshal(state, &s) != nil || s.Next == 0 {
 		return r
@@ -167,12 +183,13 @@
 
 // state returns what a later holder has to know.
 func (r *reports) state() json.RawMessage {
-	s := reportState{First: r.first, Next: r.nextWindow, Away: r.away}
+	s := reportState{First: r.first, Next: r.nextWindow, Away: r.away, Era: r.era}
 	for _, window := range slices.Sorted(maps.Keys(r.open)) {
-		switch r.open[window].phase {
-		case counting:
+		switch w := r.open[window]; {
+		case w.wasReported:
+		case w.phase == counting:
 			s.Open = append(s.Open, window)
-		case unread, sealed:
+		case w.phase == unread || w.phase == sealed:
 			s.Sealed = append(s.Sealed, window)
 		}
 	}
@@ -183,6 +200,57 @@
 	return value
 }
 
+// recover makes the state of an earlier era that of the new one, in which the store lacks what was written after its copy. A window that was
+// lost with all who may have known it is given up: it may have been reported, and would be again with other counts.
+func (r *reports) recover(counts Counts, now time.Time, mayBeLost func(window uint64, ended time.Duration) bool) {
+	r.takeUpLost(counts, now)
+	for _, window := range r.known.latest() {
+		// Also what the copy has as reported is written again: the store may lack it, or get a late write of the era before.
+		if r.open[window] == nil && window < r.nextWindow {
+			r.open[window] = &report{phase: counting, wasReported: true}
+		}
+	}
+	for window, w := range r.open {
+		w.inDoubt = r.known.content(window) == nil && mayBeLost(window, -counts.Ends(window))
+		if w.phase == counting && w.inDoubt {
+			r.giveUp(window)
+		}
+	}
+}
+
+// giveUp forgets a window that nobody reports.
+func (r *reports) giveUp(window uint64) {
+	delete(r.open, window)
+	r.skipped++
+}
+
+// useKnown makes the windows that are to be sealed those that the edges know as sealed in a lost history of the store.
+func (r *reports) useKnown() {
+	for window, w := range r.open {
+		if content, reported := r.known.get(window); content != nil && (w.phase == counting || w.phase == unread) {
+			w.phase, w.content, w.known, w.wasReported = counting, content, true, reported || w.wasReported
+		}
+	}
+}
+
+// takeUpLost opens all windows that have ended since the state of the copy.
+func (r *reports) takeUpLost(counts Counts, now time.Time) {
+	next := counts.Window(now)
+	for counts.Ends(next) <= 0 {
+		next++
+	}
+	from := r.nextWindow
+	if next > knownWindows {
+		from = max(from, next-knownWindows)
+	}
+	for window := from; window < next; window++ {
+		if r.open[window] == nil {
+			r.open[window] = &report{phase: counting}
+		}
+	}
+	r.nextWindow = max(r.nextWindow, next)
+}
+
 // takeUp adds the windows that have ended, and gives up those whose objects are about to be deleted.
 func (r *reports) takeUp(counts Counts, now time.Time) {
 	current := counts.Window(now)
@@ -244,6 +312,10 @@
 	ended := -counts.Ends(window)
 	switch w.phase {
 	case counting:
+		if content, reported := r.known.get(window); w.content == nil && content != nil {
+			// The store has lost it since, perhaps unnoticed so far.
+			w.content, w.known, w.wasReported = content, true, reported
+		}
 		if w.content == nil {
 			if ended < r.share(settleShare) {
 				return step{kind: stepWait, wait: pollInterval}
@@ -273,6 +345,10 @@
 	if ended < r.share(lateShare) {
 		return step{kind: stepWait, wait: pollInterval}
 	}
+	if w.known {
+		delete(r.open, window) // its counts are not known by edge
+		return step{kind: stepWait}
+	}
 	if amended := *w.content; amended.AddLate(counts.Segments(window)) {
 		return step{kind: stepAmend, window: window, content: &amended, object: w.object}
 	}
@@ -286,9 +362,12 @@
 	switch outcome {
 	case storeDone:
 		w.phase, w.object, w.failures, w.retryAt = sealed, object, 0, time.Time{}
-		if content != nil {
+		if content != nil && !w.known {
 			w.content = content
 		}
+		if w.wasReported {
+			w.phase = reported
+		}
 	case storeConflict:
 		w.phase = unread
 	case storeUnknown:
@@ -297,6 +376,9 @@
 	case storeAbsent:
 		// The create did not take effect yet. It is repeated with the same content: at most one of both takes effect.
 		w.phase = counting
+		if w.inDoubt {
+			r.giveUp(s.window)
+		}
 	default:
 		r.backOff(w, now, false)
 	}
--- a/internal/process/duty/reports_test.go
+++ b/internal/process/duty/reports_test.go
@@ -42,7 +42,7 @@
 
 // newReportsAt returns the reports of a holder whose first window is 100, which ends at second 505.
 func newReportsAt(state []byte) *reportsAt {
-	return &reportsAt{newReports(Holder{Name: "edge-1", Fence: 3}, 10*time.Second, state, 100), &fixedCounts{final: true, segments: oneSegment(4)}}
+	return &reportsAt{newReports(Holder{Name: "edge-1", Fence: 3}, 10*time.Second, state, 100, 1, &knownUsage{}), &fixedCounts{final: true, segments: oneSegment(4)}}
 }
 
 func (r *reportsAt) at(seconds float64) time.Time {
--- a/internal/process/duty/sim_test.go
+++ b/internal/process/duty/sim_test.go
@@ -156,7 +156,7 @@
 		Duties: settings.Duties{ReportUsage: true, OrderReplicas: e.sim.orders, CallsPerSecond: simRate, Lease: simLease, Window: simWindow, ReportBound: simBound},
 		Name:   fmt.Sprintf("edge-%d", e.id), Address: e.address,
 		Store: client, Platform: client, Counts: &simCounts{edge: e, generation: generation}, Clock: e.clock, Wall: time.Now, TrueTime: time.Now,
-		Orders: &simOrders{edge: e}, Rank: e.rank, Live: e.live, Announce: e.announce,
+		Orders: &simOrders{edge: e}, Rank: e.rank, Live: e.live, Announce: e.announce, AnnounceWindow: e.announceWindow, TellWindow: e.tellWindow,
 	})
 	if l, ok := node.lease.(*lease.Lease); ok {
 		node.lease = &simLeaseRecorder{Lease: l, edge: e, generation: generation}
@@ -273,6 +273,28 @@
 	}
 }
 
+func (e *simEdge) announceWindow(news WindowNews) {
+	for _, other := range e.sim.edges {
+		e.tellWindow(other.address, news)
+	}
+}
+
+func (e *simEdge) tellWindow(to string, news WindowNews) {
+	e.pause()
+	e.sim.mu.Lock()
+	defer e.sim.mu.Unlock()
+	for _, other := range e.sim.edges {
+		if other.address != to || !e.reachable(other) || other.node == nil || e.sim.rng.Float64() < e.sim.datagramLossRate {
+			continue
+		}
+		node, delay := other.node, time.Duration(e.sim.rng.Int64N(int64(20*time.Millisecond)))
+		go func() {
+			time.Sleep(delay)
+			node.HeardWindow(news)
+		}()
+	}
+}
+
 // simCounts gives each call other counts, so that two different drafts of a window are never equal by chance.
 type simCounts struct {
 	edge       *simEdge
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -122,7 +122,7 @@
 	UsageFailed     = define(1607, "usage_failed", logrus.WarnLevel, "A call for the usage of a window failed and will be repeated.")
 	UsageRefused    = define(1608, "usage_refused", logrus.ErrorLevel, "The platform refuses the usage of a window; it is not sent again and stays in the store.")
 	UsageDiffers    = define(1609, "usage_differs", logrus.WarnLevel, "Counts of a window became known after its seal; they are stored beside what was reported. count is the number of sources.")
-	UsageSkipped    = define(1610, "usage_skipped", logrus.ErrorLevel, "Windows ended so long ago without a holder that they are not reported; count is their number.")
+	UsageSkipped    = define(1610, "usage_skipped", logrus.ErrorLevel, "Windows are not reported: they ended so long ago without a holder, or may have been reported in a history that the store has lost; count is their number.")
 	ReplicasOrdered = define(1611, "replicas_ordered", logrus.InfoLevel, "The platform has accepted an order of replicas of a service in a zone; count is their number.")
 	OrderFailed     = define(1612, "order_failed", logrus.WarnLevel, "An order of replicas failed and will be repeated if it is still wanted.")
 )
