--- a/internal/app/edge/schedules_test.go
+++ b/internal/app/edge/schedules_test.go
@@ -204,8 +204,7 @@
 	s := e.fleet.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case after.Era != s.era || after.Revision < s.compacted || after.Revision > s.revision:
+	if after.Era != s.era || after.Revision < s.compacted || after.Revision > s.revision {
 		return nil, after, store.ErrGap
 	}
 	var objects []store.Object
--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -216,7 +216,8 @@
 		// An earlier write of this process took effect although its response was lost.
 		return l.put(ctx, obj, rec)
 	}
-	if expired := l.expired(obj, rec); mayBeHeld || !expired && !(rec.Released && l.isOfThisEra(rec.Fence)) {
+	expired, free := l.expired(obj, rec), rec.Released && l.isOfThisEra(rec.Fence)
+	if mayBeHeld || !expired && !free {
 		return 0, ErrHeld
 	}
 	return l.put(ctx, obj, record{Term: l.newTerm(obj.Version, rec.Attached), Fence: l.nextFence(rec.Fence), Recent: rec.successor()})
--- a/internal/process/store/position.go
+++ b/internal/process/store/position.go
@@ -14,7 +14,10 @@
 	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
 }
 
+// IsSameEra reports whether p and q are of one era, so that their revisions compare.
+func (p Position) IsSameEra(q Position) bool { return p.Era == q.Era }
+
 // Within reports whether p is between two positions of its own era, which are included.
 func (p Position) Within(from, to Position) bool {
-	return p.Era == from.Era && p.Era == to.Era && from.Revision <= p.Revision && p.Revision <= to.Revision
+	return p.IsSameEra(from) && p.IsSameEra(to) && from.Revision <= p.Revision && p.Revision <= to.Revision
 }
