--- a/internal/process/store/narrow_test.go
+++ b/internal/process/store/narrow_test.go
@@ -73,7 +73,6 @@
 type versionsStore struct {
 	mu      sync.Mutex
 	written []time.Time
-	stop    bool
 }
 
 func (s *versionsStore) write() {
