store, duty, replicas, edge: one piece of code where the change had two

No change of behaviour. Found by reading the diff once more: the first era was named twice; the keeper asked two feeds for an era that the store's client has; a feed set its era in two places; a window's known content was adopted by two pieces of code, one of which copied it at each step; start times were compared in two ways; a window's object is encoded by encodeWindow everywhere; two tests of duties and three of raw responses share their loops, with all assertions.

--- a/internal/app/edge/keep.go
+++ b/internal/app/edge/keep.go
@@ -34,9 +34,8 @@
 type keeper struct {
 	client  store.Client
 	tracker *quarantine.Tracker
-	// isFirst reports whether this edge calls the store, and era returns the latest era of the store that this edge knows.
+	// isFirst reports whether this edge calls the store.
 	isFirst func() bool
-	era     func() uint64
 	log     func(error)
 
 	// read is set once the object has been read, in the era readIn. object is as it was last read or written.
@@ -70,7 +69,7 @@
 		k.read = false
 		return nil
 	}
-	if k.era() > k.readIn {
+	if k.client.Era() > k.readIn {
 		k.read = false // the store may have come back from a copy that is older than the last write
 	}
 	if !k.read {
@@ -85,7 +84,7 @@
 }
 
 func (k *keeper) load(ctx context.Context) error {
-	k.readIn = k.era()
+	k.readIn = k.client.Era()
 	o, err := k.client.Get(ctx, quarantineKind, quarantineName)
 	if errors.Is(err, store.ErrNotFound) {
 		k.read, k.object, k.written = true, store.Object{}, 0
@@ -124,7 +123,6 @@
 func (e *Edge) newKeeper() *keeper {
 	return &keeper{
 		client: e.deps.Store, tracker: e.guard.tracker, isFirst: func() bool { return e.gossip.Rank(false) == 0 },
-		era: func() uint64 { return max(e.configuration.feed.Era(), e.replicas.feed.Era()) },
 		log: func(err error) { e.observer.logError(eventlog.StoreUnavailable, err) },
 	}
 }
--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -111,6 +111,16 @@
 	return string(body), err
 }
 
+// doRaw sends a request to a server that responds with the raw bytes and closes the connection, and returns the response body.
+func doRaw(t *testing.T, raw string) (string, error) {
+	t.Helper()
+	s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, raw)
+		return false
+	})
+	return do(t, direct.NewPool(), newRequest(s, "1"))
+}
+
 // Guards against a retry by the pool: a server that closes a reused connection at the next request may already have run
 // that request.
 func TestPoolDoesNotRetry(t *testing.T) {
@@ -180,11 +190,7 @@
 		"no response": "",
 		"other text":  "this is no answer\r\n\r\n",
 	} {
-		s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
-			_, _ = io.WriteString(conn, raw)
-			return false
-		})
-		if body, err := do(t, direct.NewPool(), newRequest(s, "1")); err == nil {
+		if body, err := doRaw(t, raw); err == nil {
 			t.Errorf("%s: the truncated response %q was returned as complete", name, body)
 		}
 	}
@@ -673,11 +679,8 @@
 func TestInvalidStatusIsNoResponse(t *testing.T) {
 	smuggled := okResponse("1", "body")
 	for _, status := range []string{"000", "001", "099", "600", "999", "-01", "+20", "20", "2000"} {
-		s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Status\r\nX-Attempt: 1\r\nContent-Length: %d\r\n\r\n%s", status, len(smuggled), smuggled)
-			return false
-		})
-		if body, err := do(t, direct.NewPool(), newRequest(s, "1")); err == nil {
+		raw := fmt.Sprintf("HTTP/1.1 %s Status\r\nX-Attempt: 1\r\nContent-Length: %d\r\n\r\n%s", status, len(smuggled), smuggled)
+		if body, err := doRaw(t, raw); err == nil {
 			t.Errorf("status %s: %q was returned as a response", status, body)
 		}
 	}
@@ -694,11 +697,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for cut := 1; cut < len(response); cut++ {
-				s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
-					_, _ = io.WriteString(conn, response[:cut])
-					return false
-				})
-				if body, err := do(t, direct.NewPool(), newRequest(s, "1")); err == nil {
+				if body, err := doRaw(t, response[:cut]); err == nil {
 					t.Errorf("%q was returned as a response with the body %q", response[:cut], body)
 				}
 			}
--- a/internal/process/duty/calls.go
+++ b/internal/process/duty/calls.go
@@ -55,7 +55,7 @@
 
 // newsWait returns for how long a new holder still waits for the other edges, because the store may lack what they know.
 func (n *Node) newsWait(now time.Time) time.Duration {
-	if n.opts.Store.Era() <= firstEra {
+	if n.opts.Store.Era() <= store.FirstEra {
 		return 0
 	}
 	n.mu.Lock()
@@ -67,7 +67,7 @@
 func (n *Node) begin(fence uint64) {
 	attached, era := n.lease.Attached(), n.opts.Store.Era()
 	n.reports = newReports(Holder{Name: n.opts.Name, Fence: fence}, n.opts.Duties.ReportBound, attached, n.startWindow, era, &n.known)
-	if n.opts.Duties.ReportUsage && era > firstEra {
+	if n.opts.Duties.ReportUsage && era > store.FirstEra {
 		if isRestored(attached, era) {
 			n.reports.recover(n.opts.Counts, n.opts.Wall(), n.mayBeLost)
 			n.logSkipped()
@@ -237,7 +237,7 @@
 	if !w.known || maps.Equal(have.Sum, w.content.Sum) {
 		return obj, storeDone
 	}
-	value, err := w.content.Encode()
+	value, err := encodeWindow(w.content)
 	if err != nil {
 		return obj, storeFailed
 	}
--- a/internal/process/duty/history_test.go
+++ b/internal/process/duty/history_test.go
@@ -388,40 +388,34 @@
 // counts for one window, reports that differ from what is stored, and windows that are never reported, in drawn schedules of freezes,
 // suspensions, cuts, kills, stops, lost and late writes, and a dark or slow store and platform.
 func TestDutiesInDrawnSchedules(t *testing.T) {
-	windows, missed, reports, applied := 0, 0, 0, 0
+	if sum := runSchedules(t, faultNames); sum.applied == 0 {
+		t.Error("no write took effect late: the schedules do not cover it")
+	}
+}
+
+// runSchedules plays the schedules of the flags with these faults, reports what they break, and returns the sums of their results.
+func runSchedules(t *testing.T, faults []string) (sum result) {
+	t.Helper()
 	for i := range uint64(*schedules) {
 		seed := *firstSeed + i
-		r := runSchedule(t, seed, noDefect, faultNames)
+		r := runSchedule(t, seed, noDefect, faults)
 		for _, v := range r.violations {
 			t.Errorf("seed %d: %s", seed, v)
 		}
 		if r.lateInCalm > 0 {
 			t.Errorf("seed %d: %d windows were late although the faults had ended", seed, r.lateInCalm)
 		}
-		windows, missed, reports, applied = windows+r.windows, missed+r.missed, reports+r.reports, applied+r.applied
-	}
-	t.Logf("%d windows, %d of them late or missing in the trouble, %d reports sent, %d late writes took effect", windows, missed, reports, applied)
-	if applied == 0 {
-		t.Error("no write took effect late: the schedules do not cover it")
+		sum.windows, sum.missed = sum.windows+r.windows, sum.missed+r.missed
+		sum.reports, sum.applied = sum.reports+r.reports, sum.applied+r.applied
 	}
+	t.Logf("%d windows, %d of them late or missing in the trouble, %d reports sent, %d late writes took effect", sum.windows, sum.missed, sum.reports, sum.applied)
+	return sum
 }
 
 // Guards against a window whose usage is sent twice with other counts, two holders at a time and fencing numbers that go back, after the
 // store came back from an older copy.
 func TestDutiesInSchedulesWithRestores(t *testing.T) {
-	windows, missed := 0, 0
-	for i := range uint64(*schedules) {
-		seed := *firstSeed + i
-		r := runSchedule(t, seed, noDefect, restoreNames)
-		for _, v := range r.violations {
-			t.Errorf("seed %d: %s", seed, v)
-		}
-		if r.lateInCalm > 0 {
-			t.Errorf("seed %d: %d windows were late although the faults had ended", seed, r.lateInCalm)
-		}
-		windows, missed = windows+r.windows, missed+r.missed
-	}
-	t.Logf("%d windows, %d of them late or missing in the trouble", windows, missed)
+	runSchedules(t, restoreNames)
 }
 
 // Guards against checks that accept every schedule: they must find each deliberate defect.
--- a/internal/process/duty/node.go
+++ b/internal/process/duty/node.go
@@ -231,7 +231,7 @@
 func (n *Node) Heard(from string, a Announcement) {
 	write := store.Position{Era: a.Era, Revision: a.Version}
 	n.lease.Heard(write, a.Fence)
-	if n.hear(from, write, a.Released) && a.Era > firstEra {
+	if n.hear(from, write, a.Released) && a.Era > store.FirstEra {
 		// The store may lack what earlier holders have sealed and reported.
 		for _, news := range n.known.recent() {
 			n.opts.TellWindow(from, news)
@@ -265,9 +265,6 @@
 // HeardWindow applies the usage of a window that another edge knows.
 func (n *Node) HeardWindow(news WindowNews) { n.known.hear(&news, n.opts.Clock()) }
 
-// firstEra is the era of a store that has never come back from an older copy.
-const firstEra = 1
-
 // noteEra records the era of the store. n.mu must be locked.
 func (n *Node) noteEra(era uint64, now time.Time) {
 	if era > n.era {
--- a/internal/process/duty/reports.go
+++ b/internal/process/duty/reports.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
 )
 
 // Shares of the time within which a report is due.
@@ -91,7 +93,7 @@
 // isRestored reports whether the state that a holder has found is one of an earlier era: later ones are lost.
 func isRestored(state json.RawMessage, era uint64) bool {
 	var s reportState
-	return era > firstEra && (json.Unmarshal(state, &s) != nil || s.Era < era)
+	return era > store.FirstEra && (json.Unmarshal(state, &s) != nil || s.Era < era)
 }
 
 // stepKind is the kind of the next step of the holder.
@@ -227,12 +229,20 @@
 // useKnown makes the windows that are to be sealed those that the edges know as sealed in a lost history of the store.
 func (r *reports) useKnown() {
 	for window, w := range r.open {
-		if content, reported := r.known.get(window); content != nil && (w.phase == counting || w.phase == unread) {
-			w.phase, w.content, w.known, w.wasReported = counting, content, true, reported || w.wasReported
+		if w.phase == counting || w.phase == unread {
+			r.adopt(window)
 		}
 	}
 }
 
+// adopt makes the content of an open window the known one, if there is one. It is sealed again.
+func (r *reports) adopt(window uint64) {
+	if content, reported := r.known.get(window); content != nil {
+		w := r.open[window]
+		w.phase, w.content, w.known, w.wasReported = counting, content, true, reported || w.wasReported
+	}
+}
+
 // takeUpLost opens all windows that have ended since the state of the copy.
 func (r *reports) takeUpLost(counts Counts, now time.Time) {
 	next := counts.Window(now)
@@ -312,9 +322,8 @@
 	ended := -counts.Ends(window)
 	switch w.phase {
 	case counting:
-		if content, reported := r.known.get(window); w.content == nil && content != nil {
-			// The store has lost it since, perhaps unnoticed so far.
-			w.content, w.known, w.wasReported = content, true, reported
+		if w.content == nil {
+			r.adopt(window) // the store may have lost it since, unnoticed so far
 		}
 		if w.content == nil {
 			if ended < r.share(settleShare) {
--- a/internal/process/lease/era.go
+++ b/internal/process/lease/era.go
@@ -1,18 +1,18 @@
 package lease
 
-import "time"
+import (
+	"time"
 
-const (
-	// firstEra is the era of a store that has never come back from an older copy.
-	firstEra = 1
-	// eraFenceBits is the size of the range of fencing numbers that each era has for itself. The seconds since 1970 fit into it.
-	eraFenceBits = 32
+	"github.com/dragonflypin/dragonflypin/internal/process/store"
 )
 
+// eraFenceBits is the size of the range of fencing numbers that each era has for itself. The seconds since 1970 fit into it.
+const eraFenceBits = 32
+
 // fenceBase returns a number below all fencing numbers of an era, and above those of the eras before: which numbers were granted after the
 // copy from which the store came back is not known.
 func fenceBase(era uint64) uint64 {
-	return (max(era, firstEra) - firstEra) << eraFenceBits
+	return (max(era, store.FirstEra) - store.FirstEra) << eraFenceBits
 }
 
 // noteEra records the era that the store's last response named.
@@ -29,7 +29,7 @@
 	if era <= l.era {
 		return
 	}
-	if l.era > 0 || era > firstEra {
+	if l.era > 0 || era > store.FirstEra {
 		l.eraSince = now
 	}
 	l.era, l.held, l.term = era, false, ""
--- a/internal/process/replicas/removed.go
+++ b/internal/process/replicas/removed.go
@@ -30,13 +30,11 @@
 // is older than the removal.
 func (r *Registry) isRevived(c Change) bool {
 	before, ok := r.removed[c.ID]
-	return ok && c.Replica != nil && before.era < c.Era && before.startUnixMs != 0 && before.startUnixMs == c.Replica.StartUnixMs
+	return ok && c.Replica != nil && before.era < c.Era && isSameKnownStart(before.startUnixMs, c.Replica.StartUnixMs)
 }
 
-// isSameKnownStart reports whether both are the same start of a replica. Unknown starts are never the same.
-func isSameKnownStart(a, b *Replica) bool {
-	return a.StartUnixMs != 0 && a.StartUnixMs == b.StartUnixMs
-}
+// isSameKnownStart reports whether two start times are of the same start. An unknown start, unlike in SameStart, is never the same.
+func isSameKnownStart(a, b int64) bool { return a != 0 && a == b }
 
 func (r *Registry) forgetRemoved(now time.Time) {
 	for id, before := range r.removed {
--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -364,7 +364,7 @@
 	}
 	delete(r.removed, c.ID)
 	next := registration{Replica: *c.Replica, revision: c.Revision, era: c.Era}
-	if c.Era > old.era && old.Draining && isSameKnownStart(&old.Replica, c.Replica) {
+	if c.Era > old.era && old.Draining && isSameKnownStart(old.StartUnixMs, c.Replica.StartUnixMs) {
 		next.Draining = true // the copy is older than the write that said so
 	}
 	r.registrations[c.ID] = next
--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -126,17 +126,10 @@
 	return f.position
 }
 
-// Era returns the latest era of the store in which the Feed has read.
-func (f *Feed) Era() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.era
-}
-
 func (f *Feed) setPosition(p Position, syncedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.position, f.era, f.syncedAt, f.retryAt = p, max(f.era, p.Era), syncedAt, time.Time{}
+	f.position, f.syncedAt, f.retryAt = p, syncedAt, time.Time{}
 }
 
 func (f *Feed) setFailed(p Position, retryAt time.Time) {
@@ -268,7 +261,7 @@
 	return next, nil
 }
 
-// noteRestore tells of a new era before the state is read in it.
+// noteRestore records the era in which the state is read, and tells of a new one before that.
 func (f *Feed) noteRestore(era uint64) {
 	f.mu.Lock()
 	restored := f.era > 0 && era > f.era
--- a/internal/process/store/position.go
+++ b/internal/process/store/position.go
@@ -6,6 +6,9 @@
 	Era, Revision uint64
 }
 
+// FirstEra is the era of a store that has never come back from an older copy.
+const FirstEra = 1
+
 // IsZero reports whether p is no point in any history.
 func (p Position) IsZero() bool { return p.Revision == 0 }
 
