duty: a window of which only a part is known is not sealed again after a restore

What owners could see: a stored window with other counts than the reported ones. The holder opened all windows of which it had heard anything, and sealed those without their whole usage with fresh counts, although the copy of the store has them as reported. Change: only windows whose usage is known are written again. Evidence: TestPartlyKnownWindowIsNotSealedAgain failed before and passes; 2,000 drawn schedules with restores hold.

--- a/internal/process/duty/reports.go
+++ b/internal/process/duty/reports.go
@@ -208,7 +208,7 @@
 	r.takeUpLost(counts, now)
 	for _, window := range r.known.latest() {
 		// Also what the copy has as reported is written again: the store may lack it, or get a late write of the era before.
-		if r.open[window] == nil && window < r.nextWindow {
+		if r.open[window] == nil && window < r.nextWindow && r.known.content(window) != nil {
 			r.open[window] = &report{phase: counting, wasReported: true}
 		}
 	}
--- a/internal/process/duty/reports_test.go
+++ b/internal/process/duty/reports_test.go
@@ -362,3 +362,18 @@
 		t.Errorf("wait %v after a failed attempt", got)
 	}
 }
+
+// Guards against a window that the copy of the store has as reported and that is sealed again with fresh counts, because only a part of its
+// usage is known.
+func TestPartlyKnownWindowIsNotSealedAgain(t *testing.T) {
+	counts := &fixedCounts{now: time.Unix(500, 0), final: true, segments: oneSegment(4)}
+	known := &knownUsage{}
+	known.hear(&WindowNews{Window: 97, Fence: 1, Total: 5, Workspaces: 2, Names: []string{"a"}, Counts: []uint64{2}}, counts.now)
+	known.record(&Window{Number: 98, Sum: map[string]uint64{"a": 2}}, true)
+	r := newReports(Holder{Name: "edge-1", Fence: 3}, 10*time.Second, nil, 99, 2, known)
+	r.recover(counts, counts.now, func(uint64, time.Duration) bool { return false })
+	r.useKnown()
+	if r.open[97] != nil || r.open[98] == nil || !r.open[98].wasReported {
+		t.Errorf("window 97 is %+v, window 98 %+v; want only the known one to be written again", r.open[97], r.open[98])
+	}
+}
