direct: the end of a body without a length outlives the idle connections of its replica

Cause: such a body counted as whole only if an idle connection to the replica, the witness, was open 30 ms after its end. It was looked at once. A replica that stops closes its idle connections first and exits after its last response, so that nothing told it from a process that was killed. The edge's own stop has no part in it: without that, and without an announcement, the same streams are cut.

Change: the witness is watched from the head of the response. If it ends while the connection of the body is up, which the system's state of that connection tells, the process runs, and another one is opened. If the replica accepts none and the connection of the body is up 30 ms later, the replica is stopping, and the end of its bodies is a regular one, unless another response of it is cut at that moment. A replica with a short idle timeout and one that stops before it sends the head are the same cause. Two errors and a counter now tell the cases apart.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -175,9 +175,9 @@
 	e.forwarder = &forward.Forwarder{
 		Placer: e.placer, Pool: e.pool, Dialect: deps.Dialect, Budgets: forward.NewBudgets(e.retrySettings), Memory: e.memory,
 		Observer: e.observer, Paused: e.observer.paused, Guard: e.guard,
-		Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, MaxIdle: e.maxIdle,
+		Share: e.shareEvidence, ShareLimit: e.shareLimit, Leaving: e.recordLeaving, IsLeaving: e.registry.IsLeaving, MaxIdle: e.maxIdle,
 	}
-	err := errors.Join(e.observeMemory(), deps.Metrics.UpstreamConnections(e.pool.OpenedBy, e.pool.ClosedBy))
+	err := errors.Join(e.observeMemory(), deps.Metrics.UpstreamConnections(e.pool.OpenedBy, e.pool.ClosedBy, e.pool.BodiesBy))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/connection/direct/counts.go
+++ b/internal/connection/direct/counts.go
@@ -67,10 +67,32 @@
 	CloseAsked: OpenNotReusable, CloseExtraBytes: OpenNotReusable, CloseUnwritten: OpenNotReusable, CloseStopped: OpenNotReusable,
 }
 
-// counts counts connections by reason. It is safe for concurrent use.
+// BodyEnd is what showed, at the end of a body that ends with its connection, whether the replica had ended it.
+type BodyEnd uint8
+
+// Ends of bodies. The first two are regular ones.
+const (
+	// BodyEndAlive means that another connection to the process outlived the body.
+	BodyEndAlive BodyEnd = iota
+	// BodyEndStopping means that the process had ended its idle connections, accepted no others and went on to send the body.
+	BodyEndStopping
+	// BodyEndGone means that the other connections to the process ended together with that of the body.
+	BodyEndGone
+	// BodyEndUnknown means that there was no other connection.
+	BodyEndUnknown
+	bodyEnds
+)
+
+// String returns the end as it appears in metrics.
+func (e BodyEnd) String() string {
+	return [bodyEnds]string{"alive", "stopping", "gone", "unknown"}[e]
+}
+
+// counts counts connections by reason, and bodies by their end. It is safe for concurrent use.
 type counts struct {
 	opened [openReasons]atomic.Int64
 	closed [closeReasons]atomic.Int64
+	bodies [bodyEnds]atomic.Int64
 }
 
 // OpenedBy calls f with each reason and the number of connections that were opened for it.
@@ -87,6 +109,13 @@
 	}
 }
 
+// BodiesBy calls f with each end and the number of bodies that ended with their connections that way.
+func (p *Pool) BodiesBy(f func(end string, n int64)) {
+	for e := range bodyEnds {
+		f(e.String(), p.counts.bodies[e].Load())
+	}
+}
+
 // Opened returns the number of connections opened since the creation of the pool.
 func (p *Pool) Opened() int64 {
 	n := int64(0)
--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// closeOthers closes all connections but one.
+func (s *rawServer) closeOthers(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if c != conn {
+			_ = c.Close()
+		}
+	}
+}
+
 // serve starts a rawServer. A connection is closed when respond returns false.
 func serve(t *testing.T, respond func(conn net.Conn, request *http.Request, n int) (keepOpen bool)) *rawServer {
 	t.Helper()
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -11,6 +11,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/process/memory"
@@ -71,6 +72,8 @@
 	// MaxIdle is the number of idle connections to the address that the pool keeps, with that of the request; 0 stands for
 	// maxIdlePerReplica. Excess ones are closed.
 	MaxIdle int
+	// Leaving reports whether the replica is known to leave; it may be nil.
+	Leaving func() bool
 	// Match reports whether a response belongs to this request. If it is nil, every response does.
 	Match func(status int, h http.Header) Match
 }
@@ -158,6 +161,8 @@
 	lastClosed CloseReason
 	closedAt   time.Time
 	opened     bool
+	// cutAt is when the connection of the latest response ended that was not complete by then.
+	cutAt time.Time
 }
 
 // peerMemory is how long the pool remembers an address without connections, so that metrics can tell why the next one is opened.
@@ -193,6 +198,21 @@
 	p.counts.closed[reason].Add(1)
 }
 
+// recordCut records that a connection has ended before its response was complete.
+func (p *Pool) recordCut(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peer(address).cutAt = time.Now()
+}
+
+// hasCut reports whether a connection to the address has ended since the time, before its response was complete.
+func (p *Pool) hasCut(address string, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, ok := p.peers[address]
+	return ok && known.cutAt.After(since)
+}
+
 // HasIdle reports whether there is an idle connection to the address. It is cheap enough for the choice of a replica.
 func (p *Pool) HasIdle(address string) bool {
 	p.mu.Lock()
@@ -217,7 +237,7 @@
 	}
 	response, err := x.read(ctx, request)
 	if err != nil {
-		x.fail(ctx)
+		x.fail(ctx, err)
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
 	return response, nil
@@ -426,9 +446,9 @@
 		if match != MatchOther {
 			framing := framingOf(resp)
 			if framing == FramedByConnection {
-				x.witness = newWitness(x.pool, func() (*conn, error) {
+				x.witness = newWitness(x.pool, x.conn, func() (*conn, error) {
 					return x.pool.get(ctx, &Request{Address: request.Address, MaxIdle: request.MaxIdle})
-				})
+				}, request.Leaving)
 			}
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framing,
@@ -493,7 +513,7 @@
 }
 
 // fail closes the connection.
-func (x *exchange) fail(ctx context.Context) {
+func (x *exchange) fail(ctx context.Context, err error) {
 	x.done = true
 	x.stop()
 	x.conn.source.charge.Release()
@@ -501,11 +521,29 @@
 		x.pool.close(x.conn, CloseCanceled)
 		return
 	}
+	x.recordCut(err)
 	x.pool.close(x.conn, CloseCut)
 }
 
-// errReplicaGone reports a body that ended with its connection, as did another connection to the replica.
-var errReplicaGone = errors.New("the connection ended because the replica is gone")
+// ConnectionEnded reports whether a response was cut by the end of its connection, as opposed to one that is of no use.
+func ConnectionEnded(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// recordCut records the error that ended a response before it was complete.
+func (x *exchange) recordCut(err error) {
+	if ConnectionEnded(err) {
+		x.pool.recordCut(x.conn.address)
+	}
+}
+
+// Errors of bodies that ended with their connections and may not be complete.
+var (
+	// errReplicaGone reports that the replica's other connections ended at the same time.
+	errReplicaGone = errors.New("the connection ended because the replica is gone")
+	// errNoWitness reports that there was no other connection to the replica.
+	errNoWitness = errors.New("the connection ended, and nothing shows whether the replica is gone")
+)
 
 // errEndInRequest reports a body that ended with its connection before the request was written. A reset is reported to the write of the
 // request, and the end of the body then looks like a regular one.
@@ -516,17 +554,27 @@
 	n, err := r.body.Read(b)
 	x := r.exchange
 	switch {
-	case x.witness == nil:
-	case errors.Is(err, io.EOF) && !r.complete && !x.writtenWhole():
+	case err == nil || r.complete:
+		return n, err
+	case !errors.Is(err, io.EOF):
+		x.recordCut(err)
+		return n, err
+	case x.witness != nil && !x.writtenWhole():
 		return n, errEndInRequest
-	case errors.Is(err, io.EOF) && !r.complete && !x.witness.processRuns():
-		return n, errReplicaGone
-	case err == nil && time.Since(x.witness.opened) > witnessMaxAge:
-		x.witness.release()
-		x.witness = newWitness(x.pool, x.witness.open)
-	}
-	r.complete = r.complete || errors.Is(err, io.EOF)
-	return n, err
+	case x.witness != nil:
+		if gone := x.checkEnd(); gone != nil {
+			return n, gone
+		}
+	}
+	r.complete = true
+	return n, io.EOF
+}
+
+// checkEnd returns an error unless the replica has ended the body itself, which ended with its connection.
+func (x *exchange) checkEnd() error {
+	end, err := x.witness.processOutlives()
+	x.pool.counts.bodies[end].Add(1)
+	return err
 }
 
 // Complete reports whether Read has returned io.EOF.
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -208,9 +208,9 @@
 	return err
 }
 
-// UpstreamConnections makes the metrics show how many connections to replicas were opened and closed, by reason. opened and closed call their
-// argument with each reason and its number; the reasons are a fixed set.
-func (m *Metrics) UpstreamConnections(opened, closed func(func(reason string, n int64))) error {
+// UpstreamConnections makes the metrics show how many connections to replicas were opened and closed, by reason, and how many bodies ended with
+// theirs, by what that meant. The functions call their argument with each reason and its number; the reasons are a fixed set.
+func (m *Metrics) UpstreamConnections(opened, closed, bodies func(func(reason string, n int64))) error {
 	if m == nil {
 		return nil
 	}
@@ -228,6 +228,11 @@
 	}
 	_, err = meter.Int64ObservableCounter("dragonflypin.upstream.connections.closed", metric.WithDescription("Connections to replicas that were closed, by reason."),
 		metric.WithInt64Callback(observe(closed)))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Int64ObservableCounter("dragonflypin.upstream.bodies.unframed", metric.WithDescription("Response bodies that ended with their connections, by what showed whether the replica had ended them."),
+		metric.WithInt64Callback(observe(bodies)))
 	return err
 }
 
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -27,7 +27,10 @@
 	m.TableVersion(7)
 	m.StoreEra(3)
 	m.Decision(time.Microsecond)
-	err = m.UpstreamConnections(func(f func(string, int64)) { f("first", 3) }, func(f func(string, int64)) { f("expired", 2) })
+	one := func(reason string, n int64) func(func(string, int64)) {
+		return func(f func(string, int64)) { f(reason, n) }
+	}
+	err = m.UpstreamConnections(one("first", 3), one("expired", 2), one("stopping", 4))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,6 +54,7 @@
 		`dragonflypin_routing_decision_seconds_count 1`,
 		`dragonflypin_upstream_connections_opened_total{reason="first"} 3`,
 		`dragonflypin_upstream_connections_closed_total{reason="expired"} 2`,
+		`dragonflypin_upstream_bodies_unframed_total{reason="stopping"} 4`,
 	} {
 		if !strings.Contains(w.Body.String(), want) {
 			t.Errorf("missing %s", want)
--- a/internal/process/replicas/leaving.go
+++ b/internal/process/replicas/leaving.go
@@ -54,6 +54,17 @@
 	return ok && SameStart(l.startUnixMs, replica.StartUnixMs)
 }
 
+// IsLeaving reports whether a start of a replica has announced that it leaves, or was removed from the list.
+func (r *Registry) IsLeaving(id string, startUnixMs int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l, ok := r.leaving[id]; ok && SameStart(l.startUnixMs, startUnixMs) {
+		return true
+	}
+	registered, ok := r.registrations[id]
+	return r.listed && !ok || registered.Draining && SameStart(registered.StartUnixMs, startUnixMs)
+}
+
 // SameStart reports whether two start times are of the same start. Clocks may jump, so that a later start can have an earlier time.
 // An unknown start counts as the same one.
 func SameStart(a, b int64) bool { return a == b || a == 0 || b == 0 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -237,6 +237,8 @@
 	Paused func(replicaID string, duration time.Duration)
 	// Leaving is told of each response whose replica says that it leaves. startUnixMs is 0 if it is not known. It may be nil.
 	Leaving func(id string, startUnixMs int64)
+	// IsLeaving reports whether a start of a replica has announced that it leaves, or was removed from the list. It may be nil.
+	IsLeaving func(id string, startUnixMs int64) bool
 	// Began is told once of each request that a replica began to run, with its workspace and the time since then. It may be nil.
 	Began func(workspace string, ago time.Duration)
 	Guard Guard
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"syscall"
@@ -169,6 +168,7 @@
 		Header: s.f.Dialect.Headers(r, &c, left, string(s.sequence.last)),
 		Body:   r.Body, Chunked: r.Chunked, NonIdempotent: !r.Route.Repeatable(),
 		MaxIdle: s.f.maxIdle(r.Service),
+		Leaving: func() bool { return s.f.IsLeaving != nil && s.f.IsLeaving(c.Replica.ID, c.Replica.StartUnixMs) },
 		Match:   func(status int, h http.Header) direct.Match { return s.f.Dialect.Match(r, status, h) },
 	}
 	tracker.sent = time.Now()
@@ -311,17 +311,12 @@
 		return stop(s.endByContext(ctx.Err()))
 	}
 	s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, true, time.Now())
-	if connectionEnded(err) {
+	if direct.ConnectionEnded(err) {
 		s.record(place.Evidence{Replica: tracker.choice.Key, Reset: true})
 	}
 	return s.retryInterrupted(ctx, tracker, err)
 }
 
-// connectionEnded reports whether the connection ended before there was a response, as opposed to a response that is of no use.
-func connectionEnded(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-}
-
 // mayRetry reports whether the route, the retry budget and the deadline allow another send after one with the given
 // execution. If not, it returns the code of the refusal.
 func (s *serving) mayRetry(execution retry.Execution) (Code, bool) {
