store, replicas: the end of an outage is known to 0.6 s, so that both of its bounds hold

Cause: the end of an outage lies between the start of the last call that failed and the first response. A call that hangs ends after 1 s, and the next one began up to 0.8 s later. Entries were kept for 2.6 s from the former, but at least 1.7 s from the latter, so for up to 3.5 s from the end of the cut. It depends on the phase of the cut in the edge's calls.

Change: while calls have no response, the feed of the replicas begins another one beside them every 0.5 s, and the first response counts; refused calls are repeated within 0.6 s.

--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -12,9 +12,13 @@
 	"github.com/dragonflypin/dragonflypin/internal/version/routes"
 )
 
-// maxStoreRetryDelay bounds the delay between calls to a failing store. Every call is billed, and after an outage the
-// platform's bounds apply again only after the contact time (3 s and more).
-const maxStoreRetryDelay = 800 * time.Millisecond
+// While the store fails, a call begins at least every overlapDelay or maxStoreRetryDelay, whether calls get no response or are refused: an outage
+// ends between the start of the last call that fails and the first response, and what is known of its end is no better than this time. Every
+// call is billed.
+const (
+	overlapDelay       = 500 * time.Millisecond
+	maxStoreRetryDelay = 600 * time.Millisecond
+)
 
 // pageSize is the number of objects requested per list call; the platform may return fewer.
 const pageSize = 500
@@ -89,16 +93,32 @@
 		OnSynced: func(from, to store.Position, began time.Time) {
 			e.publish(f, f.synchronized(kind, from, to, began))
 		},
-		MaxRetryDelay: maxStoreRetryDelay,
-		MinInterval:   minWatchInterval(time.Duration(e.cfg.MinWatchInterval), bound),
+		MinInterval: minWatchInterval(time.Duration(e.cfg.MinWatchInterval), bound),
 		StaggerDelay: func() time.Duration {
 			// Edges whose calls fail are all tried in the order of their addresses; otherwise they come last.
 			return staggerDelay(e.gossip.Rank(!e.storeFailing.Load()), bound)
 		},
 	}
+	recordOutages(f.feed, e.registry, e.storeFailing.Store, func(err error) { e.observer.logError(eventlog.StoreUnavailable, err) })
 	return f
 }
 
+// recordOutages makes a feed tell the registry and setFailing whether the store responds, and sets its delays after a failed call.
+func recordOutages(feed *store.Feed, registry *replicas.Registry, setFailing func(bool), logError func(error)) {
+	feed.MaxRetryDelay = maxStoreRetryDelay
+	feed.OnError = func(err error) {
+		setFailing(true)
+		if !errors.Is(err, store.ErrGap) {
+			registry.StoreFailed(feed.CallBegan(), time.Now())
+		}
+		logError(err)
+	}
+	feed.OnResponse = func() {
+		setFailing(false)
+		registry.StoreResponded(time.Now())
+	}
+}
+
 func (e *Edge) followConfiguration() *followed {
 	source := &e.deps.Source
 	f := e.follow(configurationObjects, source.ConfigurationKind, e.node.ApplyBound, e.onConfigurations, nil)
@@ -185,7 +205,7 @@
 
 func (e *Edge) followReplicas() *followed {
 	kind := e.deps.Source.ReplicaKind
-	return e.follow(replicaObjects, kind, e.node.DrainBound,
+	f := e.follow(replicaObjects, kind, e.node.DrainBound,
 		func(f *followed, objects []store.Object) {
 			if f.changes = e.registry.Apply(e.decodeReplicas(objects), time.Now()); len(f.changes) > 0 {
 				f.synced.onChange()
@@ -206,6 +226,8 @@
 			}
 			return nil
 		})
+	f.feed.OverlapDelay = func() time.Duration { return overlapDelay + f.feed.StaggerDelay() }
+	return f
 }
 
 // listAll lists all objects of a kind. Each page is decoded at once, so that large objects of other writers are not kept until the
--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -39,12 +39,12 @@
 // platform's contact time (at least 3 s after an outage), after which the list must again be applied exactly.
 const expiryGrace = 2500 * time.Millisecond
 
-// The platform's contact time counts from the end of an outage, and this process notices the end up to a timeout and a retry delay
-// later. So expired registrations are kept for maxExpiryGrace after the last call that failed in the outage, but at least for
-// minExpiryGrace: live replicas send a heartbeat in each 1.2 s.
+// The platform's contact time counts from the end of an outage, which lies between the start of the last call that failed and the first
+// response. So expired registrations are kept for maxExpiryGrace after the former, but at least for minExpiryGrace after the latter, within
+// which live replicas register again. Both hold within the contact time if the two are not more than some 0.8 s apart.
 const (
 	maxExpiryGrace = 2600 * time.Millisecond
-	minExpiryGrace = 1700 * time.Millisecond
+	minExpiryGrace = 2 * time.Second
 )
 
 // heartbeatInterval is within which each live replica writes to the store, by the platform's documentation. Responses that end sooner
--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +47,10 @@
 	// StaggerDelay returns a delay in addition to MinInterval, so that another process that follows the same kind may call
 	// the store first and share its result through Advance; it may be nil.
 	StaggerDelay func() time.Duration
+	// OverlapDelay returns the time after which a watch to which no response has begun is followed by another one beside it, of which the
+	// first response counts; it may be nil. A process that was cut off then soon notices that the store can be reached again, while
+	// the call that it made before has no response and only ends by its timeout. It is for a Feed without OnSnapshot.
+	OverlapDelay func() time.Duration
 	// OnRestored is called before OnGap if the store has come back from an older copy since the state was read; it may be nil.
 	OnRestored func(era uint64)
 	// OnSynced is called after OnObjects or OnGap with the positions from which the call has read and up to which the state is
@@ -70,9 +76,11 @@
 	receiving atomic.Bool
 	// The fields below are only used by the goroutine of Run.
 
-	// began is the start of the call in progress, and stateBytes the size of the last snapshot.
+	// began is the start of the call that a callback is about, and stateBytes the size of the last snapshot.
 	began      time.Time
 	stateBytes int64
+	// failing is set while the last call that has ended failed.
+	failing bool
 }
 
 const (
@@ -102,8 +110,10 @@
 		next, err := f.step(ctx, f.Position(), began)
 		if err == nil && !next.IsZero() {
 			backoff.Reset()
+			f.failing = false
 			f.setPosition(next, began)
 		} else {
+			f.failing = true
 			if err != nil && ctx.Err() == nil && f.OnError != nil {
 				f.OnError(err)
 			}
@@ -116,7 +126,7 @@
 	}
 }
 
-// CallBegan returns when the call in progress began, or the last one. It is for the callbacks.
+// CallBegan returns when the call began that a callback is about. It is for the callbacks.
 func (f *Feed) CallBegan() time.Time { return f.began }
 
 // Position returns the position from which the next watch continues; zero means that the state has to be read again.
@@ -280,6 +290,9 @@
 
 // watch makes one watch. With OnSnapshot its response is bounded.
 func (f *Feed) watch(ctx context.Context, from Position) ([]Object, Position, error) {
+	if f.OnSnapshot == nil && f.OverlapDelay != nil {
+		return f.watchOverlapping(ctx, from)
+	}
 	if f.OnSnapshot == nil {
 		return f.Client.Watch(ctx, f.Kind, from)
 	}
@@ -292,6 +305,75 @@
 	}), f.Kind, from)
 }
 
+// maxOverlapping bounds the watches in progress.
+const maxOverlapping = 4
+
+// errOvertaken reports a call that had no response when a later one had.
+var errOvertaken = fmt.Errorf("%w: a later call had a response first", ErrUnavailable)
+
+// watched is the result of a watch.
+type watched struct {
+	objects []Object
+	next    Position
+	err     error
+	began   time.Time
+}
+
+// watchOverlapping makes watches until one of them ends with a response, or the last one in progress fails. The others that have failed are
+// reported to OnError.
+func (f *Feed) watchOverlapping(ctx context.Context, from Position) ([]Object, Position, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan watched, maxOverlapping)
+	var responding atomic.Bool
+	ctx = WithResponse(ctx, math.MaxInt64, func(int64) { responding.Store(true) })
+	// pending has the starts of the watches in progress, in their order.
+	var pending []time.Time
+	begin := func(began time.Time) {
+		pending = append(pending, began)
+		go func() {
+			objects, next, err := f.Client.Watch(ctx, f.Kind, from)
+			results <- watched{objects, next, err, began}
+		}()
+	}
+	begin(f.began)
+	last := f.began
+	for {
+		var next <-chan time.Time
+		if !responding.Load() && len(pending) < maxOverlapping {
+			timer := time.NewTimer(time.Until(last.Add(f.OverlapDelay())))
+			defer timer.Stop()
+			next = timer.C
+		}
+		select {
+		case <-next:
+			if !responding.Load() {
+				last = time.Now()
+				begin(last)
+			}
+		case r := <-results:
+			i := slices.Index(pending, r.began)
+			if r.err == nil && i > 0 && f.failing {
+				f.reportFailed(pending[i-1], errOvertaken)
+			}
+			pending = slices.Delete(pending, i, i+1)
+			f.began = r.began
+			if r.err == nil || len(pending) == 0 || errors.Is(r.err, ErrGap) {
+				return r.objects, r.next, r.err
+			}
+			f.reportFailed(r.began, r.err)
+		}
+	}
+}
+
+// reportFailed reports a failed call while others are in progress.
+func (f *Feed) reportFailed(began time.Time, err error) {
+	f.began, f.failing = began, true
+	if f.OnError != nil {
+		f.OnError(err)
+	}
+}
+
 // stepSnapshot reads the state and delivers it. It returns as step does.
 func (f *Feed) stepSnapshot(ctx context.Context, from Position, began time.Time) (Position, error) {
 	defer f.receiving.Store(false)
