replicas: the end of a cut of another edge is no end of an outage

Callers would see: requests to a replica that left up to 2.1 s before, at an edge in touch, because another edge that was cut off reports the end of its cut as that of an outage.

Cause: a reported end within 2 s of the end of a silence counted as the end of an outage that this edge had not recorded, also if it had recorded one there, and while a third edge reported that the store had been up all the time.

Change: both are checked.

--- a/internal/process/replicas/replica.go
+++ b/internal/process/replicas/replica.go
@@ -267,7 +267,11 @@
 func (r *Registry) StoreRecovered(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	wasSilent := at.Sub(r.respondedAt) >= minOutage || at.Sub(r.silenceEnd).Abs() < minOutage
+	if at.Sub(r.upHeard) < upRetention && at.Sub(r.upSince) >= minOutage {
+		return // the store was up for a third process
+	}
+	unrecorded := r.silenceEnd.Sub(r.outageEnd).Abs() >= minOutage
+	wasSilent := at.Sub(r.respondedAt) >= minOutage || unrecorded && at.Sub(r.silenceEnd).Abs() < minOutage
 	if wasSilent && at.Sub(r.outageEnd) >= minOutage { // otherwise it is the outage that this process knows of
 		r.outageEnd, r.graceEnd, r.unconfirmedEnd = at, at.Add(minExpiryGrace), at.Add(maxUnconfirmedGrace)
 	}
--- a/internal/process/replicas/replicas_test.go
+++ b/internal/process/replicas/replicas_test.go
@@ -257,3 +257,35 @@
 		t.Error("a replica that left is kept longer than the grace after the reported return of the store")
 	}
 }
+
+// Guards against the end of a cut of another process that is taken for the end of an outage: replicas that left were kept for the grace after
+// it (schedules 28503, 49855 and 56919 of the drawn outages).
+func TestEndOfACutOfAnotherProcessIsNoOutage(t *testing.T) {
+	const ms = time.Millisecond
+	for name, play := range map[string]func(r *replicas.Registry, at func(time.Duration) time.Time){
+		"soon after the end of an outage": func(r *replicas.Registry, at func(time.Duration) time.Time) {
+			r.StoreFailed(at(10_500*ms), at(11_500*ms))
+			r.StoreResponded(at(14_600 * ms))
+			r.StoreUp(200*ms, at(14_610*ms)) // the outage had ended by then
+			r.StoreResponded(at(16_000 * ms))
+			r.StoreRecovered(at(16_500 * ms))
+		},
+		"soon after the end of a cut of this one": func(r *replicas.Registry, at func(time.Duration) time.Time) {
+			r.StoreResponded(at(9000 * ms))
+			r.StoreFailed(at(9700*ms), at(10_700*ms))
+			r.StoreUp(time.Minute, at(13_450*ms))
+			r.StoreResponded(at(13_500 * ms))
+			r.StoreUp(time.Minute, at(15_200*ms))
+			r.StoreRecovered(at(15_400 * ms))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, at := registryAt()
+			play(r, at)
+			r.Replace(nil, at(17_200*ms))
+			if r.View().Len() > 0 {
+				t.Error("a replica that left is kept")
+			}
+		})
+	}
+}
--- a/internal/process/replicas/schedules_test.go
+++ b/internal/process/replicas/schedules_test.go
@@ -218,7 +218,7 @@
 				return d.to-d.from > lapseTime && at >= d.to && at < d.to+returnTime && !s.follows(d) && !s.keptAway(m, d)
 			})
 			reached := !within(s.cut[n], at) && !within(s.refused[n], at)
-			if !used && returned && reached && m.left == 0 && !m.listed && !s.unclear(n) {
+			if !used && returned && reached && m.left == 0 && !m.listed {
 				return fmt.Sprintf("edge %d lost %s, which lives and lapsed in an outage", n, m.id)
 			}
 		}
@@ -239,9 +239,6 @@
 	})
 }
 
-// unclear reports whether an edge was cut off or refused around an outage, so that it can't know what the outage was.
-func (s *outageSchedule) unclear(n int) bool { return len(s.cut[n])+len(s.refused[n]) > 0 }
-
 func (s *outageSchedule) run() string {
 	start := time.Unix(1000, 0)
 	for n, e := range s.edges {
