platform, direct: an error without the attempt ID is no answer unless it says that nothing was run

Cause: an error response without an attempt ID counted as the replica's own answer if it was the first one of its connection. It was passed on, and made the server look fast. Replicas echo the ID in each response; only a refusal may lack it.

Change: such a response is no response. The request goes on at another replica where it may, or ends with 502, and the server counts as failing.

--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -185,6 +185,7 @@
 var (
 	errUnmatched = errors.New("response belongs to another request")
 	errUnnamed   = errors.New("response names no request and is not the first one on its connection")
+	errForeign   = errors.New("response names no request and does not say that it was not run")
 )
 
 // discard reads and drops the body of a response that belongs to another request.
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -89,6 +89,8 @@
 	MatchOther
 	// MatchUnnamed means that the response names no request. It can be a late copy unless it is the first one of its connection.
 	MatchUnnamed
+	// MatchForeign means that the response is none of a replica. Nothing else is expected on its connection.
+	MatchForeign
 )
 
 // Response is the response to a request. Its body is read with Read. Close must be called.
@@ -439,7 +441,10 @@
 		if request.Match != nil {
 			match = request.Match(resp.StatusCode, resp.Header)
 		}
-		if match == MatchUnnamed && x.conn.responses > 0 {
+		switch {
+		case match == MatchForeign:
+			return nil, errForeign
+		case match == MatchUnnamed && x.conn.responses > 0:
 			return nil, errUnnamed
 		}
 		x.conn.responses++
