forward, platform: a success without a signature, or an encoded one, is not passed on

Cause: a response with the attempt ID and without "not run" counted as the replica's answer; nothing looked whether a success is signed. By the same code a 2xx with a Content-Encoding was passed on.

Change: such a response is no answer (Dialect.Spoiled). The request goes on at another replica where it may run again, and gets 502 otherwise; the replica counts as failing.

--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -100,8 +100,19 @@
 // errFalsePromise reports a status which promises that the request has not run, without the statement of the replica that it has not.
 var errFalsePromise = errors.New("the status promises that the request has not run, and it may have run")
 
+// errSpoiled reports a response that can't be the replica's answer as it was made.
+var errSpoiled = errors.New("the response is not the replica's answer")
+
 // deliver forwards a response. A server error of the replica is retried if that is allowed, and forwarded otherwise.
 func (s *serving) deliver(ctx context.Context, tracker *sendTracker, response *direct.Response, attempt Attempt) step {
+	if s.f.Dialect.Spoiled(response.Status, response.Header) {
+		s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, true, time.Now())
+		s.mayHaveRun = true
+		tracker.began()
+		attempt.Err = errSpoiled
+		s.reportAttempt(attempt)
+		return s.continueElsewhere(tracker.choice, errSpoiled)
+	}
 	promise := s.f.Dialect.PromisesNotRun(response.Status)
 	ok := response.Status < http.StatusInternalServerError && !promise
 	if !ok {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -81,6 +81,8 @@
 	PromisesNotRun(status int) bool
 	// Verdict interprets the status and the headers of a response.
 	Verdict(status int, h http.Header) Verdict
+	// Spoiled reports whether a response can't be the replica's answer as it was made: it is not forwarded. The request has run.
+	Spoiled(status int, h http.Header) bool
 	// Limit returns the requests a second that the replica takes from all entries together, if the response names a limit.
 	Limit(h http.Header) (perSecond float64, ok bool)
 	// Pause returns for how long the replica that refused a request wants no other one, if the response says so.
