--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -245,8 +245,13 @@
 		return f.stepSnapshot(ctx, from, began)
 	}
 	objs, next, err := f.watch(ctx, from)
-	if errors.Is(err, ErrLongResponse) {
+	switch {
+	case !errors.Is(err, ErrLongResponse):
+	case f.OnSnapshot != nil:
 		return f.stepSnapshot(ctx, from, began)
+	case !from.IsZero():
+		// There are more writes than fit into a response. The list has each object once, and is divided into pages.
+		return f.step(ctx, Position{}, began)
 	}
 	if err == nil && f.OnResponse != nil {
 		f.OnResponse()
@@ -358,7 +363,7 @@
 			}
 			pending = slices.Delete(pending, i, i+1)
 			f.began = r.began
-			if r.err == nil || len(pending) == 0 || errors.Is(r.err, ErrGap) {
+			if r.err == nil || len(pending) == 0 || errors.Is(r.err, ErrGap) || errors.Is(r.err, ErrLongResponse) {
 				return r.objects, r.next, r.err
 			}
 			f.reportFailed(r.began, r.err)
