intake: of long bodies that arrive at the same time one gets the memory

Cause: the bodies grow together until the memory is used up, and each of them is then refused at its next block.

Change: the body of which most has arrived waits up to 250 ms for the others to be refused.

--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -160,18 +160,36 @@
 	}
 }
 
+// Long bodies that arrive at the same time use up the memory together before any of them is whole. The one of which most has arrived waits
+// for the others to be refused, for maxBodyWait at most; it looks for memory every bodyWaitStep.
+const (
+	maxBodyWait  = 250 * time.Millisecond
+	bodyWaitStep = 2 * time.Millisecond
+)
+
 // GrowBody charges a request body of n bytes, and reports false if there is not enough memory. Connections of a lower rank are
 // closed for it.
 func (c *Conn) GrowBody(n int64) bool {
+	for began := time.Now(); ; time.Sleep(bodyWaitStep) {
+		ok, waits := c.tryGrowBody(n)
+		switch {
+		case ok:
+			return true
+		case !waits || time.Since(began) >= maxBodyWait:
+			c.set.options.Budget.CountRefused()
+			return false
+		}
+	}
+}
+
+// tryGrowBody is GrowBody without waiting. It returns whether the body may wait for memory.
+func (c *Conn) tryGrowBody(n int64) (ok, waits bool) {
 	c.set.mu.Lock()
 	victims, ok := c.set.makeRoom(c, n, func() bool { return c.removed || c.body.TryGrow(n) })
-	ok = ok && !c.removed
+	ok, waits = ok && !c.removed, n > memory.ShortBytes && !c.removed && c.set.hasMostOfBodies(c)
 	c.set.mu.Unlock()
-	if !ok {
-		c.set.options.Budget.CountRefused()
-	}
 	closeAll(victims)
-	return ok
+	return ok, waits
 }
 
 // ReleaseBody returns the memory of the request body.
--- a/internal/connection/intake/intake.go
+++ b/internal/connection/intake/intake.go
@@ -249,6 +249,17 @@
 	return victims, true
 }
 
+// hasMostOfBodies reports whether no other connection has read more of a body that it is still reading; of equal ones the first counts.
+func (s *Set) hasMostOfBodies(c *Conn) bool {
+	for other := range s.conns {
+		more := other.body.Taken() - c.body.Taken()
+		if other != c && other.phase == Body && (more > 0 || more == 0 && other.number < c.number) {
+			return false
+		}
+	}
+	return true
+}
+
 // reclaim closes connections that hold heads or bodies until it has returned so many bytes, and reports whether there were any.
 func (s *Set) reclaim(bytes int64) bool {
 	var victims []*Conn
