store: updates of other processes are applied while a watch has no response

Callers would see: requests to replicas that left, from an edge that the store leaves without a response while it serves the other edges.

Change: they are also applied once a response is late. The response of a watch from a position that was left is dropped, since it could bring back what has been replaced.

--- a/internal/process/store/feed.go
+++ b/internal/process/store/feed.go
@@ -66,8 +66,8 @@
 	syncedAt time.Time
 	// retryAt is the time of the next call after a failed one; zero if the state was synced since.
 	retryAt time.Time
-	// waiting is set while Run waits to start the next watch.
-	waiting bool
+	// waiting is set while Run waits to start the next watch, and hanging while a watch has no response in time.
+	waiting, hanging bool
 	// catchingUp ends the current wait. snapshotDue is set if it ended the last one.
 	catchingUp, snapshotDue bool
 	// wakeup receives a value when the end of the current wait may have changed.
@@ -139,6 +139,9 @@
 func (f *Feed) setPosition(p Position, syncedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if syncedAt.Before(f.syncedAt) {
+		syncedAt = f.syncedAt // Advance has moved the Feed meanwhile
+	}
 	f.position, f.syncedAt, f.retryAt = p, syncedAt, time.Time{}
 }
 
@@ -191,15 +194,15 @@
 }
 
 // Advance reports that another process read up to the position to with a call that began at the given time, and that apply
-// delivers all writes between the positions from and to that matter. If the Feed waits for its next watch and has read at
-// least up to from, in the same era, it calls apply with the position up to which it has read, continues at to and returns true.
+// delivers all writes between the positions from and to that matter. If the Feed waits for its next watch, or for a response that is late, and
+// has read at least up to from, in the same era, it calls apply with the position up to which it has read, continues at to and returns true.
 func (f *Feed) Advance(from, to Position, at time.Time, apply func(read Position)) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.waiting || f.position.IsZero() || !f.position.Within(from, to) || !at.After(f.syncedAt) {
+	if !f.waiting && !f.hanging || f.position.IsZero() || !f.position.Within(from, to) || !at.After(f.syncedAt) {
 		return false
 	}
-	// The lock is held, so that no watch starts that would deliver older writes later.
+	// The lock is held, so that no watch starts that would deliver older writes later. What a late one delivers is dropped.
 	apply(f.position)
 	f.position, f.syncedAt, f.retryAt = to, at, time.Time{}
 	f.wake()
@@ -245,12 +248,16 @@
 		return f.stepSnapshot(ctx, from, began)
 	}
 	objs, next, err := f.watch(ctx, from)
+	if f.endHanging(from) {
+		return f.dropWatch(err)
+	}
 	switch {
 	case !errors.Is(err, ErrLongResponse):
 	case f.OnSnapshot != nil:
 		return f.stepSnapshot(ctx, from, began)
 	case !from.IsZero():
 		// There are more writes than fit into a response. The list has each object once, and is divided into pages.
+		f.setPosition(Position{}, began)
 		return f.step(ctx, Position{}, began)
 	}
 	if err == nil && f.OnResponse != nil {
@@ -342,20 +349,16 @@
 		}()
 	}
 	begin(f.began)
-	last := f.began
+	timer := time.NewTimer(f.OverlapDelay())
+	defer timer.Stop()
 	for {
-		var next <-chan time.Time
-		if !responding.Load() && len(pending) < maxOverlapping {
-			timer := time.NewTimer(time.Until(last.Add(f.OverlapDelay())))
-			defer timer.Stop()
-			next = timer.C
-		}
 		select {
-		case <-next:
-			if !responding.Load() {
-				last = time.Now()
-				begin(last)
+		case <-timer.C:
+			if !responding.Load() && len(pending) < maxOverlapping {
+				f.setHanging()
+				begin(time.Now())
 			}
+			timer.Reset(f.OverlapDelay())
 		case r := <-results:
 			i := slices.Index(pending, r.began)
 			if r.err == nil && i > 0 && f.failing {
@@ -371,6 +374,32 @@
 	}
 }
 
+func (f *Feed) setHanging() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hanging = true
+}
+
+// endHanging records the end of a watch from the position, and reports whether Advance has moved the Feed meanwhile.
+func (f *Feed) endHanging(from Position) (moved bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	moved = f.hanging && f.position != from
+	f.hanging = false
+	return moved
+}
+
+// dropWatch ends a watch from a position that the Feed has left, and returns the position to continue from.
+func (f *Feed) dropWatch(err error) (Position, error) {
+	switch {
+	case errors.Is(err, ErrGap):
+		return Position{}, err
+	case err == nil && f.OnResponse != nil:
+		f.OnResponse()
+	}
+	return f.Position(), err
+}
+
 // reportFailed reports a failed call while others are in progress.
 func (f *Feed) reportFailed(began time.Time, err error) {
 	f.began, f.failing = began, true
--- a/internal/process/store/overlap_test.go
+++ b/internal/process/store/overlap_test.go
@@ -110,3 +110,32 @@
 		})
 	}
 }
+
+// Guards against an edge that the store leaves without a response while it serves others, and that does not apply what the others tell it until
+// the store responds; and against a late response that brings back what has been replaced since.
+func TestAdvanceWhileAWatchHasNoResponse(t *testing.T) {
+	const ms = time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		// The third call has its response last, with the writes up to revision 3.
+		s := &slowCalls{times: []time.Duration{ms, time.Hour, 900 * ms, time.Hour}, start: time.Now()}
+		synced := 0
+		feed := &store.Feed{
+			Client: s, Poll: true, MinInterval: 700 * ms, OverlapDelay: func() time.Duration { return 500 * ms },
+			OnGap:     func(context.Context) error { return nil },
+			OnObjects: func([]store.Object) { t.Error("the late response was delivered") },
+			OnSynced:  func(_, _ store.Position, _ time.Time) { synced++ },
+		}
+		go feed.Run(ctx)
+		time.Sleep(1500 * ms) // the second call began at 700 ms, the third one at 1,200 ms
+		applied := false
+		moved := feed.Advance(store.Position{Era: 1, Revision: 1}, store.Position{Era: 1, Revision: 9}, time.Now(), func(store.Position) { applied = true })
+		time.Sleep(650 * ms)
+		synctest.Wait()
+		if !moved || !applied || synced != 1 || feed.Position().Revision != 9 {
+			t.Errorf("moved %t, applied %t, %d watches delivered, revision %d; want the first watch only, and revision 9", moved, applied, synced, feed.Position().Revision)
+		}
+		cancel()
+		time.Sleep(callTimeout)
+	})
+}
