--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -76,12 +76,13 @@
 	return nil
 }
 
-// crash ends the incarnation as a crashed process does: nothing listens any more and all connections are reset.
-func (r *replica) crash() {
+// crash ends the incarnation as a crashed process does: nothing listens any more and all connections are reset. It reports false if the
+// incarnation has ended already.
+func (r *replica) crash() bool {
 	r.mu.Lock()
 	if !r.up {
 		r.mu.Unlock()
-		return
+		return false
 	}
 	r.up = false
 	_ = r.listener.Close()
@@ -93,6 +94,7 @@
 	server := r.server
 	r.mu.Unlock()
 	_ = server.Close()
+	return true
 }
 
 // beat keeps the replica's entry in the store, as replicas do.
