--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -163,11 +163,15 @@
 	return []byte("answer to " + attempt + strings.Repeat(".", 700))
 }
 
-// configure writes a configuration to the store.
-func (f *fleet) configure(routes, services []map[string]any) {
+// configure writes a configuration to the store. Without tenants, requests need no key.
+func (f *fleet) configure(routes, services []map[string]any, tenants ...map[string]any) {
 	f.version += 3
-	f.store.put("config", "main", map[string]any{
+	config := map[string]any{
 		"version": f.version, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 60000},
-	})
+	}
+	if len(tenants) > 0 {
+		config["tenants"] = tenants
+	}
+	f.store.put("config", "main", config)
 }
