--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -72,9 +72,10 @@
 // edgeProcess is one edge machine with its process.
 type edgeProcess struct {
 	name, ip string
-	seeds    []string
-	cmd      *exec.Cmd
-	done     chan struct{}
+	// store is the address at which the machine calls the store.
+	store string
+	cmd   *exec.Cmd
+	done  chan struct{}
 }
 
 func (e *edgeProcess) front() string { return fmt.Sprintf("%s:%d", e.ip, frontPort) }
@@ -93,7 +94,9 @@
 	for _, s := range seeds {
 		list = append(list, fmt.Sprintf("%s:%d", s.ip, controlPort))
 	}
-	e.seeds = list
+	if e.store == "" {
+		e.store = f.store.address
+	}
 	values := []string{
 		"node_name=" + e.name, "role=edge", "instance_type=edge", "serves=edge,control_plane", "ip=" + e.ip, "zone=tw-central-a", "region=tw-central",
 		"zones.tw-central-a=tw-central", "zones.tw-central-b=tw-central", "zones.tw-central-c=tw-central",
@@ -106,7 +109,7 @@
 		"bounds.grace_s=8", "bounds.loss_slack_ms=200", "bounds.config_ms=2000", "bounds.downgrade_slack_ms=250", "bounds.max_stretch_ms=5000",
 		"bounds.strict_revoke=false", "bounds.revoke_ms=5000", "bounds.retry_budget_ratio=0.2", "bounds.budget_window_s=10", "bounds.budget_slack=54",
 		"bounds.recovery_s=12", "bounds.pass_ms=120", "bounds.reuse_window_s=10",
-		"provider.address=" + f.store.address, "provider.form=objects", "provider.writes_per_s=400", "provider.reads_per_s=2000", "provider.history_s=20",
+		"provider.address=" + e.store, "provider.form=objects", "provider.writes_per_s=400", "provider.reads_per_s=2000", "provider.history_s=20",
 		"provider.value_bytes=1048576", "provider.min_ttl_ms=1000",
 	}
 	file := filepath.Join(f.temp, e.name+".conf")
--- a/review/standin-3/limit.go
+++ b/review/standin-3/limit.go
@@ -89,7 +89,11 @@
 			f.record.line("%s is lost", e.name)
 		}
 	}
-	for _, e := range added {
+	for n, e := range added {
+		e.store = fmt.Sprintf("%s:%d", f.ip(200+n), storePort)
+		if err := f.store.listen(e.store); err != nil {
+			return nil, err
+		}
 		if err := f.start(e, first...); err != nil {
 			return nil, err
 		}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -35,6 +35,8 @@
 	changed  chan struct{}
 	server   *http.Server
 	address  string
+	// turnedAway has the addresses at which each call gets 503.
+	turnedAway map[string]bool
 }
 
 func newStore(address string) (*objectStore, error) {
@@ -42,13 +44,29 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &objectStore{revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{}), address: address}
+	s := &objectStore{revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{}), address: address, turnedAway: map[string]bool{}}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
 
-// put writes an object and returns its revision.
+// listen makes the store serve at one more address, so that it can turn one machine away and serve the others.
+func (s *objectStore) listen(address string) error {
+	l, err := net.Listen("tcp4", address)
+	if err == nil {
+		go func() { _ = s.server.Serve(l) }()
+	}
+	return err
+}
+
+// turnAway makes the store refuse all calls at an address, or serve them again.
+func (s *objectStore) turnAway(address string, refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turnedAway[address] = refuse
+}
+
+// put writes an object.
 func (s *objectStore) put(kind, name string, spec any) {
 	data, err := json.Marshal(spec)
 	if err != nil {
@@ -97,6 +115,13 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Store-Era", "1")
+	s.mu.Lock()
+	refused := s.turnedAway[r.Host]
+	s.mu.Unlock()
+	if refused {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	kind, name, named := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	query := r.URL.Query()
 	time.Sleep(4 * time.Millisecond) // the time of an answer, by the sheet
