review: case 12, DRAIN broken while a long list is read

Large unreadable entries of another writer make each edge read the whole list at 10 calls a second, and a replica that leaves meanwhile gets requests up to 9 s later.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,11 +18,11 @@
 // play runs a case and reports whether the rule was broken. trouble is false for a run without the disruption.
 type play func(f *fleet, trouble bool) (bool, error)
 
-var cases = map[string]play{"limit": playLimit, "stopping": playStopping, "prompts": playPrompts, "blame": playBlame, "withdrawn": playWithdrawn}
+var cases = map[string]play{"limit": playLimit, "stopping": playStopping, "prompts": playPrompts, "blame": playBlame, "withdrawn": playWithdrawn, "stops": playStops, "entries": playEntries}
 
 func main() {
-	if len(os.Args) == 4 && os.Args[1] == "replica" {
-		os.Exit(runReplica(os.Args[2], os.Args[3]))
+	if len(os.Args) == 5 && os.Args[1] == "replica" {
+		os.Exit(runReplica(os.Args[2], os.Args[3], os.Args[4] == "true"))
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-3 CASE FOLDER")
--- a/review/standin-3/process.go
+++ b/review/standin-3/process.go
@@ -9,12 +9,14 @@
 	"os/exec"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
 // replicaProcess is a replica in a process of its own, so that it can be killed. SIGTERM makes it stop as ordinary servers do: it accepts
-// no connections any more, closes idle ones, goes on with its answers and exits after the last one.
+// no connections any more, goes on with its answers and exits after the last one. Idle connections end at once; if keepsIdle is set, all
+// open connections end with the process.
 type replicaProcess struct {
 	f           *fleet
 	id, service string
@@ -27,13 +29,13 @@
 	state string
 }
 
-func (f *fleet) startReplica(id, service string, n int) (*replicaProcess, error) {
+func (f *fleet) startReplica(id, service string, n int, keepsIdle bool) (*replicaProcess, error) {
 	r := &replicaProcess{f: f, id: id, service: service, address: fmt.Sprintf("%s:8263", f.ip(n)), born: time.Now().UnixMilli(), done: make(chan struct{}), state: "ready"}
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	r.cmd = exec.Command(self, "replica", r.address, id)
+	r.cmd = exec.Command(self, "replica", r.address, id, fmt.Sprint(keepsIdle))
 	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := r.cmd.Start(); err != nil {
 		return nil, err
@@ -101,13 +103,14 @@
 func piece(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d of %d\n\n", n, n, pieces) }
 
 // runReplica is the process of a replicaProcess. Its streams have neither a length nor chunks and end with their connections.
-func runReplica(address, id string) int {
+func runReplica(address, id string, keepsIdle bool) int {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return notRun
 	}
-	var streams sync.WaitGroup
+	var running atomic.Int32
+	var stopping atomic.Bool
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		attempt := q.Header.Get("X-Attempt-Id")
 		w.Header().Set("X-Attempt-Id", attempt)
@@ -121,8 +124,7 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		streams.Add(1)
-		defer streams.Done()
+		running.Add(1)
 		first := 1
 		if after := q.Header.Get("Last-Event-Id"); after != "" {
 			_, _ = fmt.Sscan(after, &first)
@@ -130,9 +132,15 @@
 		}
 		conn, _, err := w.(http.Hijacker).Hijack()
 		if err != nil {
+			running.Add(-1)
 			return
 		}
-		defer func() { _ = conn.Close() }()
+		defer func() {
+			if running.Add(-1) == 0 && stopping.Load() {
+				os.Exit(0)
+			}
+			_ = conn.Close()
+		}()
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", attempt, signature(id, attempt))
 		for n := first; n <= pieces; n++ {
 			time.Sleep(pieceTime)
@@ -145,7 +153,14 @@
 	signal.Notify(term, syscall.SIGTERM)
 	go func() { _ = server.Serve(l) }()
 	<-term
-	_ = server.Shutdown(context.Background())
-	streams.Wait()
+	if keepsIdle {
+		_ = l.Close()
+	} else {
+		_ = server.Shutdown(context.Background())
+	}
+	stopping.Store(true)
+	for running.Load() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
 	return 0
 }
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -41,6 +41,7 @@
 	listener net.Listener
 	server   *http.Server
 	up       bool
+	draining bool
 	conns    map[net.Conn]bool
 }
 
@@ -103,10 +104,13 @@
 	defer ticker.Stop()
 	for seq := 1; ; seq++ {
 		r.mu.Lock()
-		up, born := r.up, r.born
+		up, born, state := r.up, r.born, "ready"
+		if r.draining {
+			state = "draining"
+		}
 		r.mu.Unlock()
 		if up {
-			r.f.store.put("servers", r.id, entry(r.service, r.address, "ready", born, seq))
+			r.f.store.put("servers", r.id, entry(r.service, r.address, state, born, seq))
 		}
 		select {
 		case <-r.f.stop:
@@ -116,6 +120,15 @@
 	}
 }
 
+// drain reports to the store that the replica leaves. It goes on serving.
+func (r *replica) drain() {
+	r.mu.Lock()
+	r.draining = true
+	born := r.born
+	r.mu.Unlock()
+	r.f.store.put("servers", r.id, entry(r.service, r.address, "draining", born, 1000))
+}
+
 // setLimit makes the replica name a limit in all answers from now on.
 func (r *replica) setLimit(perSecond float64) {
 	r.mu.Lock()
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -172,29 +172,50 @@
 		}
 	}
 	slices.Sort(names)
-	items := make([]string, 0, len(names))
-	for _, name := range names {
-		items = append(items, encode(name, s.objects[kind][name].revision, s.objects[kind][name].spec))
+	_, _ = io.WriteString(w, `{"items":[`)
+	bytes, more := 0, false
+	for n, name := range names {
+		if more = n > 0 && (n >= maxPageObjects || bytes >= maxPageBytes); more {
+			break
+		}
+		o := s.objects[kind][name]
+		bytes += len(o.spec)
+		if n > 0 {
+			_, _ = io.WriteString(w, ",")
+		}
+		_, _ = io.WriteString(w, encode(name, o.revision, o.spec))
 	}
-	_, _ = fmt.Fprintf(w, `{"items":[%s],"has_more":false,"at":%d}`, strings.Join(items, ","), s.revision)
+	_, _ = fmt.Fprintf(w, `],"has_more":%t,"at":%d}`, more, s.revision)
 }
 
+// Bounds of a page of a list: "about 500 or 1 MB at most".
+const maxPageObjects, maxPageBytes = 500, 1_000_000
+
 func (s *objectStore) watch(w http.ResponseWriter, r *http.Request, kind, from, wait string) {
 	after, _ := strconv.ParseUint(from, 10, 64)
 	waitMs, _ := strconv.Atoi(wait)
 	end := time.After(time.Duration(waitMs) * time.Millisecond)
 	for timedOut := false; ; {
 		s.mu.Lock()
-		var events []string
+		var events []event
 		for _, e := range s.events {
 			if e.kind == kind && e.revision > after {
-				events = append(events, fmt.Sprintf(`{"deleted":%t,"object":%s}`, e.deleted, encode(e.name, e.revision, e.spec)))
+				events = append(events, e)
 			}
 		}
 		at, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || timedOut {
-			_, _ = fmt.Fprintf(w, `{"events":[%s],"at":%d}`, strings.Join(events, ","), at)
+			_, _ = io.WriteString(w, `{"events":[`)
+			for n, e := range events {
+				if n > 0 {
+					_, _ = io.WriteString(w, ",")
+				}
+				if _, err := fmt.Fprintf(w, `{"deleted":%t,"object":%s}`, e.deleted, encode(e.name, e.revision, e.spec)); err != nil {
+					return
+				}
+			}
+			_, _ = fmt.Fprintf(w, `],"at":%d}`, at)
 			return
 		}
 		select {
