--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,7 +18,7 @@
 // play runs a case and reports whether the rule was broken. trouble is false for a run without the disruption.
 type play func(f *fleet, trouble bool) (bool, error)
 
-var cases = map[string]play{"limit": playLimit, "stopping": playStopping, "prompts": playPrompts, "blame": playBlame, "withdrawn": playWithdrawn, "stops": playStops, "entries": playEntries, "garble": playGarble}
+var cases = map[string]play{"limit": playLimit, "stopping": playStopping, "prompts": playPrompts, "blame": playBlame, "withdrawn": playWithdrawn, "stops": playStops, "entries": playEntries, "garble": playGarble, "gap": playGap}
 
 func main() {
 	if len(os.Args) == 5 && os.Args[1] == "replica" {
