forward: confirm an event's ID by the next event before continuing after it

A wrong byte in the name of a field or in a blank line costs a client of the event stream format the piece, or merges it with the next one.

Cause: an ID counted as the caller's position as soon as it had arrived, and a line that is no known field was passed over. Within a response any larger ID was accepted; when the next event contradicted it, the stream continued at another replica after the wrong ID.

The same happens with the first event, where no gap shows, and with steps of ten, so that accepting a gap is not the cause.

Change: an event that differs from what those before it let expect is in doubt, and the next event resolves the doubt. It is held back for that, for 50 ms at most, unless it is the first one or nothing is known of the steps. Fields that only a wrong byte explains are refused. Where a spoiled event has been sent, the caller gets the rest of the stream, which does not end as complete; on routes that may not be resumed the stream ends. Sound streams whose IDs step otherwise are neither broken off nor begun later.

The tests of the sequence compare what is sent in place of a count of bytes, because events can now be sent later than they arrive; the cases and their results are unchanged.

--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -15,12 +15,6 @@
 	"github.com/dragonflypin/dragonflypin/internal/version/routes"
 )
 
-// readBufferSize is the size of one read from a replica, in bytes; an event of a stream is about 50.
-const readBufferSize = 4096
-
-// maxEventSize bounds one event of a stream, in bytes. A longer one ends the stream, because it can't be forwarded whole.
-const maxEventSize = 1 << 20
-
 // maxBodyBytes bounds a response that is not a stream, in bytes: it is read completely before it is forwarded. Bodies in the
 // published deployment specifications have up to 5 kB.
 const maxBodyBytes = 8 << 20
@@ -37,9 +31,6 @@
 // errMemory reports a body or an event for which there is not enough memory.
 var errMemory = errors.New("no memory is left to read the response ahead")
 
-// errEventTooLong reports an event above maxEventSize.
-var errEventTooLong = errors.New("stream event is too long")
-
 // sendTracker reports the progress of one send to the placer.
 type sendTracker struct {
 	s      *serving
@@ -139,7 +130,7 @@
 	}
 	var err error
 	if response.Status == http.StatusOK && s.r.Route.Kind == routes.Streaming {
-		err = s.forwardStream(tracker, response)
+		err = (&streamForwarder{s: s, tracker: tracker, response: response}).run()
 	} else {
 		err = s.forwardBody(tracker, response)
 	}
@@ -261,65 +252,6 @@
 	}
 }
 
-// forwardStream forwards events as they arrive, each of them whole, so that an interrupted stream can resume after the
-// last one.
-func (s *serving) forwardStream(tracker *sendTracker, response *direct.Response) error {
-	s.sequence.begin(s.responseStarted, s.mayHaveRun)
-	charge := s.f.Memory.Charge()
-	defer charge.Release()
-	var pending []byte
-	buffer := make([]byte, readBufferSize)
-	for {
-		n, err := response.Read(buffer)
-		if n > 0 {
-			tracker.firstEvent()
-			tracker.recordEvent(time.Now())
-			if tracker.answering() >= quarantine.StartPeriod {
-				tracker.recordAnswered()
-			}
-			searched := len(pending)
-			pending = append(pending, buffer[:n]...)
-			rest, writeErr := s.forwardEvents(response, pending, searched)
-			if writeErr != nil {
-				return writeErr
-			}
-			if len(rest) < len(pending) {
-				pending = append(pending[:0], rest...)
-			}
-		}
-		switch {
-		case errors.Is(err, io.EOF) && s.sequence.joining:
-			// It may be a true end, but nothing shows that all events have been sent.
-			return errEmptyContinuation
-		case errors.Is(err, io.EOF) && len(pending) == 0:
-			s.startResponse(response, -1)
-			return nil
-		case errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
-		case err != nil:
-			return err
-		case len(pending) > maxEventSize:
-			return errEventTooLong
-		case cap(pending) > bodyBlockSize && !charge.Grow(int64(cap(pending))):
-			return errMemory
-		}
-	}
-}
-
-// forwardEvents sends the complete events at the start of data and returns the rest. No event ends in the first bytes that were searched
-// before. It stops at an event that does not follow the one before it.
-func (s *serving) forwardEvents(response *direct.Response, data []byte, searched int) ([]byte, error) {
-	end, err := s.sequence.accept(data[:eventsEnd(data, searched)])
-	if end == 0 {
-		return data, err
-	}
-	s.startResponse(response, -1)
-	if err := s.write(data[:end]); err != nil {
-		return nil, err
-	}
-	return data[end:], err
-}
-
 // recordEvent reports the gap before the events that just arrived to the placer.
 func (t *sendTracker) recordEvent(now time.Time) {
 	if !t.lastEvents.IsZero() {
--- a/internal/request/forward/sequence_test.go
+++ b/internal/request/forward/sequence_test.go
@@ -75,14 +75,18 @@
 		"blank lines":                     {"", []string{event("1") + "\n\n\n" + event("2")}, event("1") + "\n\n\n" + event("2")},
 	} {
 		q := newEventSequence(c.resumeAfter, true)
-		var accepted int
+		var got string
 		sent := false
 		for i, part := range c.parts {
 			q.begin(sent, i > 0)
-			accepted, _ = q.accept([]byte(part))
-			sent = sent || accepted > 0
+			ready, err := q.accept([]byte(part))
+			if got = string(ready); err == nil && i == len(c.parts)-1 && part != "" {
+				rest, _ := q.end()
+				got += string(rest)
+			}
+			sent = sent || got != ""
 		}
-		if got := c.parts[len(c.parts)-1][:accepted]; got != c.want {
+		if got != c.want {
 			t.Errorf("%s: forwarded %q, want %q", name, got, c.want)
 		}
 	}
--- a/internal/request/forward/serve.go
+++ b/internal/request/forward/serve.go
@@ -165,7 +165,7 @@
 	s.choice = c
 	request := &direct.Request{
 		Address: c.Replica.Address, Method: r.Method, Target: r.Target, Host: r.Host,
-		Header: s.f.Dialect.Headers(r, &c, left, string(s.sequence.last)),
+		Header: s.f.Dialect.Headers(r, &c, left, string(s.sequence.last.id)),
 		Body:   r.Body, Chunked: r.Chunked, NonIdempotent: !r.Route.Repeatable(),
 		MaxIdle: s.f.maxIdle(r.Service),
 		Leaving: func() bool { return s.f.IsLeaving != nil && s.f.IsLeaving(c.Replica.ID, c.Replica.StartUnixMs) },
@@ -173,7 +173,7 @@
 		Match:   func(status int, h http.Header) direct.Match { return s.f.Dialect.Match(r, status, h) },
 	}
 	tracker.sent = time.Now()
-	s.part = StreamPart{ResumedAfter: string(s.sequence.last)}
+	s.part = StreamPart{ResumedAfter: string(s.sequence.last.id)}
 	response, err := s.f.Pool.Do(ctx, request)
 	if s.sends == 0 {
 		s.queued = sent.Sub(r.Arrived)
@@ -231,7 +231,7 @@
 // streamPart describes the last send.
 func (s *serving) streamPart() StreamPart {
 	part := s.part
-	part.LastEvent = string(s.sequence.last)
+	part.LastEvent = string(s.sequence.last.id)
 	return part
 }
 
@@ -335,7 +335,7 @@
 // execution. If not, it returns the code of the refusal.
 func (s *serving) mayRetry(execution retry.Execution) (Code, bool) {
 	r := s.r
-	if s.sends >= r.Route.MaxAttempts || s.responseStarted && s.sequence.unnamed {
+	if s.sends >= r.Route.MaxAttempts || s.responseStarted && !s.sequence.continuable() {
 		return CodeMayHaveRun, false
 	}
 	verdict := s.f.Budgets.get(r.Service).Decide(time.Now(), retry.Failure{
