edge: find other edges by a roster in the store when no seed is up

Cause: edges found others only from the seeds and from the reports of others. With no seed up each stays alone, shares nothing, and nothing says so.

Change: of edges that hear each other the one with the lowest address reads a roster of up to 16 addresses from the store every 30 s, contacts those that are silent and writes it when it should change. An edge that hears no other one is the first by itself, and looks every second for 10 s. The event edge_alone and two metrics report an edge that hears nobody.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -131,6 +131,8 @@
 	// duties is nil if the settings name none.
 	duties *duty.Node
 	tally  *tallyExchange
+	// discovery finds other edges by the store.
+	discovery *discovery
 	// configuration and replicas follow the store.
 	configuration, replicas *followed
 	// pending has the incomplete updates of other edges. It is only used by the goroutine that receives datagrams.
@@ -192,6 +194,11 @@
 			return nil, err
 		}
 	}
+	e.discovery = e.newDiscovery()
+	if err = deps.Metrics.OtherEdges(e.gossip.Live, e.discovery.alone.Load); err != nil {
+		e.gossip.Close()
+		return nil, err
+	}
 	e.duties = e.newDuties()
 	for _, l := range []struct {
 		address  netip.AddrPort
@@ -332,7 +339,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var tasks sync.WaitGroup
-	for _, run := range []func(context.Context){e.configuration.feed.Run, e.replicas.feed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run, e.newKeeper().run, e.runLimits, e.runDuties, e.intake.Run, e.logClosed} {
+	for _, run := range []func(context.Context){e.configuration.feed.Run, e.replicas.feed.Run, e.gossip.Run, e.pool.Run, e.tick, e.observer.run, e.newKeeper().run, e.discovery.run, e.runLimits, e.runDuties, e.intake.Run, e.logClosed} {
 		tasks.Go(func() { run(background) })
 	}
 	// The limits of heads and of idle connections, which follow the configuration, are those of e.intake.
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -109,6 +109,8 @@
 	EdgeReplicaPaused        = define(1523, "edge_replica_paused", logrus.InfoLevel, "A replica has refused a request and wants no other one from this edge for pause_ms.")
 	EdgeNeedsRestart         = define(1524, "edge_needs_restart", logrus.WarnLevel, "The machine's settings have changed in more than the seeds; only those are applied without a restart.")
 	EdgeConnectionsClosed    = define(1525, "edge_connections_closed", logrus.WarnLevel, "Accepted connections were closed in the last second for their limits or for others; reason says why, count how many.")
+	EdgeAlone                = define(1526, "edge_alone", logrus.WarnLevel, "This edge hears no other one, although the store names count others; limits, quarantines and retry budgets are not shared.")
+	EdgeFoundOthers          = define(1527, "edge_found_others", logrus.InfoLevel, "This edge hears others again.")
 )
 
 // Events of the duties at the platform.
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -1,6 +1,6 @@
 // Package gossip exchanges reports between entries in UDP datagrams: each entry reports the load that it has outstanding at
 // the replicas. A lost datagram only delays an update, since each report replaces the previous one.
-// Entries discover each other from a few seed addresses and from the addresses in the reports, without calls to the store.
+// Entries discover each other from a few seed addresses, from the addresses in the reports and from those that SetDiscovered gives.
 package gossip
 
 import (
@@ -180,6 +180,8 @@
 	mu    sync.Mutex
 	peers map[netip.Addr]*peer
 	seeds []netip.Addr
+	// discovered are addresses from elsewhere that are used like seeds.
+	discovered []netip.Addr
 	// live is the number of live peers at the last report.
 	live atomic.Int32
 }
@@ -230,6 +232,13 @@
 	n.seeds = seeds
 }
 
+// SetDiscovered replaces the addresses that are sent reports until they respond, besides the seeds.
+func (n *Node) SetDiscovered(addresses []netip.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.discovered = addresses
+}
+
 // Rank returns the number of other live entries with an address lower than this entry's. Entries that receive each other's
 // reports have different ranks. With onlySynced, entries whose store calls fail don't count.
 func (n *Node) Rank(onlySynced bool) int {
@@ -371,12 +380,14 @@
 		}
 	}
 	n.live.Store(int32(live))
-	for _, seed := range n.seeds {
-		if seed == n.opts.Listen.Addr() || n.peers[seed] != nil {
-			continue
+	for _, list := range [][]netip.Addr{n.seeds, n.discovered} {
+		for _, seed := range list {
+			if seed == n.opts.Listen.Addr() || n.peers[seed] != nil {
+				continue
+			}
+			n.peers[seed] = &peer{lastReceived: now.Add(seedInterval - peerExpiry)}
+			targets = append(targets, seed)
 		}
-		n.peers[seed] = &peer{lastReceived: now.Add(seedInterval - peerExpiry)}
-		targets = append(targets, seed)
 	}
 	return targets, addresses
 }
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -155,6 +155,29 @@
 	return err
 }
 
+// OtherEdges makes the metrics show how many other edges this one hears, and whether it hears none although the store names some.
+func (m *Metrics) OtherEdges(heard func() int, alone func() bool) error {
+	if m == nil {
+		return nil
+	}
+	meter := m.provider.Meter("dragonflypin")
+	_, err := meter.Int64ObservableGauge("dragonflypin.edges.heard", metric.WithDescription("Other edges whose reports arrive."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error { o.Observe(int64(heard())); return nil }))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Int64ObservableGauge("dragonflypin.edges.alone", metric.WithDescription("1 while no other edge is heard although the store names some."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			if alone() {
+				o.Observe(1)
+			} else {
+				o.Observe(0)
+			}
+			return nil
+		}))
+	return err
+}
+
 // UsageCounts is what an edge has counted for the reports of usage, and exchanged with other edges.
 type UsageCounts struct {
 	// Counted is the number of requests that began, as this edge has counted them.
