direct, forward: refuse bodies whose framing was lost

Cause: a response with neither a length nor chunks counted as one that ends with its connection, whatever else its head says. The replica kept the connection, as its Keep-Alive header says, until it was idle for too long.

Change: a head that says that its connection stays open can't have a body that ends with it. Neither is a body that consists of chunks to its last byte, or a stream that begins with the size of a chunk, the replica's answer. Such a response is treated as one without a signature: the request goes on elsewhere where it may run again, and gets 502 otherwise. The head is looked at before http.ReadResponse removes "Connection: close" from it.

--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -98,6 +98,8 @@
 	idleSince time.Time
 	// responses is the number of final responses that have arrived.
 	responses int
+	// mayAnnounceClose is set unless the latest head is known not to say that the connection closes.
+	mayAnnounceClose bool
 	// maxIdle is how many idle connections to the address may be kept with this one.
 	maxIdle int
 	// established is how long it took to open the connection, at least one round trip.
@@ -134,6 +136,12 @@
 	c.source.limited, c.source.remaining, c.source.lines = true, maxHeadBytes, 0
 	defer func() { c.source.limited = false }()
 	for range maxInterim + 1 {
+		if _, err := c.reader.Peek(1); errors.Is(err, io.EOF) {
+			return nil, io.ErrUnexpectedEOF
+		} else if err != nil {
+			return nil, err
+		}
+		c.mayAnnounceClose = c.nextMayAnnounceClose()
 		//nolint:bodyclose // the caller closes the body
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		switch {
@@ -150,6 +158,22 @@
 	return nil, errTooManyInterim
 }
 
+// nextMayAnnounceClose reports whether the next head has "Connection: close", which http.ReadResponse removes, or has not arrived whole.
+func (c *conn) nextMayAnnounceClose() bool {
+	arrived, err := c.reader.Peek(c.reader.Buffered())
+	head, _, whole := bytes.Cut(arrived, []byte("\r\n\r\n"))
+	if err != nil || !whole {
+		return true
+	}
+	for line := range bytes.SplitSeq(head, []byte("\r\n")) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(name, []byte("Connection")) && bytes.Contains(bytes.ToLower(value), []byte("close")) {
+			return true
+		}
+	}
+	return false
+}
+
 // healthy reports whether an idle connection is still open and has no unread bytes.
 func (c *conn) healthy() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/connection/direct/pool.go
+++ b/internal/connection/direct/pool.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -133,6 +134,19 @@
 	}
 }
 
+// KeepsConnection reports whether the head of a response says that its connection stays open, so that no body can end with it.
+func (r *Response) KeepsConnection() bool {
+	if r.exchange.conn.mayAnnounceClose {
+		return false
+	}
+	for option := range strings.SplitSeq(strings.Join(r.Header.Values("Connection"), ","), ",") {
+		if strings.EqualFold(strings.TrimSpace(option), "keep-alive") {
+			return true
+		}
+	}
+	return r.Header.Get("Keep-Alive") != ""
+}
+
 // Pool is a pool of connections to replicas. It is safe for concurrent use.
 type Pool struct {
 	// Memory is charged for the headers of responses; nil does not limit them. MaxConns is the number of connections that may be open;
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httputil"
 	"time"
 
 	"github.com/dragonflypin/dragonflypin/internal/connection/direct"
@@ -96,7 +99,8 @@
 
 // deliver forwards a response. A server error of the replica is retried if that is allowed, and forwarded otherwise.
 func (s *serving) deliver(ctx context.Context, tracker *sendTracker, response *direct.Response, attempt Attempt) step {
-	if s.f.Dialect.Spoiled(response.Status, response.Header) {
+	framingIsLost := response.Framing == direct.FramedByConnection && response.KeepsConnection()
+	if framingIsLost || s.f.Dialect.Spoiled(response.Status, response.Header) {
 		s.f.Placer.Health.RecordOutcome(s.r.Service, tracker.choice.Key, true, time.Now())
 		s.mayHaveRun = true
 		tracker.began()
@@ -216,6 +220,9 @@
 	if err != nil {
 		return err
 	}
+	if response.Framing == direct.FramedByConnection && isChunked(body) {
+		return errSpoiled
+	}
 	s.startResponse(response, size)
 	for _, block := range body {
 		if err := s.write(block); err != nil {
@@ -225,6 +232,20 @@
 	return nil
 }
 
+// isChunked reports whether a body consists of chunks, so that the header that says so has been lost.
+func isChunked(body [][]byte) bool {
+	readers := make([]io.Reader, 0, len(body))
+	for _, block := range body {
+		readers = append(readers, bytes.NewReader(block))
+	}
+	rest := bufio.NewReader(io.MultiReader(readers...))
+	if _, err := io.Copy(io.Discard, httputil.NewChunkedReader(rest)); err != nil {
+		return false
+	}
+	end, err := io.ReadAll(rest)
+	return err == nil && string(end) == "\r\n"
+}
+
 // readBody reads a whole body in blocks, so that it is never copied into a larger buffer, and returns its size.
 func readBody(response *direct.Response, charge *memory.Charge) (body [][]byte, size int64, err error) {
 	next := int64(firstBlockSize)
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"strconv"
 	"sync"
 	"time"
 
@@ -52,6 +54,9 @@
 			f.recordRead()
 			searched := len(pending)
 			pending = append(pending, buffer[:n]...)
+			if searched == 0 && f.response.Framing == direct.FramedByConnection && beginsWithChunk(pending) {
+				return errSpoiled
+			}
 			if end := eventsEnd(pending, searched); end > 0 {
 				if acceptErr := f.accept(pending[:end]); acceptErr != nil {
 					return acceptErr
@@ -74,6 +79,16 @@
 	}
 }
 
+// beginsWithChunk reports whether the text begins with the size of a chunk, which no event does.
+func beginsWithChunk(text []byte) bool {
+	line, _, found := bytes.Cut(text, []byte("\r\n"))
+	if !found || len(line) == 0 {
+		return false
+	}
+	_, err := strconv.ParseUint(string(line), 16, 64)
+	return err == nil
+}
+
 // recordRead reports that a part of the stream has arrived.
 func (f *streamForwarder) recordRead() {
 	f.tracker.firstEvent()
