forward: don't take hexadecimal IDs for spoiled decimal ones

Callers would have seen: a sound stream whose IDs are hexadecimal and step by six (14, 1a, 20) broken off at 1a, or each change between letters and digits held back.

Cause: a letter in an ID counted as a wrong byte while nothing was known of the steps, and mixed IDs stayed in doubt after they had been confirmed.

Change: a letter refutes an ID only where the step is established or the next ID shows that exactly this one is missing. Once an ID of the other kind was confirmed, none is in doubt for its kind.

--- a/internal/request/forward/sequence.go
+++ b/internal/request/forward/sequence.go
@@ -325,20 +325,14 @@
 // isNextButOneByte reports whether an ID would be that of the next event but for one byte of the number that is no digit, or for the
 // space before it.
 func (q *eventSequence) isNextButOneByte(p *position) bool {
-	if !q.last.numbered || p.numbered && (p.id[0] != '0' || q.last.id[0] == '0') {
+	if !q.last.numbered || !q.steps.established() || p.numbered && (p.id[0] != '0' || q.last.id[0] == '0') {
 		return false
 	}
-	for _, number := range q.next() {
-		next := strconv.FormatUint(number, 10)
-		long := len(next) >= minNumberDigits
-		if len(p.id) > 1 && string(p.id[1:]) == next && (long || q.resumable || q.sent) || long && len(p.id) == len(next) && differsInOneByte(p.id, next) {
-			return true
-		}
-	}
-	return false
+	next := strconv.FormatUint(q.last.number+q.steps.size, 10)
+	return len(p.id) > 1 && string(p.id[1:]) == next || len(p.id) == len(next) && len(next) >= minNumberDigits && differsInOneByte(p.id, next)
 }
 
-// isNumberButOneByte reports whether an ID would be a number but for one byte.
+// isNumberButOneByte reports whether an ID would be a number but for one byte. So would some numbers that are not decimal.
 func isNumberButOneByte(id []byte) bool {
 	digits := 0
 	for _, c := range id {
@@ -357,7 +351,7 @@
 		return doubtNoData
 	case p.numbered && q.expects(p.number):
 		return noDoubt
-	case !last.isStart() && last.numbered != p.numbered, last.isStart() && !p.numbered:
+	case (last.numbered != p.numbered && !last.isStart() || last.isStart() && !p.numbered) && !q.steps.vary():
 		return doubtNumber
 	case !p.numbered:
 		return noDoubt
@@ -428,7 +422,7 @@
 	case q.doubt == doubtNoData:
 		spoiled = false // then it would have been followed by text that is no event
 	case q.doubt == doubtNumber:
-		spoiled = p.numbered && (isNumberButOneByte(q.doubted.id) || spoiled && len(q.doubted.id) < minNumberDigits)
+		spoiled = spoiled && (isNumberButOneByte(q.doubted.id) || len(q.doubted.id) < minNumberDigits)
 	case q.doubt != doubtStep:
 	case !p.numbered || p.number > q.doubted.number:
 		spoiled = false
