forward: bound what is held back behind a doubtful event

Callers would have seen an edge run out of memory: a replica that sends comments without end after an event that is held back, or whose ID is in dispute, filled it, since they were kept until the next event. Found by reading the change.

Cause: comments are held back behind the event so that the order is kept, and nothing bounded their size. In a dispute there is no time limit either.

Change: above the bound of one event the held events are sent without waiting, and a disputed stream ends, not as complete.

TestCommentsBehindAHeldEventAreBounded failed before (2 MiB held in both cases).

--- a/internal/request/forward/sequence.go
+++ b/internal/request/forward/sequence.go
@@ -150,7 +150,12 @@
 		err = q.acceptEvent(event)
 		events = events[len(event):]
 	}
-	if err == nil && q.holding() && !q.mayWait() {
+	tooLong := len(q.held) > maxEventSize // for example, comments without end after an event
+	switch {
+	case err != nil:
+	case q.disputed && tooLong:
+		err = errSpoiledEventSent
+	case q.holding() && (tooLong || !q.mayWait()):
 		q.sendHeld()
 	}
 	return q.ready, err
--- a/internal/request/forward/spoiled_test.go
+++ b/internal/request/forward/spoiled_test.go
@@ -288,3 +288,29 @@
 		t.Errorf("ends as complete after a wrong ID, continuable %t", q.continuable())
 	}
 }
+
+// Guards against comments without end that fill the memory behind an event that is held back, or whose ID is in dispute.
+func TestCommentsBehindAHeldEventAreBounded(t *testing.T) {
+	comments := []byte(strings.Repeat(": wait\n\n", readBufferSize/8))
+	for name, events := range map[string]string{"held back": event("1") + event("2") + event("9"), "in dispute": event("10") + "|" + event("7")} {
+		q := newEventSequence("", true)
+		q.begin(false, false)
+		for read := range strings.SplitSeq(events, "|") {
+			if _, err := q.accept([]byte(read)); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+		}
+		if len(q.held) == 0 {
+			t.Fatalf("%s: nothing is held back", name)
+		}
+		var err error
+		for range 2 * maxEventSize / len(comments) {
+			if _, err = q.accept(comments); err != nil {
+				break
+			}
+		}
+		if len(q.held) > maxEventSize+len(comments) || q.disputed && err == nil {
+			t.Errorf("%s: %d bytes are held back, %v", name, len(q.held), err)
+		}
+	}
+}
